state, coordination: Set down layers, core types and the slice scheduler

Cause: the repository was empty; the shape asked for has to stand before anything grows in it. Change: packages state and coordination as exported targets; immutable values with builders, the closed error table, Event and Action variants, sharded map, annotated mutex, event ring; the owner's scheduler (ranks with floors, fair queue, memory ledger, pairing, renewals) as a pure machine with policy variants.

--- /dev/null
+++ b/cmake/ApricotladderPackage.cmake
@@ -0,0 +1,30 @@
+# Declares one layer as a package: a static library with an exported target, its headers and its install rules.
+function(apricotladder_package name)
+  cmake_parse_arguments(arg "" "" "SOURCES;LINKS" ${ARGN})
+  add_library(${name} STATIC ${arg_SOURCES})
+  add_library(apricotladder::${name} ALIAS ${name})
+  target_include_directories(${name} PUBLIC
+    $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/packages>
+    $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}/apricotladder>)
+  target_link_libraries(${name} PUBLIC ${arg_LINKS} Threads::Threads)
+  target_compile_options(${name} PRIVATE -Wall -Wextra -Wpedantic)
+  if(CMAKE_CXX_COMPILER_ID MATCHES Clang)
+    target_compile_options(${name} PRIVATE -Wthread-safety)
+  endif()
+  if(APRICOTLADDER_TSAN)
+    target_compile_definitions(${name} PUBLIC APRICOTLADDER_TSAN)
+  endif()
+  install(TARGETS ${name} EXPORT apricotladderTargets DESTINATION ${CMAKE_INSTALL_LIBDIR})
+  install(DIRECTORY ${CMAKE_CURRENT_SOURCE_DIR}/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/apricotladder/${name}
+    FILES_MATCHING PATTERN "*.h" PATTERN "tests" EXCLUDE)
+endfunction()
+
+# Declares one Boost.Test program and registers it with CTest under its own name.
+function(apricotladder_test name)
+  cmake_parse_arguments(arg "" "" "SOURCES;LINKS" ${ARGN})
+  add_executable(${name} ${arg_SOURCES})
+  target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK BOOST_TEST_MODULE=${name})
+  target_link_libraries(${name} PRIVATE ${arg_LINKS} Boost::unit_test_framework)
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/packages/coordination/admissionqueue.cpp
@@ -0,0 +1,217 @@
+#include "coordination/admissionqueue.h"
+
+#include "state/action.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+/// Window of the arrival, start and refusal rates.
+constexpr absl::Duration rateWindow = absl::Seconds(2);
+
+/// A queue is never called full below this many requests, so that a small burst is not refused.
+constexpr double leastQueue = 4;
+
+/// Above this part of the limit a rank is treated as overloaded and shared fairly.
+constexpr double overloadPart = 0.7;
+
+/// More refusals a second than this make a rank flooded for its coordinators.
+constexpr double floodRefusalsPerSecond = 2;
+
+/// Coordinators are told a little more than is started, so that the queue does not run dry.
+constexpr double limitMargin = 1.25;
+
+/// Bounds of the time to retry.
+constexpr absl::Duration shortestRetry = absl::Milliseconds(200);
+constexpr absl::Duration longestRetry = absl::Seconds(5);
+
+/// Fewer arrivals a second than this are no demand.
+constexpr double leastDemandPerSecond = 0.05;
+
+bool usesFloors(const Policy &policy)
+{
+    return std::visit(Overloaded{[](const LadderPolicy &it) { return it.floors; },
+                                 [](const auto &) {
+                                     return false;
+                                 }},
+                      policy);
+}
+
+bool servesByUrgency(const Policy &policy)
+{
+    return std::visit(Overloaded{[](const LadderPolicy &it) { return it.urgentFirst; },
+                                 [](const auto &) {
+                                     return false;
+                                 }},
+                      policy);
+}
+
+bool sharesFairly(const Policy &policy)
+{
+    return std::visit(Overloaded{[](const LadderPolicy &it) { return it.fairness; },
+                                 [](const auto &) {
+                                     return false;
+                                 }},
+                      policy);
+}
+
+}
+
+AdmissionQueue::AdmissionQueue(std::vector<Rank> ranks, const Policy &policy)
+    : m_shares(std::move(ranks), usesFloors(policy))
+    , m_byUrgency(servesByUrgency(policy))
+    , m_fair(sharesFairly(policy))
+    , m_queues(m_shares.count())
+    , m_starts(m_shares.count(), DecayingRate(rateWindow))
+    , m_arrivals(m_shares.count(), DecayingRate(rateWindow))
+    , m_refusals(m_shares.count(), DecayingRate(rateWindow))
+{
+}
+
+absl::Duration AdmissionQueue::target(std::size_t rank) const
+{
+    return absl::Milliseconds(m_shares.rank(rank)->firstTokenMs);
+}
+
+void AdmissionQueue::noteArrival(std::size_t rank, absl::Time now)
+{
+    m_arrivals[rank].add(1, now);
+}
+
+void AdmissionQueue::noteRefusal(std::size_t rank, absl::Time now)
+{
+    m_refusals[rank].add(1, now);
+}
+
+bool AdmissionQueue::isFull(std::size_t rank, double capacityPerSecond, absl::Duration serviceTime, absl::Time now) const
+{
+    const absl::Duration budget = target(rank) - serviceTime;
+    return static_cast<double>(m_queues[rank].size()) >= placesWithin(rank, capacityPerSecond, budget, now);
+}
+
+void AdmissionQueue::push(std::size_t rank, FairQueue::Entry entry)
+{
+    m_queues[rank].push(std::move(entry));
+}
+
+std::optional<FairQueue::Entry> AdmissionQueue::remove(const RequestId &id)
+{
+    for (FairQueue &queue : m_queues) {
+        if (std::optional<FairQueue::Entry> entry = queue.remove(id)) {
+            return entry;
+        }
+    }
+    return std::nullopt;
+}
+
+const FairQueue::Entry *AdmissionQueue::find(const RequestId &id) const
+{
+    for (const FairQueue &queue : m_queues) {
+        if (const FairQueue::Entry *entry = queue.find(id)) {
+            return entry;
+        }
+    }
+    return nullptr;
+}
+
+void AdmissionQueue::noteStart(std::size_t rank, const FairQueue::Entry &entry, double engineMs, absl::Time now)
+{
+    m_shares.charge(rank, engineMs, now);
+    m_starts[rank].add(1, now);
+    m_queues[rank].charge(entry.work, entry.weight, engineMs);
+}
+
+std::vector<std::size_t> AdmissionQueue::order(absl::Time now) const
+{
+    std::vector<bool> hasWork(m_queues.size());
+    for (std::size_t i = 0; i < m_queues.size(); ++i) {
+        hasWork[i] = !m_queues[i].isEmpty();
+    }
+    std::vector<std::size_t> ranks = m_shares.order(hasWork, now);
+    if (!m_byUrgency) {
+        const auto firstDeadline = [&](std::size_t rank) {
+            const std::vector<RequestId> first = m_queues[rank].candidates(FairQueue::Order::ByDeadline, 1);
+            return first.empty() ? absl::InfiniteFuture() : m_queues[rank].find(first.front())->latestStart;
+        };
+        std::stable_sort(ranks.begin(), ranks.end(), [&](std::size_t a, std::size_t b) { return firstDeadline(a) < firstDeadline(b); });
+    }
+    return ranks;
+}
+
+std::vector<RequestId> AdmissionQueue::candidates(std::size_t rank, double capacityPerSecond, absl::Time now, std::size_t most) const
+{
+    const FairQueue &queue = m_queues[rank];
+    const double places = placesWithin(rank, capacityPerSecond, target(rank), now);
+    const bool overloaded = static_cast<double>(queue.size()) > places * overloadPart;
+    return queue.candidates(m_fair && overloaded ? FairQueue::Order::FairBetweenWorkspaces : FairQueue::Order::ByDeadline, most);
+}
+
+std::vector<RequestId> AdmissionQueue::overdue(absl::Time now) const
+{
+    std::vector<RequestId> found;
+    for (const FairQueue &queue : m_queues) {
+        const std::vector<RequestId> late = queue.overdue(now);
+        found.insert(found.end(), late.begin(), late.end());
+    }
+    return found;
+}
+
+bool AdmissionQueue::hasUrgentDemand(std::size_t rank, absl::Time now) const
+{
+    for (std::size_t i = 0; i < rank; ++i) {
+        if (m_arrivals[i].perSecond(now) > leastDemandPerSecond) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<RankLimit> AdmissionQueue::limits(absl::Time now) const
+{
+    std::vector<RankLimit> found;
+    for (std::size_t i = 0; i < m_queues.size(); ++i) {
+        const bool flooded = m_refusals[i].perSecond(now) > floodRefusalsPerSecond;
+        found.push_back(RankLimit{m_shares.rank(i)->name, flooded, m_starts[i].perSecond(now) * limitMargin + 1});
+    }
+    return found;
+}
+
+absl::Duration AdmissionQueue::retryAfter(std::size_t rank, double capacityPerSecond, absl::Time now) const
+{
+    const double rate = capacityPerSecond * availableShare(rank, now);
+    const double seconds = rate > 0 ? static_cast<double>(m_queues[rank].size() + 1) / rate : absl::ToDoubleSeconds(longestRetry);
+    return std::clamp(absl::Seconds(seconds), shortestRetry, longestRetry);
+}
+
+std::size_t AdmissionQueue::size() const
+{
+    std::size_t n = 0;
+    for (const FairQueue &queue : m_queues) {
+        n += queue.size();
+    }
+    return n;
+}
+
+double AdmissionQueue::availableShare(std::size_t rank, absl::Time now) const
+{
+    double others = 0;
+    for (std::size_t i = 0; i < m_queues.size(); ++i) {
+        if (i < rank) {
+            others += m_shares.share(i, now);
+        } else if (i > rank && !m_queues[i].isEmpty()) {
+            others += std::min(m_shares.rank(i)->floorShare, m_shares.share(i, now));
+        }
+    }
+    return std::max(1 - others, m_shares.rank(rank)->floorShare);
+}
+
+double AdmissionQueue::placesWithin(std::size_t rank, double capacityPerSecond, absl::Duration time, absl::Time now) const
+{
+    const double share = m_byUrgency ? availableShare(rank, now) : 1.0;
+    return std::max(capacityPerSecond * share * absl::ToDoubleSeconds(time), leastQueue);
+}
+
+}
--- /dev/null
+++ b/packages/coordination/fairqueue.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "state/work.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace Apricot {
+
+/**
+ * \class FairQueue
+ * \brief The waiting work of one rank.
+ *
+ * Inside a workspace the order is by deadline. Between workspaces it is by deadline too while everything can be served
+ * in time, and by the service each workspace has received once something must be refused.
+ */
+class FairQueue
+{
+public:
+    /// One waiting request.
+    struct Entry
+    {
+        Work work;
+        absl::Time latestStart; ///< started later, its first token misses the target
+        double weight = 1; ///< of the workspace
+    };
+
+    /// How candidates are ordered.
+    enum class Order { ByDeadline, FairBetweenWorkspaces };
+
+    void push(Entry entry);
+
+    /// Removes the request; returns it if it was waiting.
+    std::optional<Entry> remove(const RequestId &id);
+
+    /// Returns up to \a most waiting requests in the order in which they should start.
+    std::vector<RequestId> candidates(Order order, std::size_t most) const;
+
+    /// The waiting request \a id, or nullptr.
+    const Entry *find(const RequestId &id) const;
+
+    /// Charges \a cost to the workspace of a request that starts.
+    void charge(const Work &work, double weight, double cost);
+
+    /// Requests whose latest start is at or before \a now; they stay in the queue.
+    std::vector<RequestId> overdue(absl::Time now) const;
+
+    std::size_t size() const
+    {
+        return m_entries.size();
+    }
+
+    bool isEmpty() const
+    {
+        return m_entries.empty();
+    }
+
+private:
+    using DeadlineKey = std::pair<absl::Time, std::uint64_t>;
+
+    struct Workspace
+    {
+        double received = 0; ///< cost received so far, divided by the weight
+        std::map<DeadlineKey, RequestId> waiting;
+    };
+
+    struct Slot
+    {
+        Entry entry;
+        DeadlineKey key;
+    };
+
+    absl::flat_hash_map<RequestId, Slot> m_entries;
+    std::map<DeadlineKey, RequestId> m_byDeadline;
+    absl::flat_hash_map<WorkspaceName, Workspace> m_workspaces;
+    std::set<std::pair<double, WorkspaceName>> m_byReceived; ///< workspaces with waiting work
+    double m_clock = 0; ///< least service of a workspace when it was last served
+    std::uint64_t m_nextNumber = 0;
+};
+
+}
--- /dev/null
+++ b/packages/coordination/placement.cpp
@@ -0,0 +1,136 @@
+#include "coordination/placement.h"
+
+#include "coordination/seededbug.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Apricot {
+
+namespace {
+
+/// A transfer between data centres takes this much longer.
+constexpr double otherDataCentreFactor = 1.5;
+
+/// Cost in ms of one piece of difference between a request's size and an engine's free memory per free slot.
+constexpr double mismatchMsPerPiece = 0.02;
+
+/// A planned wait longer than this is as good as no slot.
+constexpr double longestForecastMs = 60000;
+
+}
+
+absl::Time SlotForecast::nextSlotAt(absl::Time now) const
+{
+    const double missing = 1 - freeNow;
+    if (missing <= 0) {
+        return now;
+    }
+    const double waitMs = releasesPerMs > 0 ? missing / releasesPerMs : longestForecastMs;
+    return now + absl::Milliseconds(std::min(waitMs, longestForecastMs));
+}
+
+PlacementFinder::PlacementFinder(const EngineTable &table, PlacementRules rules) : m_table(table), m_rules(rules)
+{
+}
+
+double PlacementFinder::prefillMs(const Work &work, std::size_t prefill) const
+{
+    const PrefillEngine &engine = m_table.prefill()[prefill];
+    const bool cached = m_rules.usePrefixCache && engine.cache.contains(work->prefixHash);
+    const auto tokens = static_cast<double>(work->promptTokens - (cached ? work->prefixTokens : 0));
+    return std::max(tokens, 1.0) / 1000.0 * engine.msPerThousand.estimate();
+}
+
+double PlacementFinder::transferMs(const Work &work, std::size_t prefill, std::size_t decode) const
+{
+    const DecodeEngine &engine = m_table.decode()[decode];
+    const double near = static_cast<double>(work->promptTokens) / 1000.0 * engine.transferMsPerThousand.estimate();
+    return m_table.prefill()[prefill].dataCentre == engine.dataCentre ? near : near * otherDataCentreFactor;
+}
+
+std::optional<std::size_t> PlacementFinder::earliestPrefill(const Work &work, absl::Time now) const
+{
+    std::optional<std::size_t> best;
+    absl::Time bestDone = absl::InfiniteFuture();
+    for (std::size_t i = 0; i < m_table.prefill().size(); ++i) {
+        const PrefillEngine &engine = m_table.prefill()[i];
+        const bool mayTake = engine.usable() || (engine.alive && hasSeededBug(SeededBug::WorkToLeavingEngine));
+        if (!mayTake || engine.busyUntil > now + m_rules.lookahead) {
+            continue;
+        }
+        const absl::Time done = std::max(engine.busyUntil, now) + absl::Milliseconds(prefillMs(work, i));
+        if (done < bestDone) {
+            bestDone = done;
+            best = i;
+        }
+    }
+    return best;
+}
+
+std::optional<std::size_t> PlacementFinder::bestDecode(const Work &work, std::size_t prefill, std::int64_t pieces,
+                                                       double meanOutputTokens) const
+{
+    std::optional<std::size_t> best;
+    double bestScore = std::numeric_limits<double>::infinity();
+    for (std::size_t i = 0; i < m_table.decode().size(); ++i) {
+        const DecodeEngine &engine = m_table.decode()[i];
+        const bool mayTake = engine.usable() || (engine.alive && hasSeededBug(SeededBug::WorkToLeavingEngine));
+        const std::int64_t free = m_table.freePieces(i, m_rules.careful);
+        const bool fits = free >= pieces || hasSeededBug(SeededBug::OverfillEngine);
+        if (!mayTake || (m_rules.checkMemory && (!fits || !keepsHeadroom(i, free - pieces)))) {
+            continue;
+        }
+        const std::int64_t freeSlots = m_table.freeSlots(i, m_rules.careful) - engine.incoming;
+        const double holdMs = meanOutputTokens * m_table.gapMs(i, engine.running);
+        const double waitMs = freeSlots > 0
+            ? 0
+            : static_cast<double>(1 - freeSlots) * holdMs / static_cast<double>(std::max<std::int64_t>(engine.running, 1));
+        const double freePerSlot = static_cast<double>(free) / static_cast<double>(std::max<std::int64_t>(freeSlots, 0) + 1);
+        const double mismatchMs = std::abs(freePerSlot - static_cast<double>(pieces)) * mismatchMsPerPiece;
+        const double loadMs = m_table.gapMs(i, engine.running + engine.incoming);
+        const double score = waitMs + transferMs(work, prefill, i) + mismatchMs + loadMs;
+        if (score < bestScore) {
+            bestScore = score;
+            best = i;
+        }
+    }
+    return best;
+}
+
+std::optional<Placement> PlacementFinder::find(const Work &work, std::int64_t pieces, double meanOutputTokens, const SlotForecast &forecast,
+                                               absl::Time now, NoPlacement *reason) const
+{
+    const std::optional<std::size_t> prefill = earliestPrefill(work, now);
+    if (!prefill) {
+        *reason = NoPlacement::NoPrefillEngine;
+        return std::nullopt;
+    }
+    Placement placement;
+    placement.prefill = *prefill;
+    placement.prefillMs = prefillMs(work, *prefill);
+    placement.readyAt = std::max(m_table.prefill()[*prefill].busyUntil, now) + absl::Milliseconds(placement.prefillMs);
+    const absl::Time slotAt = forecast.nextSlotAt(now);
+    const absl::Time latestSlot = m_rules.forecast ? placement.readyAt + m_rules.slotSlack : now;
+    if (slotAt > latestSlot) {
+        *reason = NoPlacement::NoSlot;
+        return std::nullopt;
+    }
+    const std::optional<std::size_t> decode = bestDecode(work, *prefill, pieces, meanOutputTokens);
+    if (!decode) {
+        *reason = NoPlacement::NoMemory;
+        return std::nullopt;
+    }
+    placement.decode = *decode;
+    const double tailMs = transferMs(work, *prefill, *decode) + m_table.decodePool()->loadedGapMs;
+    placement.firstTokenAt = std::max(placement.readyAt, slotAt) + absl::Milliseconds(tailMs);
+    return placement;
+}
+
+bool PlacementFinder::keepsHeadroom(std::size_t decode, std::int64_t freeAfter) const
+{
+    return m_rules.headroomPieces == 0 || m_table.largestFree(decode, freeAfter, m_rules.careful) >= m_rules.headroomPieces;
+}
+
+}
--- /dev/null
+++ b/packages/coordination/rankshares.cpp
@@ -0,0 +1,66 @@
+#include "coordination/rankshares.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+constexpr absl::Duration shareWindow = absl::Seconds(5);
+
+}
+
+RankShares::RankShares(std::vector<Rank> ranks, bool useFloors) : m_ranks(std::move(ranks)), m_useFloors(useFloors)
+{
+    std::stable_sort(m_ranks.begin(), m_ranks.end(), [](const Rank &a, const Rank &b) { return a->priority < b->priority; });
+    if (m_ranks.empty()) {
+        m_ranks.emplace_back();
+    }
+    m_given.assign(m_ranks.size(), DecayingRate(shareWindow));
+}
+
+std::size_t RankShares::indexOf(const RankName &name) const
+{
+    for (std::size_t i = 0; i < m_ranks.size(); ++i) {
+        if (m_ranks[i]->name == name) {
+            return i;
+        }
+    }
+    return m_ranks.size() - 1;
+}
+
+void RankShares::charge(std::size_t index, double engineMs, absl::Time now)
+{
+    m_given[index].add(engineMs, now);
+}
+
+double RankShares::share(std::size_t index, absl::Time now) const
+{
+    double total = 0;
+    for (const DecayingRate &it : m_given) {
+        total += it.sum(now);
+    }
+    return total > 0 ? m_given[index].sum(now) / total : 0;
+}
+
+std::vector<std::size_t> RankShares::order(const std::vector<bool> &hasWork, absl::Time now) const
+{
+    std::vector<std::size_t> belowFloor;
+    std::vector<std::size_t> others;
+    std::vector<std::size_t> idle;
+    for (std::size_t i = 0; i < m_ranks.size(); ++i) {
+        if (!hasWork[i]) {
+            idle.push_back(i);
+        } else if (m_useFloors && share(i, now) < m_ranks[i]->floorShare * floorMargin) {
+            belowFloor.push_back(i);
+        } else {
+            others.push_back(i);
+        }
+    }
+    belowFloor.insert(belowFloor.end(), others.begin(), others.end());
+    belowFloor.insert(belowFloor.end(), idle.begin(), idle.end());
+    return belowFloor;
+}
+
+}
--- /dev/null
+++ b/packages/state/mutex.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/time/time.h>
+
+#ifdef APRICOTLADDER_TSAN
+#include <absl/time/clock.h>
+#include <pthread.h>
+#else
+#include <absl/synchronization/mutex.h>
+#endif
+
+namespace Apricot {
+
+/**
+ * \class Mutex
+ * \brief A lock with thread-safety annotations: absl::Mutex, or a pthread mutex in the ThreadSanitizer build.
+ *
+ * Debian's Abseil is built without ThreadSanitizer's annotations, so absl::Mutex would give false race reports there.
+ */
+class ABSL_LOCKABLE Mutex
+{
+public:
+    Mutex() = default;
+    Mutex(const Mutex &) = delete;
+    Mutex &operator=(const Mutex &) = delete;
+
+#ifdef APRICOTLADDER_TSAN
+    ~Mutex()
+    {
+        pthread_mutex_destroy(&m_mutex);
+    }
+
+    void lock() ABSL_EXCLUSIVE_LOCK_FUNCTION()
+    {
+        pthread_mutex_lock(&m_mutex);
+    }
+
+    void unlock() ABSL_UNLOCK_FUNCTION()
+    {
+        pthread_mutex_unlock(&m_mutex);
+    }
+
+private:
+    friend class CondVar;
+    pthread_mutex_t m_mutex = PTHREAD_MUTEX_INITIALIZER;
+#else
+    ~Mutex() = default;
+
+    void lock() ABSL_EXCLUSIVE_LOCK_FUNCTION()
+    {
+        m_mutex.Lock();
+    }
+
+    void unlock() ABSL_UNLOCK_FUNCTION()
+    {
+        m_mutex.Unlock();
+    }
+
+private:
+    friend class CondVar;
+    absl::Mutex m_mutex;
+#endif
+};
+
+/**
+ * \class MutexLock
+ * \brief Holds a Mutex for the length of a scope.
+ */
+class ABSL_SCOPED_LOCKABLE MutexLock
+{
+public:
+    explicit MutexLock(Mutex &mutex) ABSL_EXCLUSIVE_LOCK_FUNCTION(mutex) : m_mutex(mutex)
+    {
+        m_mutex.lock();
+    }
+
+    ~MutexLock() ABSL_UNLOCK_FUNCTION()
+    {
+        m_mutex.unlock();
+    }
+
+    MutexLock(const MutexLock &) = delete;
+    MutexLock &operator=(const MutexLock &) = delete;
+
+private:
+    Mutex &m_mutex;
+};
+
+/**
+ * \class CondVar
+ * \brief A condition variable for Mutex. Waiting threads sleep; none spins.
+ */
+class CondVar
+{
+public:
+    CondVar() = default;
+    CondVar(const CondVar &) = delete;
+    CondVar &operator=(const CondVar &) = delete;
+
+#ifdef APRICOTLADDER_TSAN
+    ~CondVar()
+    {
+        pthread_cond_destroy(&m_condition);
+    }
+
+    /// Waits for a signal or for \a limit; returns whether the limit passed.
+    bool waitFor(Mutex &mutex, absl::Duration limit) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        const timespec until = absl::ToTimespec(absl::Now() + limit);
+        return pthread_cond_timedwait(&m_condition, &mutex.m_mutex, &until) != 0;
+    }
+
+    void signalAll()
+    {
+        pthread_cond_broadcast(&m_condition);
+    }
+
+private:
+    pthread_cond_t m_condition = PTHREAD_COND_INITIALIZER;
+#else
+    ~CondVar() = default;
+
+    /// Waits for a signal or for \a limit; returns whether the limit passed.
+    bool waitFor(Mutex &mutex, absl::Duration limit) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        return m_condition.WaitWithTimeout(&mutex.m_mutex, limit);
+    }
+
+    void signalAll()
+    {
+        m_condition.SignalAll();
+    }
+
+private:
+    absl::CondVar m_condition;
+#endif
+};
+
+}
