protocol, transport: Add codecs, sockets, HTTP by library and the pure machines

Cause: the path from caller to engine needs bytes and messages before processes can talk. Change: bounded cereal archives and typed peer messages sealed by libsodium, JSON codecs for objects, engines, callers and settings, UDP/TCP/HTTP transport on libmicrohttpd and libcurl; membership, ownership, lease, run record tap, page committer, retry budget, flood gate and validator as pure machines.

--- a/packages/coordination/admissionqueue.h
+++ b/packages/coordination/admissionqueue.h
@@ -4,6 +4,7 @@
 #include "coordination/fairqueue.h"
 #include "coordination/policy.h"
 #include "coordination/rankshares.h"
+#include "state/ranklimit.h"
 
 #include <cstddef>
 #include <optional>
@@ -11,16 +12,6 @@
 
 namespace Apricot {
 
-/// How many requests of one rank the owner can take now; coordinators refuse the rest without asking.
-struct RankLimit
-{
-    RankName rank;
-    bool flooded = false; ///< the owner refuses requests of this rank
-    double requestsPerSecond = 0; ///< what it starts of them
-
-    friend bool operator==(const RankLimit &, const RankLimit &) = default;
-};
-
 /**
  * \class AdmissionQueue
  * \brief All waiting work of a slice: one fair queue per rank, their shares, their limits.
--- /dev/null
+++ b/packages/coordination/floodgate.cpp
@@ -0,0 +1,49 @@
+#include "coordination/floodgate.h"
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace {
+
+/// Tokens that can be saved, as seconds of the rate.
+constexpr double burstSeconds = 0.5;
+
+/// A coordinator may send at least this many requests at once, and its arrivals are not spread as evenly as its share.
+constexpr double leastBurst = 2;
+constexpr double unevenness = 2;
+
+}
+
+void FloodGate::update(const std::vector<RankLimit> &limits, std::size_t nodes, absl::Time now)
+{
+    for (const RankLimit &limit : limits) {
+        Gate &gate = m_gates[limit.rank];
+        if (limit.flooded && !gate.flooded) {
+            gate.tokens = leastBurst;
+            gate.updated = now;
+        }
+        gate.flooded = limit.flooded;
+        gate.perSecond = limit.requestsPerSecond * unevenness / static_cast<double>(std::max<std::size_t>(nodes, 1));
+        gate.heard = now;
+    }
+}
+
+bool FloodGate::admits(const RankName &rank, absl::Time now)
+{
+    const auto it = m_gates.find(rank);
+    if (it == m_gates.end() || !it->second.flooded || now - it->second.heard > validity) {
+        return true;
+    }
+    Gate &gate = it->second;
+    const double earned = gate.perSecond * absl::ToDoubleSeconds(std::max(now - gate.updated, absl::ZeroDuration()));
+    gate.tokens = std::min(gate.tokens + earned, std::max(gate.perSecond * burstSeconds, leastBurst));
+    gate.updated = now;
+    if (gate.tokens < 1) {
+        return false;
+    }
+    gate.tokens -= 1;
+    return true;
+}
+
+}
--- /dev/null
+++ b/packages/coordination/objectschema.cpp
@@ -0,0 +1,71 @@
+#include "coordination/objectschema.h"
+
+#include <algorithm>
+
+namespace Apricot {
+
+const std::vector<FieldSpec> &objectSchema()
+{
+    using enum FieldType;
+    static const std::vector<FieldSpec> schema{
+        {"DataCentre", "region", Text, "", true, "", 0, 0, "", "", "Region that the data centre lies in."},
+        {"Rank", "priority", Integer, "", true, "", 0, 99, "", "", "Order of service; 0 is the most urgent."},
+        {"Rank", "floorShare", Number, "part of engine time", false, "0", 0, 1, "", "", "Part kept in a flood of another rank."},
+        {"Rank", "firstTokenMs", Integer, "ms", false, "1200", 10, 600000, "", "", "Target for the first token."},
+        {"Rank", "tokenGapMs", Integer, "ms", false, "25", 1, 10000, "", "", "Target between tokens."},
+        {"Service", "type", Text, "", true, "", 0, 0, "model|plain", "", "Served by engines, or plain calls."},
+        {"Service", "operations", TextList, "", false, "", 0, 0, "", "", "Operations of a plain service."},
+        {"Service", "nonIdempotent", TextList, "", false, "", 0, 0, "", "", "Operations that run at most once per Idempotency-Key."},
+        {"Service", "retryable", TextList, "", false, "", 0, 0, "", "", "Operations that may be sent again after an unknown outcome."},
+        {"Service", "maxPromptTokens", Integer, "tokens", false, "20000", 1, 1000000, "", "", "Largest prompt."},
+        {"Service", "maxOutputTokens", Integer, "tokens", false, "400", 1, 100000, "", "", "Largest answer."},
+        {"Service", "callTimeoutMs", Integer, "ms", false, "2000", 10, 600000, "", "", "Longest wait for an answer to a plain call."},
+        {"Pool", "service", Text, "", true, "", 0, 0, "", "Service", "Service that the pool serves."},
+        {"Pool", "role", Text, "", true, "", 0, 0, "prefill|decode|plain", "", "What the endpoints of the pool do."},
+        {"Pool", "slots", Integer, "requests", false, "20", 1, 10000, "", "", "Requests that one engine decodes at once."},
+        {"Pool", "pieces", Integer, "pieces", false, "2000", 1, 10000000, "", "", "Pieces of memory of one engine."},
+        {"Pool", "tokensPerPiece", Integer, "tokens", false, "16", 1, 4096, "", "", "Tokens that one piece holds."},
+        {"Pool", "prefillMsPerThousandTokens", Number, "ms", false, "66", 0.01, 60000, "", "", "First estimate of the prefill time."},
+        {"Pool", "decodeGapMs", Number, "ms", false, "15", 0.01, 10000, "", "", "Gap between tokens of an unloaded engine."},
+        {"Pool", "loadedGapMs", Number, "ms", false, "22", 0.01, 10000, "", "", "Gap between tokens with all slots in use."},
+        {"Pool", "transferMsPerThousandTokens", Number, "ms", false, "8", 0, 60000, "", "", "First estimate of the KV transfer time."},
+        {"Pool", "resultLifetimeMs", Integer, "ms", false, "800", 10, 600000, "", "", "How long a prefill's result survives."},
+        {"Endpoint", "pool", Text, "", true, "", 0, 0, "", "Pool", "Pool that the endpoint belongs to."},
+        {"Endpoint", "dataCentre", Text, "", true, "", 0, 0, "", "DataCentre", "Where it runs."},
+        {"Endpoint", "address", Text, "IP:port", true, "", 0, 0, "", "", "Where it listens."},
+        {"Endpoint", "drain", Boolean, "", false, "false", 0, 0, "", "", "Give it no new work and let its streams end."},
+        {"Endpoint", "checksFencing", Boolean, "", false, "false", 0, 0, "", "", "Whether it refuses orders with an old fencing number."},
+        {"Workspace", "weight", Number, "", false, "1", 0.01, 1000, "", "", "Share against other workspaces of the same rank."},
+    };
+    return schema;
+}
+
+std::vector<std::string> objectKinds()
+{
+    std::vector<std::string> kinds;
+    for (const FieldSpec &spec : objectSchema()) {
+        if (std::find(kinds.begin(), kinds.end(), spec.kind) == kinds.end()) {
+            kinds.push_back(spec.kind);
+        }
+    }
+    return kinds;
+}
+
+std::string fieldTypeName(FieldType type)
+{
+    switch (type) {
+    case FieldType::Boolean:
+        return "true or false";
+    case FieldType::Integer:
+        return "a whole number";
+    case FieldType::Number:
+        return "a number";
+    case FieldType::Text:
+        return "a text";
+    case FieldType::TextList:
+        return "a list of texts";
+    }
+    return "a text";
+}
+
+}
--- a/packages/coordination/placement.cpp
+++ b/packages/coordination/placement.cpp
@@ -57,7 +57,7 @@
     for (std::size_t i = 0; i < m_table.prefill().size(); ++i) {
         const PrefillEngine &engine = m_table.prefill()[i];
         const bool mayTake = engine.usable() || (engine.alive && hasSeededBug(SeededBug::WorkToLeavingEngine));
-        if (!mayTake || engine.busyUntil > now + m_rules.lookahead) {
+        if (!mayTake || engine.busyUntil > now + m_rules.lookahead || engine.id == work->avoid) {
             continue;
         }
         const absl::Time done = std::max(engine.busyUntil, now) + absl::Milliseconds(prefillMs(work, i));
@@ -79,7 +79,7 @@
         const bool mayTake = engine.usable() || (engine.alive && hasSeededBug(SeededBug::WorkToLeavingEngine));
         const std::int64_t free = m_table.freePieces(i, m_rules.careful);
         const bool fits = free >= pieces || hasSeededBug(SeededBug::OverfillEngine);
-        if (!mayTake || (m_rules.checkMemory && (!fits || !keepsHeadroom(i, free - pieces)))) {
+        if (!mayTake || engine.id == work->avoid || (m_rules.checkMemory && (!fits || !keepsHeadroom(i, free - pieces)))) {
             continue;
         }
         const std::int64_t freeSlots = m_table.freeSlots(i, m_rules.careful) - engine.incoming;
--- a/packages/coordination/slicescheduler.cpp
+++ b/packages/coordination/slicescheduler.cpp
@@ -189,6 +189,14 @@
         repeatOrder(*flight);
         return;
     }
+    if (!flight->prefill) {
+        // Taken over from an owner whose configuration had an engine that this one does not know.
+        const Work work = flight->work;
+        const std::size_t rank = flight->rank;
+        release(event.id, true, now);
+        refuse(work, rank, ErrorKind::NoCapacity, now);
+        return;
+    }
     PrefillEngine &engine = m_engines.prefill()[*flight->prefill];
     const auto uncached = static_cast<double>(std::max<std::int64_t>(flight->work->promptTokens - event.cachedTokens, 1));
     engine.msPerThousand.learn(absl::ToDoubleMilliseconds(event.took) / uncached * 1000.0);
@@ -256,6 +264,7 @@
     flight.work = event.work;
     flight.rank = m_queue.rankOf(event.work);
     flight.stage = event.decoding ? Stage::Decoding : Stage::Prefilling;
+    flight.prefill = m_engines.findPrefill(event.prefill);
     flight.decode = decode;
     flight.tokens = event.tokens;
     flight.pieces = std::max(piecesNeeded(event.work), m_engines.piecesFor(event.work->promptTokens + event.tokens));
@@ -263,6 +272,8 @@
     m_engines.reserve(decode, flight.pieces);
     if (event.decoding) {
         m_engines.takeSlot(decode);
+    } else if (flight.prefill) {
+        ++m_engines.prefill()[*flight.prefill].depth;
     }
     m_unknown.erase(event.work->id);
     m_flights.emplace(event.work->id, std::move(flight));
--- /dev/null
+++ b/packages/protocol/datagramseal.cpp
@@ -0,0 +1,63 @@
+#include "protocol/datagramseal.h"
+
+#include <sodium.h>
+
+namespace Apricot {
+
+namespace {
+
+constexpr std::size_t tagBytes = crypto_auth_BYTES;
+
+static_assert(DatagramSeal::keyBytes == crypto_auth_KEYBYTES);
+
+const unsigned char *raw(std::string_view bytes)
+{
+    return reinterpret_cast<const unsigned char *>(bytes.data());
+}
+
+}
+
+Result<DatagramSeal> DatagramSeal::fromHexKeys(const std::vector<std::string> &keys)
+{
+    if (sodium_init() < 0) {
+        return fail(ErrorKind::Internal, "peerKeys: libsodium could not be initialized");
+    }
+    DatagramSeal seal;
+    for (const std::string &hex : keys) {
+        Key key{};
+        std::size_t n = 0;
+        const int ec = sodium_hex2bin(key.data(), key.size(), hex.data(), hex.size(), nullptr, &n, nullptr);
+        if (ec != 0 || n != keyBytes || hex.size() != 2 * keyBytes) {
+            return fail(ErrorKind::BadRequest, "peerKeys: a key is not 64 hex digits; make one with: openssl rand -hex 32");
+        }
+        seal.m_keys.push_back(key);
+    }
+    if (seal.m_keys.empty()) {
+        return fail(ErrorKind::BadRequest, "peerKeys: no key; give at least one of 64 hex digits");
+    }
+    return seal;
+}
+
+std::string DatagramSeal::seal(std::string_view message) const
+{
+    std::string sealed(tagBytes, '\0');
+    crypto_auth(reinterpret_cast<unsigned char *>(sealed.data()), raw(message), message.size(), m_keys.front().data());
+    sealed.append(message);
+    return sealed;
+}
+
+Result<std::string> DatagramSeal::open(std::string_view sealed) const
+{
+    if (sealed.size() < tagBytes) {
+        return fail(ErrorKind::BadRequest, "peer message: shorter than its authenticator");
+    }
+    const std::string_view message = sealed.substr(tagBytes);
+    for (const Key &key : m_keys) {
+        if (crypto_auth_verify(raw(sealed), raw(message), message.size(), key.data()) == 0) {
+            return std::string(message);
+        }
+    }
+    return fail(ErrorKind::BadRequest, "peer message: no key of this node made its authenticator; compare peerKeys");
+}
+
+}
--- /dev/null
+++ b/packages/protocol/enginejson.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "state/error.h"
+#include "state/event.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Apricot {
+
+/// Body of POST /v1/prefill at an engine.
+struct PrefillOrder
+{
+    RequestId id;
+    std::uint32_t attempt = 1;
+    std::string prompt;
+    std::vector<std::string> produced; ///< tokens of the answer that are known already
+    std::int64_t priority = 0;
+};
+
+/// Answer to a prefill: where the KV cache can be fetched.
+struct PrefillResult
+{
+    std::string handle;
+    double tookMs = 0;
+    std::int64_t cachedTokens = 0;
+};
+
+/// Body of POST /v1/decode at an engine.
+struct DecodeOrder
+{
+    RequestId id;
+    std::uint32_t attempt = 1;
+    std::string source; ///< address of the prefill engine
+    std::string handle;
+    std::int64_t maxTokens = 0;
+    std::int64_t offset = 0; ///< offset of the first token that is wanted
+    std::int64_t priority = 0;
+};
+
+/// The engine holds the KV cache. What it says of the request lets another node renew it after a resume.
+struct StreamImported
+{
+    double tookMs = 0;
+    std::uint32_t attempt = 1;
+    std::int64_t promptTokens = 0;
+    std::int64_t maxTokens = 0;
+};
+
+/// One token.
+struct StreamToken
+{
+    std::int64_t offset = 0;
+    std::string token;
+};
+
+/// The answer is complete with \a tokens in all.
+struct StreamDone
+{
+    std::int64_t tokens = 0;
+};
+
+/// One line of an engine's stream.
+using StreamLine = std::variant<StreamImported, StreamToken, StreamDone>;
+
+std::string encodePrefillOrder(const PrefillOrder &order);
+Result<PrefillOrder> decodePrefillOrder(const std::string &json);
+std::string encodePrefillResult(const PrefillResult &result);
+Result<PrefillResult> decodePrefillResult(const std::string &json);
+std::string encodeDecodeOrder(const DecodeOrder &order);
+Result<DecodeOrder> decodeDecodeOrder(const std::string &json);
+std::string encodeStreamLine(const StreamLine &line);
+Result<StreamLine> decodeStreamLine(const std::string &json);
+std::string encodeCancel(const RequestId &id);
+Result<RequestId> decodeCancel(const std::string &json);
+std::string encodeEngineReport(const EngineReported &report);
+Result<EngineReported> decodeEngineReport(const std::string &json, const EngineId &engine);
+
+}
--- /dev/null
+++ b/packages/protocol/objectjson.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "state/configobjects.h"
+#include "state/configset.h"
+#include "state/error.h"
+#include "state/lease.h"
+#include "state/rawobject.h"
+#include "state/runrecord.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Apricot {
+
+/// An object of the store as it is: JSON texts that only this layer looks into.
+struct StoredObject
+{
+    std::string kind;
+    std::string name;
+    std::uint64_t version = 0;
+    std::string spec; ///< JSON object
+    std::string status; ///< JSON object; empty if none was written
+
+    friend bool operator==(const StoredObject &, const StoredObject &) = default;
+};
+
+/// Decodes an object of the store, or one as operators write it ({"kind", "name", "spec"}).
+Result<StoredObject> decodeStoredObject(const std::string &json);
+
+/// Decodes the answer to a list or watch: the objects, and the store's version up to which they are known.
+struct ObjectList
+{
+    std::uint64_t version = 0;
+    std::vector<StoredObject> objects;
+};
+Result<ObjectList> decodeObjectList(const std::string &json);
+
+/// Version out of the answer to a write.
+Result<std::uint64_t> decodeVersion(const std::string &json);
+
+/// The fields of a configuration object; a field that is no text, number, flag or list of texts is an error.
+Result<RawObject> rawObjectOf(const StoredObject &object);
+
+std::string encodeRunPage(const RunPage &page);
+Result<RunPage> decodeRunPage(const StoredObject &object);
+
+std::string encodeLease(const Lease &lease);
+Result<Lease> decodeLease(const StoredObject &object);
+
+std::string encodeGeneration(const Generation &generation);
+Result<Generation> decodeGeneration(const StoredObject &object);
+
+/// The platform's VM list.
+Result<std::vector<Vm>> decodeVmList(const std::string &json);
+
+/// Status of one configuration object after a check of the whole set.
+struct ObjectStatus
+{
+    std::uint64_t observedVersion = 0;
+    bool valid = false;
+    std::vector<std::string> reasons; ///< faults of this object
+    std::uint64_t generation = 0; ///< in force when the status was written
+    std::uint64_t nodesInForce = 0;
+    std::uint64_t nodesKnown = 0;
+
+    friend bool operator==(const ObjectStatus &, const ObjectStatus &) = default;
+};
+
+std::string encodeObjectStatus(const ObjectStatus &status);
+Result<ObjectStatus> decodeObjectStatus(const std::string &json);
+
+}
--- /dev/null
+++ b/packages/protocol/settingsjson.cpp
@@ -0,0 +1,139 @@
+#include "protocol/settingsjson.h"
+
+#include "protocol/jsonreader.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+const SettingSpec *findSpec(const std::string &key)
+{
+    for (const SettingSpec &spec : settingSpecs()) {
+        if (spec.key == key) {
+            return &spec;
+        }
+    }
+    return nullptr;
+}
+
+/// Turns a command line text into the JSON value that the key expects.
+Json overrideValue(const SettingSpec &spec, const std::string &text)
+{
+    std::int64_t number = 0;
+    if (spec.type == "whole number" && absl::SimpleAtoi(text, &number)) {
+        return number;
+    }
+    if (spec.type == "flag" && (text == "true" || text == "false")) {
+        return text == "true";
+    }
+    if (spec.type == "list of texts") {
+        const std::vector<std::string> parts = absl::StrSplit(text, ',');
+        return parts;
+    }
+    return text;
+}
+
+std::string checkValue(const SettingSpec &spec, const Json &value)
+{
+    const bool isTextList = value.is_array() && std::all_of(value.begin(), value.end(), [](const Json &it) { return it.is_string(); });
+    const bool fits = (spec.type == "text" && value.is_string()) || (spec.type == "whole number" && value.is_number_integer())
+        || (spec.type == "flag" && value.is_boolean()) || (spec.type == "list of texts" && isTextList);
+    if (!fits) {
+        return absl::StrCat(spec.key, ": write a ", spec.type);
+    }
+    if (spec.least != spec.most) {
+        const auto number = value.get<std::int64_t>();
+        if (number < spec.least || number > spec.most) {
+            return absl::StrCat(spec.key, ": ", number, " is out of range; choose ", spec.least, " to ", spec.most);
+        }
+    }
+    if (spec.required && spec.type == "text" && value.get<std::string>().empty()) {
+        return absl::StrCat(spec.key, ": is empty; ", spec.text);
+    }
+    return {};
+}
+
+std::vector<std::string> findFaults(const Json &json)
+{
+    std::vector<std::string> faults;
+    for (const auto &[key, value] : json.items()) {
+        const SettingSpec *spec = findSpec(key);
+        const std::string fault = spec == nullptr ? absl::StrCat(key, ": unknown key; see docs/OPERATIONS.md") : checkValue(*spec, value);
+        if (!fault.empty()) {
+            faults.push_back(fault);
+        }
+    }
+    for (const SettingSpec &spec : settingSpecs()) {
+        if (spec.required && !json.contains(spec.key)) {
+            faults.push_back(absl::StrCat(spec.key, ": is missing; ", spec.text));
+        }
+    }
+    return faults;
+}
+
+}
+
+const std::vector<SettingSpec> &settingSpecs()
+{
+    static const std::vector<SettingSpec> specs{
+        {"node", "text", "", true, "", 0, 0, "Name of the node; the name of its VM in the VM list."},
+        {"dataCentre", "text", "", true, "", 0, 0, "Data centre that the node runs in."},
+        {"peerAddress", "text", "IP:port", true, "", 0, 0, "Where other nodes reach it, UDP and TCP."},
+        {"callerAddress", "text", "IP:port", true, "", 0, 0, "Where callers and operators reach it, HTTP."},
+        {"storeUrl", "text", "URL", true, "", 0, 0, "Base of the platform's object API."},
+        {"vmListUrl", "text", "URL", true, "", 0, 0, "The platform's VM list."},
+        {"peerKeys", "list of texts", "hex", true, "", 0, 0,
+         "Keys between nodes, 64 hex digits each; the first one signs, all are accepted."},
+        {"maxBodyBytes", "whole number", "bytes", false, "1048576", 1024, 67108864, "Largest body of a caller's request."},
+        {"ringEvents", "whole number", "events", false, "20000", 100, 1000000, "Events that are kept for the time line."},
+        {"storeTimeoutMs", "whole number", "ms", false, "1000", 50, 60000, "Longest wait for one call to the store."},
+        {"runTimeoutMs", "whole number", "ms", false, "2000", 100, 60000, "Longest wait of a non-idempotent call for its run record."},
+        {"silenceMs", "whole number", "ms", false, "1000", 100, 60000,
+         "A stream without a byte for this long is resumed on a new connection."},
+        {"drainSeconds", "whole number", "s", false, "30", 1, 3600, "A leaving node ends at the latest after this."},
+        {"logLevel", "text", "", false, "info", 0, 0, "Least level that is logged: info, warning or error."},
+        {"endOnViolation", "flag", "", false, "false", 0, 0, "End the process when a check inside fails, in place of counting it."},
+    };
+    return specs;
+}
+
+Result<NodeSettings> decodeSettings(const std::string &json, const std::map<std::string, std::string> &overrides)
+{
+    BOOST_LEAF_AUTO(parsed, parseJsonObject(json, "settings"));
+    for (const auto &[key, text] : overrides) {
+        const SettingSpec *spec = findSpec(key);
+        parsed[key] = spec == nullptr ? Json(text) : overrideValue(*spec, text);
+    }
+    const std::vector<std::string> faults = findFaults(parsed);
+    if (!faults.empty()) {
+        return fail(ErrorKind::BadRequest, absl::StrCat("settings: ", absl::StrJoin(faults, "; ")));
+    }
+    const NodeSettingsFields standard;
+    return NodeSettings::Builder()
+        .set(&NodeSettingsFields::node, NodeId(jsonText(parsed, "node")))
+        .set(&NodeSettingsFields::dataCentre, DataCentreName(jsonText(parsed, "dataCentre")))
+        .set(&NodeSettingsFields::peerAddress, jsonText(parsed, "peerAddress"))
+        .set(&NodeSettingsFields::callerAddress, jsonText(parsed, "callerAddress"))
+        .set(&NodeSettingsFields::storeUrl, jsonText(parsed, "storeUrl"))
+        .set(&NodeSettingsFields::vmListUrl, jsonText(parsed, "vmListUrl"))
+        .set(&NodeSettingsFields::peerKeys, jsonTexts(parsed, "peerKeys"))
+        .set(&NodeSettingsFields::maxBodyBytes, jsonInteger(parsed, "maxBodyBytes", standard.maxBodyBytes))
+        .set(&NodeSettingsFields::ringEvents, jsonInteger(parsed, "ringEvents", standard.ringEvents))
+        .set(&NodeSettingsFields::storeTimeoutMs, jsonInteger(parsed, "storeTimeoutMs", standard.storeTimeoutMs))
+        .set(&NodeSettingsFields::runTimeoutMs, jsonInteger(parsed, "runTimeoutMs", standard.runTimeoutMs))
+        .set(&NodeSettingsFields::silenceMs, jsonInteger(parsed, "silenceMs", standard.silenceMs))
+        .set(&NodeSettingsFields::drainSeconds, jsonInteger(parsed, "drainSeconds", standard.drainSeconds))
+        .set(&NodeSettingsFields::logLevel, jsonText(parsed, "logLevel", standard.logLevel))
+        .set(&NodeSettingsFields::endOnViolation, jsonFlag(parsed, "endOnViolation", standard.endOnViolation))
+        .build();
+}
+
+}
--- a/packages/state/event.h
+++ b/packages/state/event.h
@@ -50,6 +50,7 @@
 struct WorkRenewed
 {
     Work work;
+    EngineId prefill;
     EngineId decode;
     bool decoding = false; ///< the decode engine holds the KV cache
     std::int64_t tokens = 0;
--- a/packages/state/work.h
+++ b/packages/state/work.h
@@ -21,6 +21,7 @@
     std::int64_t prefixTokens = 0;
     DataCentreName dataCentre; ///< of the coordinator
     absl::Time arrival;
+    EngineId avoid; ///< engine that the coordinator could not reach at an earlier attempt
     bool resumed = false; ///< the first token was sent already; it is never refused as too late
 
     friend bool operator==(const WorkFields &, const WorkFields &) = default;
--- /dev/null
+++ b/packages/transport/tcpframes.cpp
@@ -0,0 +1,148 @@
+#include "transport/tcpframes.h"
+
+#include "transport/socketaddress.h"
+
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstdint>
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Apricot {
+
+namespace {
+
+constexpr std::size_t headerBytes = 4;
+
+/// Frames are read in steps of this size, so that a peer has to send what it announced before it is allocated.
+constexpr std::size_t readStep = 64 * 1024;
+
+bool waitFor(int socket, short events, absl::Time until)
+{
+    const absl::Duration left = std::max(until - absl::Now(), absl::ZeroDuration());
+    pollfd wait{socket, events, 0};
+    return poll(&wait, 1, static_cast<int>(absl::ToInt64Milliseconds(left)) + 1) > 0 && absl::Now() < until;
+}
+
+bool readExactly(int socket, std::size_t count, std::string *to, absl::Time until)
+{
+    while (count > 0) {
+        if (!waitFor(socket, POLLIN, until)) {
+            return false;
+        }
+        const std::size_t before = to->size();
+        const std::size_t step = std::min(count, readStep);
+        to->resize(before + step);
+        const ssize_t n = recv(socket, to->data() + before, step, 0);
+        if (n <= 0) {
+            return false;
+        }
+        to->resize(before + static_cast<std::size_t>(n));
+        count -= static_cast<std::size_t>(n);
+    }
+    return true;
+}
+
+bool writeAll(int socket, const char *data, std::size_t count, absl::Time until)
+{
+    while (count > 0) {
+        if (!waitFor(socket, POLLOUT, until)) {
+            return false;
+        }
+        const ssize_t n = send(socket, data, count, MSG_NOSIGNAL);
+        if (n <= 0) {
+            return false;
+        }
+        data += n;
+        count -= static_cast<std::size_t>(n);
+    }
+    return true;
+}
+
+/// Closes a socket at the end of a scope.
+class SocketCloser
+{
+public:
+    explicit SocketCloser(int socket) : m_socket(socket)
+    {
+    }
+
+    ~SocketCloser()
+    {
+        close(m_socket);
+    }
+
+    SocketCloser(const SocketCloser &) = delete;
+    SocketCloser &operator=(const SocketCloser &) = delete;
+
+private:
+    int m_socket;
+};
+
+bool connectWithin(int socket, const sockaddr_in &address, absl::Time until)
+{
+    fcntl(socket, F_SETFL, fcntl(socket, F_GETFL) | O_NONBLOCK);
+    if (connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0) {
+        return true;
+    }
+    if (errno != EINPROGRESS || !waitFor(socket, POLLOUT, until)) {
+        return false;
+    }
+    int ec = 0;
+    socklen_t n = sizeof(ec);
+    return getsockopt(socket, SOL_SOCKET, SO_ERROR, &ec, &n) == 0 && ec == 0;
+}
+
+}
+
+std::optional<std::string> readFrame(int socket, absl::Duration limit)
+{
+    const absl::Time until = absl::Now() + limit;
+    std::string header;
+    if (!readExactly(socket, headerBytes, &header, until)) {
+        return std::nullopt;
+    }
+    std::uint32_t length = 0;
+    for (const char it : header) {
+        length = length << 8 | static_cast<std::uint8_t>(it);
+    }
+    std::string body;
+    if (length > mostFrameBytes || !readExactly(socket, length, &body, until)) {
+        return std::nullopt;
+    }
+    return body;
+}
+
+bool writeFrame(int socket, const std::string &bytes, absl::Duration limit)
+{
+    if (bytes.size() > mostFrameBytes) {
+        return false;
+    }
+    const absl::Time until = absl::Now() + limit;
+    const auto length = static_cast<std::uint32_t>(bytes.size());
+    const std::array<char, headerBytes> header{static_cast<char>(length >> 24), static_cast<char>(length >> 16),
+                                               static_cast<char>(length >> 8), static_cast<char>(length)};
+    return writeAll(socket, header.data(), header.size(), until) && writeAll(socket, bytes.data(), bytes.size(), until);
+}
+
+std::optional<std::string> exchangeFrame(const std::string &address, const std::string &bytes, absl::Duration limit)
+{
+    const absl::Time until = absl::Now() + limit;
+    const std::optional<sockaddr_in> parsed = parseSocketAddress(address);
+    const int socket = parsed ? ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0) : -1;
+    if (socket < 0) {
+        return std::nullopt;
+    }
+    const SocketCloser closer(socket);
+    if (!connectWithin(socket, *parsed, until) || !writeFrame(socket, bytes, until - absl::Now())) {
+        return std::nullopt;
+    }
+    return readFrame(socket, until - absl::Now());
+}
+
+}
--- /dev/null
+++ b/packages/transport/thread.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <pthread.h>
+
+namespace Apricot {
+
+/**
+ * \class Thread
+ * \brief A POSIX thread with a small stack that is joined on destruction.
+ */
+class Thread
+{
+public:
+    Thread() = default;
+
+    /// Starts \a function; \a name shows in process lists (15 characters at most).
+    Thread(const char *name, std::function<void()> function);
+    ~Thread();
+
+    Thread(Thread &&other) noexcept;
+    Thread &operator=(Thread &&other) noexcept;
+    Thread(const Thread &) = delete;
+    Thread &operator=(const Thread &) = delete;
+
+    /// Waits for the function to return. Does nothing if there is no thread.
+    void join();
+
+private:
+    pthread_t m_thread{};
+    bool m_running = false;
+};
+
+}
--- /dev/null
+++ b/packages/transport/udpsocket.cpp
@@ -0,0 +1,67 @@
+#include "transport/udpsocket.h"
+
+#include "transport/socketaddress.h"
+
+#include <array>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Apricot {
+
+UdpSocket::UdpSocket(const std::string &address)
+{
+    const std::optional<sockaddr_in> parsed = parseSocketAddress(address);
+    if (!parsed) {
+        return;
+    }
+    m_socket = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    if (m_socket >= 0 && bind(m_socket, reinterpret_cast<const sockaddr *>(&*parsed), sizeof(*parsed)) != 0) {
+        close(m_socket);
+        m_socket = -1;
+    }
+}
+
+UdpSocket::~UdpSocket()
+{
+    if (m_socket >= 0) {
+        close(m_socket);
+    }
+}
+
+std::string UdpSocket::localAddress() const
+{
+    sockaddr_in address{};
+    socklen_t n = sizeof(address);
+    getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &n);
+    return socketAddressText(address);
+}
+
+bool UdpSocket::send(const std::string &to, const std::string &bytes) const
+{
+    const std::optional<sockaddr_in> address = parseSocketAddress(to);
+    if (!address || bytes.size() > mostBytes) {
+        return false;
+    }
+    const ssize_t n
+        = sendto(m_socket, bytes.data(), bytes.size(), MSG_DONTWAIT, reinterpret_cast<const sockaddr *>(&*address), sizeof(*address));
+    return n == static_cast<ssize_t>(bytes.size());
+}
+
+std::optional<Datagram> UdpSocket::receive(absl::Duration limit) const
+{
+    pollfd wait{m_socket, POLLIN, 0};
+    if (poll(&wait, 1, static_cast<int>(absl::ToInt64Milliseconds(limit))) <= 0) {
+        return std::nullopt;
+    }
+    thread_local std::array<char, mostBytes> buf;
+    sockaddr_in from{};
+    socklen_t length = sizeof(from);
+    const ssize_t n = recvfrom(m_socket, buf.data(), buf.size(), MSG_DONTWAIT, reinterpret_cast<sockaddr *>(&from), &length);
+    if (n < 0) {
+        return std::nullopt;
+    }
+    return Datagram{std::string(buf.data(), static_cast<std::size_t>(n)), socketAddressText(from)};
+}
+
+}
