--- /dev/null
+++ b/packages/apricotladder/draincommand.cpp
@@ -0,0 +1,60 @@
+#include "apricotladder/commands.h"
+#include "apricotladder/storeaccess.h"
+#include "protocol/jsonreader.h"
+
+#include <iostream>
+
+namespace Apricot {
+
+namespace {
+
+int drainNode(const std::string &url)
+{
+    HttpCall call;
+    call.method = "POST";
+    call.url = url + "/v1/drain";
+    const HttpReply reply = HttpClient::call(call);
+    if (reply.end != CallEnd::Answered || reply.status != 200) {
+        std::cout << url << ": does not answer: " << reply.problem << "\n";
+        return ExitUnreachable;
+    }
+    std::cout << url << ": leaving; the process ends when its last call has ended\n";
+    return ExitOk;
+}
+
+}
+
+int runDrain(const CommandArguments &arguments)
+{
+    if (arguments.has("node")) {
+        return drainNode(arguments.flag("node"));
+    }
+    if (arguments.names.empty()) {
+        std::cout << "drain: name an endpoint, or a node with --node\n";
+        return ExitUsage;
+    }
+    const StoreAccess store(arguments.flag("store"));
+    const std::string name = arguments.names.front();
+    const auto read = collect<std::optional<StoredObject>>([&] { return store.get("Endpoint", name); });
+    if (const auto *error = std::get_if<Error>(&read)) {
+        std::cout << error->message << "\n";
+        return ExitUnreachable;
+    }
+    const auto &object = std::get<std::optional<StoredObject>>(read);
+    if (!object) {
+        std::cout << "Endpoint/" << name << ": does not exist; see apricotladder status\n";
+        return ExitFaults;
+    }
+    Json spec = Json::parse(object->spec, nullptr, false);
+    spec["drain"] = !arguments.has("undo");
+    if (store.put("Endpoint", name, object->version, jsonDump(spec)) != StoreAccess::WriteEnd::Written) {
+        std::cout << "Endpoint/" << name << ": was edited in the meantime, or the store did not answer; run the command again\n";
+        return ExitFaults;
+    }
+    std::cout << "Endpoint/" << name
+              << (arguments.has("undo") ? ": takes work again once this is in force\n"
+                                        : ": gets no new work once this is in force; its streams go on\n");
+    return ExitOk;
+}
+
+}
--- /dev/null
+++ b/packages/apricotladderd/cellservice.cpp
@@ -0,0 +1,295 @@
+#include "apricotladderd/cellservice.h"
+
+#include "coordination/ownership.h"
+#include "protocol/objectjson.h"
+#include "transport/httpclient.h"
+#include "transport/tcpframes.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+constexpr absl::Duration receiveWait = absl::Milliseconds(200);
+constexpr absl::Duration vmPollInterval = absl::Seconds(1);
+constexpr absl::Duration vmPollLimit = absl::Milliseconds(800);
+
+/// A path that stays silent gets yet another socket after this long.
+constexpr absl::Duration otherSocketAge = absl::Seconds(2);
+
+Member selfOf(const NodeSettings &settings)
+{
+    return Member::Builder()
+        .set(&MemberFields::id, settings->node)
+        .set(&MemberFields::incarnation, static_cast<std::uint64_t>(absl::ToUnixMillis(absl::Now())))
+        .set(&MemberFields::dataCentre, settings->dataCentre)
+        .set(&MemberFields::peerAddress, settings->peerAddress)
+        .set(&MemberFields::datagramAddress, settings->peerAddress)
+        .set(&MemberFields::callerAddress, settings->callerAddress)
+        .build();
+}
+
+std::string hostOf(const std::string &address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+}
+
+CellService::CellService(const NodeSettings &settings, DatagramSeal seal, Journal &journal, NodeMetrics &metrics)
+    : m_settings(settings), m_seal(std::move(seal)), m_journal(journal), m_metrics(metrics), m_membership(selfOf(settings))
+{
+}
+
+CellService::~CellService()
+{
+    stop();
+}
+
+std::string CellService::start(Handlers handlers)
+{
+    m_handlers = std::move(handlers);
+    m_socket = std::make_unique<UdpSocket>(m_settings->peerAddress);
+    m_tcp = std::make_unique<TcpServer>(m_settings->peerAddress, [this](const std::string &request) { return answerQuery(request); });
+    if (!m_socket->isOpen() || !m_tcp->isOpen()) {
+        return absl::StrCat("peerAddress: cannot listen on ", m_settings->peerAddress, "; choose a free port of this VM");
+    }
+    m_receiver = Thread("peer-udp", [this] { receiveLoop(); });
+    m_otherReceiver = Thread("peer-udp-other", [this] { rebindLoop(); });
+    m_vmPoll = std::make_unique<PeriodicTask>("vm-list", vmPollInterval, [this] { pollVmList(); });
+    m_heartbeats = std::make_unique<PeriodicTask>("heartbeats", MembershipTimes::heartbeatInterval, [this] { heartbeat(); });
+    return {};
+}
+
+void CellService::stop()
+{
+    m_stopping = true;
+    m_heartbeats.reset();
+    m_vmPoll.reset();
+    m_receiver.join();
+    m_otherReceiver.join();
+    m_tcp.reset();
+}
+
+void CellService::send(const NodeId &to, const PeerMessage &message)
+{
+    const std::optional<Member> member = find(to);
+    if (!member) {
+        return;
+    }
+    const std::string bytes = m_seal.seal(encodePeerMessage(message));
+    m_metrics.countPeerBytes("out", bytes.size());
+    const std::string &address = (*member)->datagramAddress.empty() ? (*member)->peerAddress : (*member)->datagramAddress;
+    m_socket->send(address, bytes);
+}
+
+Result<PeerReply> CellService::query(const Member &node, const PeerQuery &query, absl::Duration limit)
+{
+    const std::optional<std::string> sealed = exchangeFrame(node->peerAddress, m_seal.seal(encodePeerQuery(query)), limit);
+    if (!sealed) {
+        return fail(ErrorKind::PeerUnreachable,
+                    absl::StrCat("node ", node->id.text(), " at ", node->peerAddress, " did not answer a query"));
+    }
+    BOOST_LEAF_AUTO(bytes, m_seal.open(*sealed));
+    return decodePeerReply(bytes);
+}
+
+std::vector<Member> CellService::members() const
+{
+    const MutexLock lock(m_mutex);
+    return m_membership.members();
+}
+
+std::vector<NodeId> CellService::owners() const
+{
+    const MutexLock lock(m_mutex);
+    return m_membership.owners();
+}
+
+std::optional<Member> CellService::find(const NodeId &id) const
+{
+    const MutexLock lock(m_mutex);
+    return m_membership.find(id);
+}
+
+NodeId CellService::ownerOf(const ServiceName &service) const
+{
+    return Apricot::ownerOf(service.text(), owners());
+}
+
+void CellService::setGeneration(std::uint64_t generation)
+{
+    const MutexLock lock(m_mutex);
+    m_membership.setGeneration(generation);
+}
+
+void CellService::setLeaving()
+{
+    {
+        const MutexLock lock(m_mutex);
+        m_membership.setLeaving();
+    }
+    m_heartbeats->wake();
+}
+
+bool CellService::isLeavingVm(const std::string &name) const
+{
+    const MutexLock lock(m_mutex);
+    return std::find(m_leavingVms.begin(), m_leavingVms.end(), name) != m_leavingVms.end();
+}
+
+void CellService::receive(UdpSocket &socket)
+{
+    if (const std::optional<Datagram> datagram = socket.receive(receiveWait)) {
+        handle(*datagram);
+    }
+}
+
+void CellService::receiveLoop()
+{
+    while (!m_stopping) {
+        receive(*m_socket);
+    }
+}
+
+void CellService::rebindLoop()
+{
+    while (!m_stopping) {
+        std::shared_ptr<UdpSocket> socket;
+        {
+            const MutexLock lock(m_mutex);
+            socket = m_otherSocket;
+        }
+        if (socket) {
+            receive(*socket);
+        } else {
+            absl::SleepFor(receiveWait);
+        }
+    }
+}
+
+std::shared_ptr<UdpSocket> CellService::otherSocket()
+{
+    const absl::Time now = absl::Now();
+    const MutexLock lock(m_mutex);
+    if (!m_otherSocket || now - m_otherSince > otherSocketAge) {
+        auto socket = std::make_shared<UdpSocket>(hostOf(m_settings->peerAddress) + ":0");
+        if (socket->isOpen()) {
+            m_otherSocket = std::move(socket);
+        }
+        m_otherSince = now;
+    }
+    return m_otherSocket;
+}
+
+void CellService::heartbeat()
+{
+    const absl::Time now = absl::Now();
+    HeartbeatMessage message;
+    std::vector<HeartbeatTarget> targets;
+    std::size_t alive = 0;
+    {
+        const MutexLock lock(m_mutex);
+        m_membership.tick(now);
+        message.sender = m_membership.self();
+        message.claims = m_membership.claims();
+        targets = m_membership.heartbeatTargets(now);
+        alive = m_membership.owners().size();
+    }
+    m_metrics.setMembers(static_cast<double>(alive));
+    message.stamp = m_journal.stamp();
+    const std::string bytes = m_seal.seal(encodePeerMessage(message));
+    for (const HeartbeatTarget &target : targets) {
+        m_metrics.countPeerBytes("out", bytes.size());
+        m_socket->send(target.address, bytes);
+        const std::shared_ptr<UdpSocket> other = target.silent ? otherSocket() : nullptr;
+        if (other) {
+            HeartbeatMessage again = message;
+            again.sender = again.sender.with(&MemberFields::datagramAddress, other->localAddress());
+            other->send(target.address, m_seal.seal(encodePeerMessage(again)));
+        }
+    }
+}
+
+void CellService::pollVmList()
+{
+    HttpCall call;
+    call.url = m_settings->vmListUrl;
+    call.limit = vmPollLimit;
+    const HttpReply reply = HttpClient::call(call);
+    if (reply.end != CallEnd::Answered || reply.status != 200) {
+        return;
+    }
+    const auto decoded = collect<std::vector<Vm>>([&] { return decodeVmList(reply.body); });
+    const auto *vms = std::get_if<std::vector<Vm>>(&decoded);
+    if (vms == nullptr) {
+        return;
+    }
+    std::vector<Vm> nodes;
+    std::vector<std::string> leaving;
+    for (const Vm &vm : *vms) {
+        // The list names endpoints too; nodes are those with a peer address.
+        if (!vm->address.empty()) {
+            nodes.push_back(vm);
+        }
+        if (vm->leaving) {
+            leaving.push_back(vm->name);
+        }
+    }
+    const MutexLock lock(m_mutex);
+    m_membership.vmList(nodes, absl::Now());
+    m_leavingVms = std::move(leaving);
+}
+
+void CellService::handle(const Datagram &datagram)
+{
+    m_metrics.countPeerBytes("in", datagram.bytes.size());
+    const auto opened = collect<PeerMessage>([&]() -> Result<PeerMessage> {
+        BOOST_LEAF_AUTO(bytes, m_seal.open(datagram.bytes));
+        return decodePeerMessage(bytes);
+    });
+    if (const auto *error = std::get_if<Error>(&opened)) {
+        m_journal.record(RequestId(), "peer.refused", absl::StrCat(datagram.from, ": ", error->message));
+        return;
+    }
+    std::visit(Overloaded{
+                   [&](const HeartbeatMessage &it) {
+                       m_journal.observe(it.stamp);
+                       std::uint64_t own = 0;
+                       {
+                           const MutexLock lock(m_mutex);
+                           m_membership.heartbeat(it.sender, it.claims, absl::Now());
+                           own = m_membership.self()->generation;
+                       }
+                       if (it.sender->generation > own) {
+                           m_handlers.newerGeneration(it.sender);
+                       }
+                   },
+                   [&](const OwnerEventsMessage &it) {
+                       m_journal.observe(it.stamp);
+                       m_handlers.ownerEvents(it);
+                   },
+                   [&](const OwnerActionsMessage &it) {
+                       m_journal.observe(it.stamp);
+                       m_handlers.ownerActions(it);
+                   },
+               },
+               std::get<PeerMessage>(opened));
+}
+
+std::string CellService::answerQuery(const std::string &sealed)
+{
+    const auto opened = collect<PeerQuery>([&]() -> Result<PeerQuery> {
+        BOOST_LEAF_AUTO(bytes, m_seal.open(sealed));
+        return decodePeerQuery(bytes);
+    });
+    const auto *query = std::get_if<PeerQuery>(&opened);
+    return query == nullptr ? std::string() : m_seal.seal(encodePeerReply(m_handlers.query(*query)));
+}
+
+}
--- /dev/null
+++ b/packages/apricotladderd/configkeeper.cpp
@@ -0,0 +1,72 @@
+#include "apricotladderd/configkeeper.h"
+
+#include "coordination/configvalidator.h"
+#include "protocol/snapshotcodec.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace Apricot {
+
+ConfigKeeper::ConfigKeeper(Journal &journal, NodeMetrics &metrics)
+    : m_journal(journal), m_metrics(metrics), m_set(std::make_shared<const ConfigSet>())
+{
+}
+
+std::shared_ptr<const ConfigSet> ConfigKeeper::current() const
+{
+    const MutexLock lock(m_mutex);
+    return m_set;
+}
+
+Generation ConfigKeeper::generation() const
+{
+    const MutexLock lock(m_mutex);
+    return m_gate.inForce();
+}
+
+std::pair<Generation, std::string> ConfigKeeper::snapshot() const
+{
+    const MutexLock lock(m_mutex);
+    return {m_gate.inForce(), m_snapshot};
+}
+
+bool ConfigKeeper::wants(const Generation &generation) const
+{
+    const MutexLock lock(m_mutex);
+    return m_gate.wants(generation);
+}
+
+bool ConfigKeeper::accept(const Generation &generation, const std::string &snapshot)
+{
+    if (!wants(generation)) {
+        return false;
+    }
+    if (snapshotHash(snapshot) != generation->hash) {
+        m_journal.warning(
+            RequestId(), "config.hash",
+            absl::StrCat("generation ", generation->number, ": the snapshot does not have the hash of its pointer; fetched again"));
+        return false;
+    }
+    const auto objects = collect<std::vector<RawObject>>([&] { return decodeSnapshot(snapshot); });
+    const auto *list = std::get_if<std::vector<RawObject>>(&objects);
+    const auto checked = list == nullptr ? std::variant<ConfigSet, std::vector<Fault>>(std::vector<Fault>()) : validateConfig(*list);
+    const auto *set = std::get_if<ConfigSet>(&checked);
+    if (set == nullptr) {
+        m_journal.warning(RequestId(), "config.invalid",
+                          absl::StrCat("generation ", generation->number, " does not validate on this node; the older one stays in force"));
+        return false;
+    }
+    {
+        const MutexLock lock(m_mutex);
+        if (!m_gate.accept(generation)) {
+            return false;
+        }
+        m_snapshot = snapshot;
+        m_set = std::make_shared<const ConfigSet>(*set);
+    }
+    m_metrics.setGeneration(static_cast<double>(generation->number));
+    m_journal.info(RequestId(), "config.inForce", absl::StrCat("generation ", generation->number, " hash ", generation->hash));
+    return true;
+}
+
+}
--- /dev/null
+++ b/packages/apricotladderd/configsync.cpp
@@ -0,0 +1,156 @@
+#include "apricotladderd/configsync.h"
+
+#include "coordination/ownership.h"
+#include "protocol/snapshotcodec.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace {
+
+constexpr absl::Duration pullInterval = absl::Seconds(1);
+constexpr absl::Duration watchPause = absl::Milliseconds(200);
+constexpr absl::Duration watchWait = absl::Seconds(5);
+constexpr absl::Duration peerLimit = absl::Seconds(2);
+
+/// Nodes of one data centre that watch the store.
+constexpr std::size_t watchersPerDataCentre = 2;
+
+}
+
+ConfigSync::ConfigSync(CellService &cell, ConfigKeeper &keeper, StoreClient &store, Journal &journal)
+    : m_cell(cell), m_keeper(keeper), m_store(store), m_journal(journal)
+{
+}
+
+void ConfigSync::start(std::function<void()> changed)
+{
+    m_changed = std::move(changed);
+    m_pull = std::make_unique<PeriodicTask>("config-pull", pullInterval, [this] { pull(); });
+    m_watch = std::make_unique<PeriodicTask>("config-watch", watchPause, [this] { watch(); });
+}
+
+void ConfigSync::stop()
+{
+    m_pull.reset();
+    m_watch.reset();
+}
+
+void ConfigSync::peerHasNewer()
+{
+    if (m_pull) {
+        m_pull->wake();
+    }
+}
+
+void ConfigSync::pull()
+{
+    m_store.setNodes(m_cell.members().size());
+    if (pullFromPeers() || m_keeper.generation()->number != 0) {
+        return;
+    }
+    // Nobody has a configuration: this node may be the first one.
+    const auto pointer = collect<Generation>([&] { return readPointer(); });
+    if (const auto *generation = std::get_if<Generation>(&pointer); generation != nullptr && m_keeper.wants(*generation)) {
+        fetch(*generation);
+    }
+}
+
+bool ConfigSync::pullFromPeers()
+{
+    std::vector<Member> members = m_cell.members();
+    std::sort(members.begin(), members.end(), [](const Member &a, const Member &b) { return a->generation > b->generation; });
+    for (const Member &member : members) {
+        const std::uint64_t own = m_keeper.generation()->number;
+        if (member->id == m_cell.self() || member->state == MemberState::Dead || member->generation <= own) {
+            continue;
+        }
+        const auto reply = collect<PeerReply>([&] { return m_cell.query(member, SnapshotQuery{own}, peerLimit); });
+        const auto *answered = std::get_if<PeerReply>(&reply);
+        const auto *snapshot = answered == nullptr ? nullptr : std::get_if<SnapshotReply>(answered);
+        if (snapshot != nullptr && m_keeper.wants(snapshot->generation)) {
+            accept(snapshot->generation, snapshot->snapshot);
+            return true;
+        }
+    }
+    return false;
+}
+
+void ConfigSync::watch()
+{
+    if (!isWatcher()) {
+        m_watchVersion = 0;
+        return;
+    }
+    const auto changes = collect<ObjectList>([&] { return m_store.watch("Pointer", m_watchVersion, watchWait); });
+    const auto *list = std::get_if<ObjectList>(&changes);
+    if (list == nullptr) {
+        return;
+    }
+    bool fetched = true;
+    for (const StoredObject &object : list->objects) {
+        const auto decoded = collect<Generation>([&] { return decodeGeneration(object); });
+        const auto *generation = std::get_if<Generation>(&decoded);
+        if (generation != nullptr && m_keeper.wants(*generation)) {
+            fetched = fetch(*generation) && fetched;
+        }
+    }
+    // What could not be fetched is looked at again.
+    m_watchVersion = fetched ? list->version : m_watchVersion;
+}
+
+bool ConfigSync::isWatcher() const
+{
+    const std::optional<Member> self = m_cell.find(m_cell.self());
+    std::vector<NodeId> here;
+    for (const Member &member : m_cell.members()) {
+        if (member->state != MemberState::Dead && !member->leaving && member->dataCentre == (*self)->dataCentre) {
+            here.push_back(member->id);
+        }
+    }
+    here = ownersInOrder("config-watch", here);
+    here.resize(std::min(here.size(), watchersPerDataCentre));
+    return std::find(here.begin(), here.end(), m_cell.self()) != here.end();
+}
+
+Result<Generation> ConfigSync::readPointer()
+{
+    BOOST_LEAF_AUTO(object, m_store.get("Pointer", "current"));
+    return object ? decodeGeneration(*object) : Result<Generation>(Generation());
+}
+
+bool ConfigSync::fetch(const Generation &generation)
+{
+    const auto snapshot = collect<std::string>([&]() -> Result<std::string> {
+        std::string text;
+        for (std::uint64_t i = 0; i < generation->chunks; ++i) {
+            BOOST_LEAF_AUTO(object, m_store.get("Snapshot", chunkName(generation->hash, i)));
+            if (!object) {
+                return fail(ErrorKind::StoreUnavailable, absl::StrCat("Snapshot/", chunkName(generation->hash, i), " is missing"));
+            }
+            BOOST_LEAF_AUTO(chunk, decodeChunk(*object));
+            text += chunk;
+        }
+        return text;
+    });
+    const auto *text = std::get_if<std::string>(&snapshot);
+    if (text == nullptr) {
+        m_journal.warning(RequestId(), "config.fetchFailed", std::get<Error>(snapshot).message);
+        return false;
+    }
+    accept(generation, *text);
+    return true;
+}
+
+void ConfigSync::accept(const Generation &generation, const std::string &snapshot)
+{
+    if (m_keeper.accept(generation, snapshot)) {
+        m_cell.setGeneration(generation->number);
+        m_changed();
+    }
+}
+
+}
--- /dev/null
+++ b/packages/apricotladderd/enginepoller.cpp
@@ -0,0 +1,88 @@
+#include "apricotladderd/enginepoller.h"
+
+#include "protocol/enginejson.h"
+#include "transport/httpclient.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace Apricot {
+
+namespace {
+
+constexpr absl::Duration pollInterval = absl::Milliseconds(250);
+constexpr absl::Duration pollLimit = absl::Milliseconds(300);
+
+/// Reports that fail in a row before an engine counts as lost.
+constexpr int failuresUntilLost = 2;
+
+}
+
+EnginePoller::EnginePoller(SliceHost &host, ConfigKeeper &config, CellService &cell, Journal &journal)
+    : m_host(host), m_config(config), m_cell(cell), m_journal(journal)
+{
+}
+
+void EnginePoller::start()
+{
+    m_task = std::make_unique<PeriodicTask>("engine-poll", pollInterval, [this] { poll(); });
+}
+
+void EnginePoller::stop()
+{
+    m_task.reset();
+}
+
+void EnginePoller::poll()
+{
+    for (const ServiceName &service : m_host.hosted()) {
+        if (m_cell.ownerOf(service) == m_cell.self()) {
+            pollService(service);
+        }
+    }
+}
+
+void EnginePoller::pollService(const ServiceName &service)
+{
+    const std::shared_ptr<const ConfigSet> config = m_config.current();
+    for (const PoolRole role : {PoolRole::Prefill, PoolRole::Decode}) {
+        for (const Endpoint &endpoint : endpointsOf(*config, service, role)) {
+            pollEngine(service, endpoint);
+        }
+    }
+}
+
+void EnginePoller::pollEngine(const ServiceName &service, const Endpoint &endpoint)
+{
+    const EngineId engine(endpoint->name);
+    HttpCall call;
+    call.url = absl::StrCat("http://", endpoint->address, "/v1/report");
+    call.limit = pollLimit;
+    call.connectLimit = pollLimit;
+    const HttpReply reply = HttpClient::call(call);
+    Seen &seen = m_seen[endpoint->name];
+    if (reply.end != CallEnd::Answered || reply.status != 200) {
+        ++seen.failures;
+        if (seen.failures < failuresUntilLost) {
+            return;
+        }
+        if (!seen.lost) {
+            seen.lost = true;
+            m_journal.warning(RequestId(), "engine.lost",
+                              absl::StrCat("endpoint ", endpoint->name, " at ", endpoint->address, " does not answer: ", reply.problem));
+        }
+        // Said again each time, as a new configuration may have replaced the scheduler.
+        m_host.handle(service, m_cell.self(), {EngineLost{engine}});
+        return;
+    }
+    if (seen.lost) {
+        m_journal.info(RequestId(), "engine.back", absl::StrCat("endpoint ", endpoint->name, " answers again"));
+        m_host.handle(service, m_cell.self(), {EngineBack{engine}});
+    }
+    seen = Seen{};
+    const auto report = collect<EngineReported>([&] { return decodeEngineReport(reply.body, engine); });
+    if (const auto *it = std::get_if<EngineReported>(&report)) {
+        m_host.handle(service, m_cell.self(), {*it});
+    }
+}
+
+}
--- /dev/null
+++ b/packages/apricotladderd/enginepoller.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "apricotladderd/configkeeper.h"
+#include "apricotladderd/slicehost.h"
+#include "transport/periodictask.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Apricot {
+
+/**
+ * \class EnginePoller
+ * \brief Asks the engines of the slices owned here for their load, and notes those that no longer answer.
+ */
+class EnginePoller
+{
+public:
+    EnginePoller(SliceHost &host, ConfigKeeper &config, CellService &cell, Journal &journal);
+
+    void start();
+    void stop();
+
+private:
+    struct Seen
+    {
+        int failures = 0;
+        bool lost = false;
+    };
+
+    void poll();
+    void pollService(const ServiceName &service);
+    void pollEngine(const ServiceName &service, const Endpoint &endpoint);
+
+    SliceHost &m_host;
+    ConfigKeeper &m_config;
+    CellService &m_cell;
+    Journal &m_journal;
+    std::map<std::string, Seen> m_seen; ///< by endpoint; used by the polling thread only
+    std::unique_ptr<PeriodicTask> m_task;
+};
+
+}
--- /dev/null
+++ b/packages/apricotladderd/flowthreads.cpp
@@ -0,0 +1,75 @@
+#include "apricotladderd/flowthreads.h"
+
+#include <absl/time/clock.h>
+
+#include <memory>
+#include <pthread.h>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+constexpr std::size_t stackBytes = 512 * 1024;
+
+extern "C" void *runFlow(void *argument)
+{
+    const std::unique_ptr<std::function<void()>> function(static_cast<std::function<void()> *>(argument));
+    (*function)();
+    return nullptr;
+}
+
+}
+
+bool FlowThreads::run(std::function<void()> function)
+{
+    {
+        const MutexLock lock(m_mutex);
+        if (m_active >= most) {
+            return false;
+        }
+        ++m_active;
+    }
+    auto body = std::make_unique<std::function<void()>>([this, function = std::move(function)] {
+        function();
+        ended();
+    });
+    pthread_attr_t attributes;
+    pthread_attr_init(&attributes);
+    pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
+    pthread_attr_setstacksize(&attributes, stackBytes);
+    pthread_t thread{};
+    const int ec = pthread_create(&thread, &attributes, runFlow, body.get());
+    pthread_attr_destroy(&attributes);
+    if (ec != 0) {
+        ended();
+        return false;
+    }
+    (void)body.release();
+    return true;
+}
+
+std::size_t FlowThreads::active() const
+{
+    const MutexLock lock(m_mutex);
+    return m_active;
+}
+
+bool FlowThreads::waitUntilIdle(absl::Duration limit)
+{
+    const absl::Time until = absl::Now() + limit;
+    const MutexLock lock(m_mutex);
+    while (m_active > 0 && absl::Now() < until) {
+        m_idle.waitFor(m_mutex, until - absl::Now());
+    }
+    return m_active == 0;
+}
+
+void FlowThreads::ended()
+{
+    const MutexLock lock(m_mutex);
+    --m_active;
+    m_idle.signalAll();
+}
+
+}
--- /dev/null
+++ b/packages/apricotladderd/frontend.cpp
@@ -0,0 +1,349 @@
+#include "apricotladderd/frontend.h"
+
+#include "apricotladderd/completionflow.h"
+#include "apricotladderd/plainflow.h"
+#include "coordination/addressbook.h"
+#include "protocol/timelinejson.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+/// A stream without a token for this long gets a comment line, so that both ends notice a lost connection.
+constexpr absl::Duration keepAlive = absl::Seconds(1);
+
+/// A caller that went away may resume for this long before its request is cancelled.
+constexpr absl::Duration resumeGrace = absl::Seconds(2);
+
+/// Answers that ended are kept this long for callers that resume.
+constexpr absl::Duration keepAnswers = absl::Seconds(30);
+
+/// Longest wait for a whole answer.
+constexpr absl::Duration wholeAnswerLimit = absl::Minutes(5);
+
+const std::string completionsPath = "/v1/completions";
+const std::string servicesPath = "/v1/services/";
+const std::string callsSuffix = "/calls";
+
+CallerHeaders callerHeadersOf(const HttpRequest &request)
+{
+    return CallerHeaders{request.header("x-request-id"), request.header("x-workspace"), request.header("x-rank"),
+                         request.header("idempotency-key")};
+}
+
+HttpResponse jsonAnswer(int status, std::string body)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers["Content-Type"] = "application/json";
+    response.body = std::move(body);
+    return response;
+}
+
+HttpResponse textAnswer(int status, std::string body)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers["Content-Type"] = "text/plain; version=0.0.4";
+    response.body = std::move(body);
+    return response;
+}
+
+HttpResponse errorResponse(const Error &error, const RequestId &id, absl::Duration retryAfter = absl::ZeroDuration())
+{
+    const ErrorAnswer &answer = errorAnswer(error.kind);
+    HttpResponse response = jsonAnswer(answer.httpStatus, encodeError(error, id, retryAfter));
+    if (answer.retryable) {
+        const std::int64_t seconds = std::max<std::int64_t>(1, absl::ToInt64Seconds(retryAfter + absl::Milliseconds(999)));
+        response.headers["Retry-After"] = std::to_string(seconds);
+    }
+    if (!id.isEmpty()) {
+        response.headers["X-Request-Id"] = id.text();
+    }
+    return response;
+}
+
+}
+
+FrontEnd::FrontEnd(NodeContext context, FlowThreads &flows, Hooks hooks) : m_context(context), m_flows(flows), m_hooks(std::move(hooks))
+{
+}
+
+std::string FrontEnd::start()
+{
+    HttpServer::Limits limits;
+    limits.bodyBytes = static_cast<std::size_t>(m_context.settings->maxBodyBytes);
+    m_server = std::make_unique<HttpServer>(m_context.settings->callerAddress, limits,
+                                            [this](const HttpRequest &request) { return handle(request); });
+    if (!m_server->isOpen()) {
+        return absl::StrCat("callerAddress: cannot listen on ", m_context.settings->callerAddress, "; choose a free port of this VM");
+    }
+    return {};
+}
+
+void FrontEnd::refuseCalls()
+{
+    m_refusing = true;
+}
+
+void FrontEnd::stopAccepting()
+{
+    m_server->stopAccepting();
+}
+
+void FrontEnd::stop()
+{
+    m_server.reset();
+}
+
+void FrontEnd::forgetOldAnswers(absl::Time now)
+{
+    m_buffers.eraseIf([&](const RequestId &, const std::shared_ptr<StreamBuffer> &buffer) {
+        return buffer->hasEnded() && now - buffer->endedAt() > keepAnswers;
+    });
+}
+
+HttpResponse FrontEnd::handle(const HttpRequest &request)
+{
+    const std::string &path = request.path;
+    if (request.bodyTooLarge) {
+        return errorResponse(Error{ErrorKind::BodyTooLarge, absl::StrCat("body: over ", m_context.settings->maxBodyBytes, " bytes")},
+                             RequestId());
+    }
+    if (request.method == "GET") {
+        if (path == "/healthz") {
+            return textAnswer(200, "ok\n");
+        }
+        if (path == "/readyz") {
+            return handleReady();
+        }
+        if (path == "/metrics") {
+            m_context.metrics.setActiveFlows(static_cast<double>(m_flows.active()));
+            return textAnswer(200, m_context.metrics.text());
+        }
+        if (path == "/v1/address") {
+            return handleAddress(request);
+        }
+        if (path == "/v1/status") {
+            return jsonAnswer(200, m_hooks.statusJson());
+        }
+        if (path == "/v1/timeline") {
+            return handleTimeline(request);
+        }
+    }
+    if (request.method == "POST" && path == completionsPath) {
+        return handleCompletion(request);
+    }
+    if (request.method == "POST" && path == "/v1/drain") {
+        m_hooks.drain();
+        return jsonAnswer(200, "{\"draining\":true}");
+    }
+    if (request.method == "DELETE" && absl::StartsWith(path, completionsPath + "/")) {
+        return handleCancel(path.substr(completionsPath.size() + 1));
+    }
+    if (request.method == "POST" && absl::StartsWith(path, servicesPath) && absl::EndsWith(path, callsSuffix)
+        && path.size() > servicesPath.size() + callsSuffix.size()) {
+        return handlePlainCall(request, path.substr(servicesPath.size(), path.size() - servicesPath.size() - callsSuffix.size()));
+    }
+    return errorResponse(Error{ErrorKind::BadRequest, absl::StrCat(request.method, " ", path, ": no such interface; see docs/CALLERS.md")},
+                         RequestId());
+}
+
+HttpResponse FrontEnd::handleReady()
+{
+    const bool ready = !m_refusing && m_context.config.generation()->number > 0;
+    return textAnswer(ready ? 200 : 503, ready ? "ready\n" : "not ready: leaving, or no configuration in force yet\n");
+}
+
+HttpResponse FrontEnd::handleAddress(const HttpRequest &request)
+{
+    const ServiceName service(request.parameter("service"));
+    const std::shared_ptr<const ConfigSet> config = m_context.config.current();
+    if (m_context.config.generation()->number == 0) {
+        return errorResponse(Error{ErrorKind::NotConfigured, {}}, RequestId(), absl::Seconds(1));
+    }
+    if (!(*config)->services.contains(service)) {
+        return errorResponse(Error{ErrorKind::UnknownService, absl::StrCat("service: there is no service \"", service.text(), "\"")},
+                             RequestId());
+    }
+    const std::string dataCentre = request.parameter("dataCentre");
+    const AddressAnswer answer = chooseAddresses(
+        m_context.cell.members(), dataCentre.empty() ? m_context.settings->dataCentre : DataCentreName(dataCentre), m_turn++);
+    return jsonAnswer(200, encodeAddresses(answer->addresses, answer->keepMs));
+}
+
+HttpResponse FrontEnd::handleCompletion(const HttpRequest &request)
+{
+    if (m_context.config.generation()->number == 0) {
+        return errorResponse(Error{ErrorKind::NotConfigured, {}}, RequestId(), absl::Seconds(1));
+    }
+    const std::shared_ptr<const ConfigSet> config = m_context.config.current();
+    const auto decoded
+        = collect<CompletionRequest>([&] { return decodeCompletion(request.body, callerHeadersOf(request), *config, newId()); });
+    if (const auto *error = std::get_if<Error>(&decoded)) {
+        return errorResponse(*error, RequestId());
+    }
+    const CompletionRequest &completion = std::get<CompletionRequest>(decoded);
+    std::optional<std::int64_t> offset;
+    const std::string eventId = request.header("last-event-id");
+    if (!eventId.empty()) {
+        offset = decodeEventId(eventId);
+        if (!offset) {
+            return errorResponse(Error{ErrorKind::BadRequest, "Last-Event-ID: not an id of this interface; send the last id that came"},
+                                 completion->id);
+        }
+    }
+    const std::shared_ptr<StreamBuffer> buffer = startFlow(completion, offset);
+    if (!buffer) {
+        return errorResponse(Error{m_refusing ? ErrorKind::Draining : ErrorKind::NoCapacity, {}}, completion->id, absl::Seconds(1));
+    }
+    return completion->stream ? streamAnswer(completion, buffer, offset.value_or(0)) : wholeAnswer(completion, buffer);
+}
+
+std::shared_ptr<StreamBuffer> FrontEnd::startFlow(const CompletionRequest &request, std::optional<std::int64_t> offset)
+{
+    // A repeat of a request that this node serves, or has served, gets the same answer again.
+    const std::shared_ptr<StreamBuffer> known = m_buffers.find(request->id);
+    const bool failed
+        = known && known->hasEnded() && std::holds_alternative<BufferFailed>(known->read(known->next(), absl::ZeroDuration()));
+    if (known && !failed && offset.value_or(0) >= known->base()) {
+        known->addReader();
+        return known;
+    }
+    if (m_refusing) {
+        return nullptr;
+    }
+    const bool resumes = offset.value_or(0) > 0;
+    auto buffer = std::make_shared<StreamBuffer>(offset.value_or(0));
+    buffer->setResumeGrace(resumeGrace);
+    buffer->addReader();
+    m_buffers.update(request->id, [&](std::shared_ptr<StreamBuffer> &entry) { entry = buffer; });
+    const absl::Time arrival = absl::Now();
+    const bool started = m_flows.run([context = m_context, request, buffer, arrival, resumes] {
+        CompletionFlow flow(context, request, buffer, arrival);
+        if (resumes) {
+            flow.resume();
+        } else {
+            flow.run();
+        }
+    });
+    if (!started) {
+        m_buffers.erase(request->id);
+        return nullptr;
+    }
+    return buffer;
+}
+
+HttpResponse FrontEnd::streamAnswer(const CompletionRequest &request, const std::shared_ptr<StreamBuffer> &buffer, std::int64_t offset)
+{
+    // The first part decides on the status: an error before the first token is an ordinary error answer.
+    BufferPart first = buffer->read(offset, wholeAnswerLimit);
+    if (const auto *failed = std::get_if<BufferFailed>(&first)) {
+        buffer->removeReader();
+        return errorResponse(failed->error, request->id, failed->retryAfter);
+    }
+    HttpResponse response;
+    response.headers["Content-Type"] = "text/event-stream";
+    response.headers["Cache-Control"] = "no-store";
+    response.headers["X-Request-Id"] = request->id.text();
+    struct Cursor
+    {
+        std::int64_t offset;
+        bool ended = false;
+    };
+    auto cursor = std::make_shared<Cursor>(Cursor{offset});
+    response.source = [buffer, cursor, id = request->id]() -> std::optional<std::string> {
+        if (cursor->ended) {
+            return std::nullopt;
+        }
+        return std::visit(Overloaded{
+                              [&](const BufferToken &it) {
+                                  ++cursor->offset;
+                                  return encodeTokenEvent(id, it.offset, it.token);
+                              },
+                              [&](const BufferDone &) {
+                                  cursor->ended = true;
+                                  return encodeDoneEvent();
+                              },
+                              [&](const BufferFailed &it) {
+                                  cursor->ended = true;
+                                  return encodeErrorEvent(it.error, id);
+                              },
+                              [&](const BufferQuiet &) { return encodeKeepAlive(); },
+                          },
+                          buffer->read(cursor->offset, keepAlive));
+    };
+    response.closed = [buffer] {
+        buffer->removeReader();
+    };
+    return response;
+}
+
+HttpResponse FrontEnd::wholeAnswer(const CompletionRequest &request, const std::shared_ptr<StreamBuffer> &buffer)
+{
+    const auto end = buffer->waitForEnd(wholeAnswerLimit);
+    buffer->removeReader();
+    if (const auto *failed = std::get_if<BufferFailed>(&end)) {
+        return errorResponse(failed->error, request->id, failed->retryAfter);
+    }
+    HttpResponse response = jsonAnswer(200, encodeCompletion(request, std::get<std::vector<std::string>>(end)));
+    response.headers["X-Request-Id"] = request->id.text();
+    return response;
+}
+
+HttpResponse FrontEnd::handleCancel(const std::string &id)
+{
+    const std::shared_ptr<StreamBuffer> buffer = m_buffers.find(RequestId(id));
+    if (!buffer) {
+        return errorResponse(Error{ErrorKind::RangeNotAvailable,
+                                   absl::StrCat("request \"", id, "\" is not in progress on this node; cancel at the node that serves it")},
+                             RequestId(id));
+    }
+    buffer->setResumeGrace(absl::ZeroDuration());
+    buffer->cancel();
+    return jsonAnswer(200, "{\"cancelled\":true}");
+}
+
+HttpResponse FrontEnd::handlePlainCall(const HttpRequest &request, const std::string &service)
+{
+    if (m_context.config.generation()->number == 0) {
+        return errorResponse(Error{ErrorKind::NotConfigured, {}}, RequestId(), absl::Seconds(1));
+    }
+    if (m_refusing) {
+        return errorResponse(Error{ErrorKind::Draining, {}}, RequestId(), absl::Seconds(1));
+    }
+    const std::shared_ptr<const ConfigSet> config = m_context.config.current();
+    const auto decoded
+        = collect<PlainCall>([&] { return decodePlainCall(service, request.body, callerHeadersOf(request), *config, newId()); });
+    if (const auto *error = std::get_if<Error>(&decoded)) {
+        return errorResponse(*error, RequestId());
+    }
+    const PlainCall &call = std::get<PlainCall>(decoded);
+    const FlowThreads::Visit visit(m_flows);
+    const auto answer = PlainFlow(m_context, call, m_turn++).run();
+    if (const auto *error = std::get_if<Error>(&answer)) {
+        return errorResponse(*error, call->id, absl::Milliseconds(500));
+    }
+    const PlainAnswer &plain = std::get<PlainAnswer>(answer);
+    HttpResponse response = jsonAnswer(static_cast<int>(plain.status), plain.body);
+    response.headers["X-Request-Id"] = call->id.text();
+    return response;
+}
+
+HttpResponse FrontEnd::handleTimeline(const HttpRequest &request)
+{
+    return jsonAnswer(200, encodeTimeline(m_context.journal.events(request.parameter("request"))));
+}
+
+std::string FrontEnd::newId()
+{
+    return absl::StrCat(m_context.settings->node.text(), "-", absl::ToUnixMicros(absl::Now()), "-", m_turn++);
+}
+
+}
--- /dev/null
+++ b/packages/apricotladderd/frontend.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "apricotladderd/flowthreads.h"
+#include "apricotladderd/nodecontext.h"
+#include "apricotladderd/streambuffer.h"
+#include "protocol/callerjson.h"
+#include "state/shardedmap.h"
+#include "transport/httpserver.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Apricot {
+
+/**
+ * \class FrontEnd
+ * \brief The HTTP interface for callers and operators.
+ */
+class FrontEnd
+{
+public:
+    /// What a node adds to the context of its calls.
+    struct Hooks
+    {
+        std::function<std::string()> statusJson;
+        std::function<void()> drain; ///< an operator asked this node to leave
+    };
+
+    FrontEnd(NodeContext context, FlowThreads &flows, Hooks hooks);
+
+    /// Listens on the caller address; returns what is wrong, empty if nothing is.
+    std::string start();
+
+    /// From now on calls are refused as Draining.
+    void refuseCalls();
+
+    /// Takes no new connections.
+    void stopAccepting();
+    void stop();
+
+    /// Forgets answers that ended a while ago.
+    void forgetOldAnswers(absl::Time now);
+
+private:
+    HttpResponse handle(const HttpRequest &request);
+    HttpResponse handleAddress(const HttpRequest &request);
+    HttpResponse handleCompletion(const HttpRequest &request);
+    HttpResponse handleCancel(const std::string &id);
+    HttpResponse handlePlainCall(const HttpRequest &request, const std::string &service);
+    HttpResponse handleTimeline(const HttpRequest &request);
+    HttpResponse handleReady();
+    std::shared_ptr<StreamBuffer> startFlow(const CompletionRequest &request, std::optional<std::int64_t> offset);
+    HttpResponse streamAnswer(const CompletionRequest &request, const std::shared_ptr<StreamBuffer> &buffer, std::int64_t offset);
+    HttpResponse wholeAnswer(const CompletionRequest &request, const std::shared_ptr<StreamBuffer> &buffer);
+    std::string newId();
+
+    NodeContext m_context;
+    FlowThreads &m_flows;
+    Hooks m_hooks;
+    ShardedMap<RequestId, std::shared_ptr<StreamBuffer>> m_buffers;
+    std::atomic<std::uint64_t> m_turn{0};
+    std::atomic<bool> m_refusing{false};
+    std::unique_ptr<HttpServer> m_server;
+};
+
+}
--- /dev/null
+++ b/packages/apricotladderd/journal.cpp
@@ -0,0 +1,50 @@
+#include "apricotladderd/journal.h"
+
+#include <absl/time/clock.h>
+
+#include <glog/logging.h>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+std::string lineOf(const NodeId &node, const RequestId &request, const std::string &what, const std::string &detail)
+{
+    return "node=" + node.text() + " request=" + (request.isEmpty() ? "-" : request.text()) + " event=" + what + " " + detail;
+}
+
+}
+
+Journal::Journal(NodeId node, std::size_t ringEvents) : m_node(std::move(node)), m_ring(ringEvents)
+{
+}
+
+void Journal::record(const RequestId &request, const std::string &what, const std::string &detail)
+{
+    m_ring.add(TimelineEvent{m_clock.next(absl::Now()), m_node.text(), request.text(), what, detail});
+}
+
+void Journal::info(const RequestId &request, const std::string &what, const std::string &detail)
+{
+    record(request, what, detail);
+    LOG(INFO) << lineOf(m_node, request, what, detail);
+}
+
+void Journal::warning(const RequestId &request, const std::string &what, const std::string &detail)
+{
+    record(request, what, detail);
+    LOG(WARNING) << lineOf(m_node, request, what, detail);
+}
+
+HybridStamp Journal::stamp()
+{
+    return m_clock.next(absl::Now());
+}
+
+void Journal::observe(HybridStamp seen)
+{
+    m_clock.observe(seen);
+}
+
+}
--- /dev/null
+++ b/packages/apricotladderd/main.cpp
@@ -0,0 +1,120 @@
+#include "apricotladderd/node.h"
+
+#include "protocol/settingsjson.h"
+#include "transport/httpclient.h"
+
+#include <cxxopts.hpp>
+#include <glog/logging.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <pthread.h>
+#include <sstream>
+#include <string>
+
+using namespace Apricot;
+
+namespace {
+
+constexpr int exitBadSettings = 2;
+
+/// How often the main thread looks whether an operator asked for a drain.
+constexpr long signalWaitNanos = 200'000'000;
+
+int fail(const std::string &message)
+{
+    std::cerr << "apricotladderd: " << message << "\n";
+    return exitBadSettings;
+}
+
+/// One command line flag for each key of the settings.
+cxxopts::Options makeOptions()
+{
+    cxxopts::Options options("apricotladderd", "A node of apricotladder: entry, coordinator, owner of slices.");
+    options.add_options()("c,config", "Settings file (JSON)", cxxopts::value<std::string>())("h,help", "Show this help");
+    for (const SettingSpec &spec : settingSpecs()) {
+        options.add_options("settings (each overrides the key of the file)")(spec.key, spec.text, cxxopts::value<std::string>(), spec.type);
+    }
+    return options;
+}
+
+void waitForEnd(const Node &node)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    const timespec wait{0, signalWaitNanos};
+    while (!node.drainWanted() && sigtimedwait(&signals, nullptr, &wait) < 0) { }
+}
+
+void blockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+}
+
+int run(const NodeSettings &settings)
+{
+    FLAGS_logtostderr = true;
+    FLAGS_minloglevel = settings->logLevel == "error" ? 2 : settings->logLevel == "warning" ? 1 : 0;
+    google::InitGoogleLogging("apricotladderd");
+    const auto seal = collect<DatagramSeal>([&] { return DatagramSeal::fromHexKeys(settings->peerKeys); });
+    if (const auto *error = std::get_if<Error>(&seal)) {
+        return fail(error->message);
+    }
+    HttpClient::initialize();
+    blockSignals();
+    Node node(settings, std::get<DatagramSeal>(seal));
+    if (const std::string problem = node.start(); !problem.empty()) {
+        return fail(problem);
+    }
+    waitForEnd(node);
+    node.drain();
+    node.stop();
+    return 0;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options = makeOptions();
+    try {
+        const cxxopts::ParseResult parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0) {
+            std::cout << options.help() << "\n";
+            return 0;
+        }
+        std::string json = "{}";
+        if (parsed.count("config") > 0) {
+            const auto path = parsed["config"].as<std::string>();
+            std::ifstream file(path);
+            if (!file) {
+                return fail("config: cannot read " + path + "; check the path and its permissions");
+            }
+            std::ostringstream text;
+            text << file.rdbuf();
+            json = text.str();
+        }
+        std::map<std::string, std::string> overrides;
+        for (const SettingSpec &spec : settingSpecs()) {
+            if (parsed.count(spec.key) > 0) {
+                overrides[spec.key] = parsed[spec.key].as<std::string>();
+            }
+        }
+        const auto settings = collect<NodeSettings>([&] { return decodeSettings(json, overrides); });
+        if (const auto *error = std::get_if<Error>(&settings)) {
+            return fail(error->message);
+        }
+        return run(std::get<NodeSettings>(settings));
+    } catch (const std::exception &ec) {
+        return fail(std::string(ec.what()) + "; see --help");
+    }
+}
--- /dev/null
+++ b/packages/apricotladderd/node.cpp
@@ -0,0 +1,147 @@
+#include "apricotladderd/node.h"
+
+#include "coordination/addressbook.h"
+#include "protocol/timelinejson.h"
+#include "state/invariant.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+constexpr absl::Duration housekeepingInterval = absl::Seconds(1);
+constexpr absl::Duration flushLimit = absl::Seconds(5);
+
+}
+
+Node::Node(NodeSettings settings, DatagramSeal seal)
+    : m_settings(std::move(settings))
+    , m_journal(m_settings->node, static_cast<std::size_t>(m_settings->ringEvents))
+    , m_store(m_settings->storeUrl, absl::Milliseconds(m_settings->storeTimeoutMs), m_metrics)
+    , m_config(m_journal, m_metrics)
+    , m_cell(m_settings, std::move(seal), m_journal, m_metrics)
+    , m_host(m_cell, m_config, m_journal, m_metrics)
+    , m_owners(m_cell, m_host, m_journal)
+    , m_runs(m_store, m_journal)
+    , m_sync(m_cell, m_config, m_store, m_journal)
+    , m_publisher(m_cell, m_store, m_journal, m_metrics)
+    , m_poller(m_host, m_config, m_cell, m_journal)
+    , m_frontEnd(NodeContext{m_settings, m_journal, m_metrics, m_config, m_cell, m_owners, m_runs, m_retries}, m_flows,
+                 FrontEnd::Hooks{[this] { return statusJson(); },
+                                 [this] {
+                                     m_drainWanted = true;
+                                 }})
+{
+}
+
+std::string Node::start()
+{
+    Invariants::setHandler([this](std::string_view name, const std::string &values) {
+        m_journal.warning(RequestId(), "invariant.violated", absl::StrCat(std::string(name), ": ", values));
+        if (m_settings->endOnViolation) {
+            std::abort();
+        }
+    });
+    CellService::Handlers handlers;
+    handlers.ownerEvents = [this](const OwnerEventsMessage &it) {
+        m_host.handle(it.service, it.from, it.events);
+    };
+    handlers.ownerActions = [this](const OwnerActionsMessage &it) {
+        m_owners.deliver(it.service, it.actions, it.limits);
+    };
+    handlers.newerGeneration = [this](const Member &) {
+        m_sync.peerHasNewer();
+    };
+    handlers.query = [this](const PeerQuery &it) {
+        return answerQuery(it);
+    };
+    if (const std::string problem = m_cell.start(std::move(handlers)); !problem.empty()) {
+        return problem;
+    }
+    m_host.start([this](const ServiceName &service, const std::vector<Action> &actions, const std::vector<RankLimit> &limits) {
+        m_owners.deliver(service, actions, limits);
+    });
+    m_owners.start();
+    m_sync.start([this] { m_host.configChanged(); });
+    m_publisher.start();
+    m_poller.start();
+    m_housekeeping = std::make_unique<PeriodicTask>("housekeeping", housekeepingInterval, [this] { housekeeping(); });
+    if (const std::string problem = m_frontEnd.start(); !problem.empty()) {
+        return problem;
+    }
+    m_journal.info(RequestId(), "node.started", absl::StrCat("callers ", m_settings->callerAddress, " peers ", m_settings->peerAddress));
+    return {};
+}
+
+void Node::drain()
+{
+    const absl::Time until = absl::Now() + absl::Seconds(m_settings->drainSeconds);
+    m_journal.info(RequestId(), "node.leaving", "no address of this node is handed out any more");
+    m_cell.setLeaving();
+    absl::SleepFor(std::min(addressKeepTime, until - absl::Now()));
+    m_frontEnd.refuseCalls();
+    const bool idle = m_flows.waitUntilIdle(until - absl::Now());
+    m_runs.flush(std::max(absl::ZeroDuration(), std::min(flushLimit, until - absl::Now())));
+    m_frontEnd.stopAccepting();
+    m_journal.info(RequestId(), "node.left",
+                   idle ? "every call in progress has ended" : "the time to drain is over; calls in progress are cut off");
+}
+
+void Node::stop()
+{
+    m_frontEnd.stop();
+    m_housekeeping.reset();
+    m_poller.stop();
+    m_publisher.stop();
+    m_sync.stop();
+    m_owners.stop();
+    m_host.stop();
+    m_cell.stop();
+    Invariants::setHandler({});
+}
+
+PeerReply Node::answerQuery(const PeerQuery &query)
+{
+    return std::visit(Overloaded{
+                          [&](const SnapshotQuery &it) -> PeerReply {
+                              auto [generation, snapshot] = m_config.snapshot();
+                              return generation->number > it.newerThan ? SnapshotReply{generation, snapshot} : SnapshotReply{};
+                          },
+                          [&](const TimelineQuery &it) -> PeerReply { return TimelineReply{m_journal.events(it.request)}; },
+                          [&](const CreatorQuery &it) -> PeerReply { return CreatorReply{m_runs.wordOf(it.attempt)}; },
+                      },
+                      query);
+}
+
+std::string Node::statusJson()
+{
+    NodeStatus status;
+    status.node = m_settings->node;
+    status.generation = m_config.generation()->number;
+    status.leaseHeld = m_publisher.holdsLease();
+    status.violations = Invariants::violations();
+    status.activeCalls = m_flows.active();
+    status.members = m_cell.members();
+    for (const ServiceName &service : m_host.hosted()) {
+        const SliceCounts counts = m_host.counts(service);
+        status.slices.push_back(
+            SliceStatus{service, counts.waiting, counts.prefilling + counts.resultsWaiting, counts.decoding, counts.reservedPieces});
+    }
+    return encodeNodeStatus(status);
+}
+
+void Node::housekeeping()
+{
+    const absl::Time now = absl::Now();
+    m_frontEnd.forgetOldAnswers(now);
+    m_runs.forgetOldAttempts(now);
+    m_metrics.setViolations(static_cast<double>(Invariants::violations()));
+}
+
+}
--- /dev/null
+++ b/packages/apricotladderd/nodecontext.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "apricotladderd/cellservice.h"
+#include "apricotladderd/configkeeper.h"
+#include "apricotladderd/flowthreads.h"
+#include "apricotladderd/journal.h"
+#include "apricotladderd/nodemetrics.h"
+#include "apricotladderd/ownerlink.h"
+#include "apricotladderd/runstore.h"
+#include "apricotladderd/slicehost.h"
+#include "apricotladderd/storeclient.h"
+#include "coordination/outlierdetector.h"
+#include "coordination/retrybudget.h"
+#include "state/nodesettings.h"
+
+#include <atomic>
+
+namespace Apricot {
+
+/**
+ * \class SharedRetries
+ * \brief Retry budget and outlier detector of a node, under one lock for all calls in progress.
+ */
+class SharedRetries
+{
+public:
+    bool trySpend(absl::Time now)
+    {
+        const MutexLock lock(m_mutex);
+        return m_budget.trySpend(now);
+    }
+
+    void succeeded(const EngineId &engine)
+    {
+        const MutexLock lock(m_mutex);
+        m_budget.noteSuccess();
+        m_outliers.succeeded(engine);
+    }
+
+    FailureVerdict newConnectionFailed(const EngineId &engine, absl::Time now)
+    {
+        const MutexLock lock(m_mutex);
+        return m_outliers.newConnectionFailed(engine, now);
+    }
+
+    FailureVerdict connectionWentSilent(const EngineId &engine)
+    {
+        const MutexLock lock(m_mutex);
+        return m_outliers.connectionWentSilent(engine);
+    }
+
+    std::vector<EngineId> usable(const std::vector<EngineId> &pool, absl::Time now)
+    {
+        const MutexLock lock(m_mutex);
+        return m_outliers.usable(pool, now);
+    }
+
+private:
+    Mutex m_mutex;
+    RetryBudget m_budget ABSL_GUARDED_BY(m_mutex);
+    OutlierDetector m_outliers ABSL_GUARDED_BY(m_mutex);
+};
+
+/// The parts of a node that a call in progress works with.
+struct NodeContext
+{
+    const NodeSettings &settings;
+    Journal &journal;
+    NodeMetrics &metrics;
+    ConfigKeeper &config;
+    CellService &cell;
+    OwnerLink &owners;
+    RunStore &runs;
+    SharedRetries &retries;
+};
+
+}
--- /dev/null
+++ b/packages/apricotladderd/nodemetrics.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+namespace Apricot {
+
+/**
+ * \class NodeMetrics
+ * \brief The node's Prometheus metrics.
+ */
+class NodeMetrics
+{
+public:
+    NodeMetrics();
+
+    /// All metrics in Prometheus' text format.
+    std::string text() const;
+
+    void countRequest(const std::string &service, const std::string &outcome);
+    void countStoreCall(const std::string &call, const std::string &end);
+    void countPeerBytes(const std::string &direction, std::size_t bytes);
+    void observeFirstToken(double seconds);
+    void setGeneration(double number);
+    void setMembers(double alive);
+    void setActiveFlows(double count);
+    void setLeaseHeld(bool held);
+    void setViolations(double count);
+    void setReservedPieces(const std::string &service, double pieces);
+    void setWaiting(const std::string &service, double requests);
+
+private:
+    std::shared_ptr<prometheus::Registry> m_registry;
+    prometheus::Family<prometheus::Counter> &m_requests;
+    prometheus::Family<prometheus::Counter> &m_storeCalls;
+    prometheus::Family<prometheus::Counter> &m_peerMessages;
+    prometheus::Family<prometheus::Counter> &m_peerBytes;
+    prometheus::Histogram &m_firstToken;
+    prometheus::Gauge &m_generation;
+    prometheus::Gauge &m_members;
+    prometheus::Gauge &m_activeFlows;
+    prometheus::Gauge &m_leaseHeld;
+    prometheus::Gauge &m_violations;
+    prometheus::Family<prometheus::Gauge> &m_reservedPieces;
+    prometheus::Family<prometheus::Gauge> &m_waiting;
+};
+
+}
--- /dev/null
+++ b/packages/apricotladderd/plainflow.cpp
@@ -0,0 +1,228 @@
+#include "apricotladderd/plainflow.h"
+
+#include "state/invariant.h"
+#include "transport/httpclient.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+constexpr absl::Duration connectLimit = absl::Milliseconds(300);
+constexpr absl::Duration creatorLimit = absl::Milliseconds(500);
+
+/// Pause before a record is read again while another attempt is in progress.
+constexpr absl::Duration inProgressPause = absl::Milliseconds(50);
+
+/// Tries of an idempotent call, the first included.
+constexpr int mostTries = 3;
+
+bool contains(const std::vector<std::string> &list, const std::string &text)
+{
+    return std::find(list.begin(), list.end(), text) != list.end();
+}
+
+}
+
+PlainFlow::PlainFlow(NodeContext context, PlainCall call, std::uint64_t turn)
+    : m_context(context)
+    , m_call(std::move(call))
+    , m_service((*m_context.config.current())->services.at(m_call->service))
+    , m_turn(turn)
+    , m_attempt(absl::StrCat(m_call->id.text(), "/", m_context.settings->node.text(), "/", absl::ToUnixMicros(absl::Now()), "/", turn))
+{
+}
+
+std::variant<PlainAnswer, Error> PlainFlow::run()
+{
+    m_context.journal.record(m_call->id, "call.started", absl::StrCat(m_call->service.text(), " ", m_call->operation));
+    const bool once = contains(m_service->nonIdempotent, m_call->operation);
+    std::variant<PlainAnswer, Error> answer = once ? runOnce() : runIdempotent();
+    const auto *error = std::get_if<Error>(&answer);
+    m_context.metrics.countRequest(m_call->service.text(),
+                                   error == nullptr ? "Answered" : std::string(outcomeName(errorAnswer(error->kind).outcome)));
+    m_context.journal.record(m_call->id, "call.ended", error == nullptr ? "answered" : std::string(errorAnswer(error->kind).name));
+    return answer;
+}
+
+std::variant<PlainAnswer, Error> PlainFlow::runIdempotent()
+{
+    const bool mayRepeat = contains(m_service->retryable, m_call->operation);
+    const std::vector<Endpoint> endpoints = candidates();
+    Error error{ErrorKind::EngineUnreachable, "no endpoint of the service can be reached"};
+    for (int i = 0; i < mostTries && !endpoints.empty(); ++i) {
+        if (i > 0 && !m_context.retries.trySpend(absl::Now())) {
+            break;
+        }
+        const Endpoint &endpoint = endpoints[(m_turn + static_cast<std::uint64_t>(i)) % endpoints.size()];
+        const HttpReply reply = callEndpoint(endpoint);
+        if (reply.end == CallEnd::Answered) {
+            m_context.retries.succeeded(EngineId(endpoint->name));
+            return PlainAnswer{reply.status, reply.body};
+        }
+        m_context.retries.newConnectionFailed(EngineId(endpoint->name), absl::Now());
+        if (reply.end != CallEnd::NotSent) {
+            error = Error{ErrorKind::OutcomeUnknown, absl::StrCat("endpoint ", endpoint->name, ": ", reply.problem)};
+            if (!mayRepeat) {
+                break;
+            }
+        }
+    }
+    return error;
+}
+
+std::variant<PlainAnswer, Error> PlainFlow::runOnce()
+{
+    const absl::Time until = absl::Now() + absl::Milliseconds(m_context.settings->runTimeoutMs);
+    m_context.runs.noteAttempt(m_attempt, CreatorWord::InProgress, absl::Now());
+    TapStep step = startTap(m_call->key, m_attempt, m_context.settings->node, absl::Now());
+    std::variant<PlainAnswer, Error> answer = Error{ErrorKind::Internal, "the run record machine gave no answer"};
+    std::deque<TapAction> actions(step.actions.begin(), step.actions.end());
+    while (!actions.empty()) {
+        const TapAction action = actions.front();
+        actions.pop_front();
+        const std::optional<TapEvent> event = carryOut(action, until, &answer);
+        if (event) {
+            step = stepTap(step.tap, *event, absl::Now());
+            actions.insert(actions.end(), step.actions.begin(), step.actions.end());
+        }
+    }
+    if (m_dispatches == 0) {
+        m_context.runs.noteAttempt(m_attempt, CreatorWord::NeverDispatched, absl::Now());
+    }
+    return answer;
+}
+
+std::optional<TapEvent> PlainFlow::carryOut(const TapAction &action, absl::Time until, std::variant<PlainAnswer, Error> *answer)
+{
+    return std::visit(Overloaded{
+                          [&](const ReadRecord &) { return std::optional(readRecord(until)); },
+                          [&](const WriteRecord &it) { return std::optional(writeRecord(it, until)); },
+                          [&](const SettleRecord &it) {
+                              m_context.runs.settle(it.next);
+                              return std::optional<TapEvent>();
+                          },
+                          [&](const AskCreator &it) { return std::optional(askCreator(it)); },
+                          [&](const DispatchCall &) { return std::optional(dispatch()); },
+                          [&](const AnswerRecorded &it) {
+                              *answer = PlainAnswer{it.status, it.body};
+                              return std::optional<TapEvent>();
+                          },
+                          [&](const AnswerError &it) {
+                              *answer = Error{it.kind, {}};
+                              return std::optional<TapEvent>();
+                          },
+                      },
+                      action);
+}
+
+TapEvent PlainFlow::readRecord(absl::Time until)
+{
+    if (m_asked) {
+        absl::SleepFor(inProgressPause);
+    }
+    auto read = m_context.runs.read(m_call->key, until);
+    if (auto *record = std::get_if<std::optional<RunRecord>>(&read); record != nullptr && absl::Now() < until) {
+        return RecordRead{std::move(*record)};
+    }
+    return StoreTimedOut{};
+}
+
+TapEvent PlainFlow::writeRecord(const WriteRecord &write, absl::Time until)
+{
+    const auto outcome = m_context.runs.change(write.expected, write.next, until);
+    const auto *known = std::get_if<ChangeOutcome>(&outcome);
+    if (known == nullptr) {
+        return StoreTimedOut{};
+    }
+    switch (*known) {
+    case ChangeOutcome::Written:
+        return RecordWritten{};
+    case ChangeOutcome::Conflict:
+        return RecordConflict{};
+    case ChangeOutcome::Lost:
+        break;
+    }
+    return RecordWriteLost{};
+}
+
+TapEvent PlainFlow::askCreator(const AskCreator &question)
+{
+    m_asked = true;
+    if (question.node == m_context.settings->node) {
+        return CreatorAnswered{m_context.runs.wordOf(question.creator)};
+    }
+    const std::optional<Member> member = m_context.cell.find(question.node);
+    if (!member) {
+        return CreatorAnswered{CreatorWord::Unknown};
+    }
+    const auto reply = collect<PeerReply>([&] { return m_context.cell.query(*member, CreatorQuery{question.creator}, creatorLimit); });
+    const auto *answered = std::get_if<PeerReply>(&reply);
+    const auto *word = answered == nullptr ? nullptr : std::get_if<CreatorReply>(answered);
+    return CreatorAnswered{word == nullptr ? CreatorWord::Unknown : word->word};
+}
+
+TapEvent PlainFlow::dispatch()
+{
+    ++m_dispatches;
+    APRICOT_INVARIANT(m_dispatches == 1, "one-dispatch-per-tap", m_attempt.text());
+    for (const Endpoint &endpoint : candidates()) {
+        m_context.journal.record(m_call->id, "call.dispatched", endpoint->name);
+        const HttpReply reply = callEndpoint(endpoint);
+        if (reply.end == CallEnd::Answered) {
+            return CallAnswered{reply.status, reply.body};
+        }
+        if (reply.end != CallEnd::NotSent) {
+            return CallLost{};
+        }
+    }
+    return CallNotSent{};
+}
+
+std::vector<Endpoint> PlainFlow::candidates() const
+{
+    const std::shared_ptr<const ConfigSet> config = m_context.config.current();
+    std::vector<EngineId> pool;
+    for (const Endpoint &endpoint : endpointsOf(*config, m_call->service, PoolRole::Plain)) {
+        if (!endpoint->drain && !m_context.cell.isLeavingVm(endpoint->name)) {
+            pool.emplace_back(endpoint->name);
+        }
+    }
+    std::vector<Endpoint> found;
+    for (const EngineId &id : m_context.retries.usable(pool, absl::Now())) {
+        found.push_back((*config)->endpoints.at(id.text()));
+    }
+    if (!found.empty()) {
+        std::rotate(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(m_turn % found.size()), found.end());
+    }
+    return found;
+}
+
+HttpReply PlainFlow::callEndpoint(const Endpoint &endpoint) const
+{
+    HttpCall call;
+    call.method = "POST";
+    call.url = absl::StrCat("http://", endpoint->address, "/v1/operations/", m_call->operation);
+    call.body = m_call->body;
+    call.headers["X-Request-Id"] = m_call->id.text();
+    if (!m_call->key.isEmpty()) {
+        call.headers["Idempotency-Key"] = m_call->key.text();
+    }
+    call.connectLimit = connectLimit;
+    call.limit = callLimit();
+    call.ownConnection = contains(m_service->nonIdempotent, m_call->operation);
+    return HttpClient::call(call);
+}
+
+absl::Duration PlainFlow::callLimit() const
+{
+    return absl::Milliseconds(m_service->callTimeoutMs);
+}
+
+}
--- /dev/null
+++ b/packages/apricotladderd/publisherservice.cpp
@@ -0,0 +1,250 @@
+#include "apricotladderd/publisherservice.h"
+
+#include "coordination/configvalidator.h"
+#include "coordination/generationgate.h"
+#include "coordination/objectschema.h"
+#include "coordination/ownership.h"
+#include "protocol/snapshotcodec.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+constexpr absl::Duration interval = absl::Milliseconds(300);
+constexpr absl::Duration watchWait = absl::Milliseconds(500);
+
+/// Nodes that try for the lease; the others spend no calls on it.
+constexpr std::size_t candidateCount = 3;
+
+std::string configKinds()
+{
+    return absl::StrJoin(objectKinds(), ",");
+}
+
+std::string label(const StoredObject &object)
+{
+    return absl::StrCat(object.kind, "/", object.name);
+}
+
+}
+
+PublisherService::PublisherService(CellService &cell, StoreClient &store, Journal &journal, NodeMetrics &metrics)
+    : m_cell(cell), m_store(store), m_journal(journal), m_metrics(metrics), m_lease(cell.self())
+{
+}
+
+void PublisherService::start()
+{
+    m_task = std::make_unique<PeriodicTask>("publisher", interval, [this] { run(); });
+}
+
+void PublisherService::stop()
+{
+    m_task.reset();
+}
+
+void PublisherService::run()
+{
+    if (isCandidate()) {
+        keepLease();
+    }
+    const bool holds = m_lease.holds(absl::Now());
+    if (holds != m_holds) {
+        m_journal.info(RequestId(), holds ? "lease.taken" : "lease.lost", absl::StrCat("fencing number ", m_lease.fence()));
+        m_settled = false;
+        m_writtenStatus.clear();
+        m_lastStatus.clear();
+    }
+    m_holds = holds;
+    m_metrics.setLeaseHeld(holds);
+    if (holds) {
+        publishIfChanged();
+    }
+}
+
+bool PublisherService::isCandidate() const
+{
+    const std::vector<NodeId> order = ownersInOrder("publisher", m_cell.owners());
+    const auto it = std::find(order.begin(), order.end(), m_cell.self());
+    return it != order.end() && static_cast<std::size_t>(it - order.begin()) < candidateCount;
+}
+
+void PublisherService::keepLease()
+{
+    const auto read = collect<Lease>([&]() -> Result<Lease> {
+        BOOST_LEAF_AUTO(object, m_store.get("Lease", "publisher"));
+        return object ? decodeLease(*object) : Result<Lease>(Lease());
+    });
+    const auto *stored = std::get_if<Lease>(&read);
+    if (stored == nullptr) {
+        return;
+    }
+    if ((*stored)->holder != m_cell.self()) {
+        m_lease.lost();
+    }
+    const absl::Time sentAt = absl::Now();
+    const std::optional<Lease> wanted = m_lease.wanted(*stored, sentAt);
+    if (!wanted) {
+        return;
+    }
+    const StoreWriteEnd end = m_store.put("Lease", "publisher", (*wanted)->version, encodeLease(*wanted));
+    if (const auto *written = std::get_if<StoreWritten>(&end)) {
+        m_lease.written(*wanted, written->version, sentAt);
+    } else if (std::holds_alternative<StoreConflicted>(end)) {
+        m_lease.lost();
+    }
+    // A lost reply is settled by the read of the next run.
+}
+
+void PublisherService::publishIfChanged()
+{
+    if (m_settled) {
+        const auto changes = collect<ObjectList>([&] { return m_store.watch(configKinds(), m_seenVersion, watchWait); });
+        const auto *list = std::get_if<ObjectList>(&changes);
+        if (list == nullptr || list->objects.empty()) {
+            writePublicationStatus(m_published, m_valid, m_reasons);
+            return;
+        }
+    }
+    const auto listed = collect<ObjectList>([&] { return m_store.list(configKinds()); });
+    const auto *list = std::get_if<ObjectList>(&listed);
+    if (list == nullptr) {
+        return;
+    }
+    m_seenVersion = list->version;
+    m_settled = false;
+    if (!list->objects.empty()) {
+        publish(list->objects);
+    }
+}
+
+void PublisherService::publish(const std::vector<StoredObject> &objects)
+{
+    std::vector<RawObject> raws;
+    std::map<std::string, std::vector<std::string>> reasons;
+    for (const StoredObject &object : objects) {
+        const auto decoded = collect<RawObject>([&] { return rawObjectOf(object); });
+        if (const auto *raw = std::get_if<RawObject>(&decoded)) {
+            raws.push_back(*raw);
+        } else {
+            reasons[label(object)].push_back(std::get<Error>(decoded).message);
+        }
+    }
+    const auto checked = validateConfig(raws);
+    if (const auto *faults = std::get_if<std::vector<Fault>>(&checked)) {
+        for (const Fault &fault : *faults) {
+            reasons[fault.object].push_back(absl::StrCat(fault.field, ": ", fault.problem, "; ", fault.remedy));
+        }
+    }
+    const auto pointer = collect<std::pair<std::uint64_t, Generation>>([&]() -> Result<std::pair<std::uint64_t, Generation>> {
+        BOOST_LEAF_AUTO(object, m_store.get("Pointer", "current"));
+        if (!object) {
+            return std::pair<std::uint64_t, Generation>{0, Generation()};
+        }
+        BOOST_LEAF_AUTO(generation, decodeGeneration(*object));
+        return std::pair(object->version, generation);
+    });
+    const auto *current = std::get_if<std::pair<std::uint64_t, Generation>>(&pointer);
+    if (current == nullptr) {
+        return;
+    }
+    m_published = current->second;
+    m_valid = reasons.empty();
+    m_reasons.clear();
+    for (const auto &[object, list] : reasons) {
+        m_reasons.push_back(absl::StrCat(object, ": ", absl::StrJoin(list, " | ")));
+    }
+    if (m_valid) {
+        const std::string snapshot = encodeSnapshot(objects);
+        const std::optional<Generation> next = nextGeneration(current->second, snapshotHash(snapshot), cutSnapshot(snapshot).size());
+        if (next) {
+            if (!writeSnapshot(snapshot, *next)) {
+                return;
+            }
+            const StoreWriteEnd end = m_store.put("Pointer", "current", current->first, encodeGeneration(*next));
+            if (!std::holds_alternative<StoreWritten>(end)) {
+                // Lost or refused: the next run reads the pointer and finds out.
+                return;
+            }
+            m_published = *next;
+            m_journal.info(RequestId(), "config.published",
+                           absl::StrCat("generation ", (*next)->number, " with ", objects.size(), " objects"));
+        }
+    } else {
+        m_journal.warning(RequestId(), "config.rejected", absl::StrJoin(m_reasons, " / "));
+    }
+    writeStatuses(objects, reasons, m_published);
+    writePublicationStatus(m_published, m_valid, m_reasons);
+    m_settled = true;
+}
+
+bool PublisherService::writeSnapshot(const std::string &snapshot, const Generation &next)
+{
+    const std::vector<std::string> chunks = cutSnapshot(snapshot);
+    for (std::size_t i = 0; i < chunks.size(); ++i) {
+        // Chunks are named by content: one that is there already is the same.
+        const StoreWriteEnd end = m_store.put("Snapshot", chunkName(next->hash, i), 0, encodeChunk(chunks[i]));
+        if (!std::holds_alternative<StoreWritten>(end) && !std::holds_alternative<StoreConflicted>(end)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void PublisherService::writeStatuses(const std::vector<StoredObject> &objects,
+                                     const std::map<std::string, std::vector<std::string>> &reasons, const Generation &generation)
+{
+    for (const StoredObject &object : objects) {
+        ObjectStatus status;
+        status.observedVersion = object.version;
+        const auto it = reasons.find(label(object));
+        status.valid = it == reasons.end();
+        status.reasons = status.valid ? std::vector<std::string>() : it->second;
+        status.generation = generation->number;
+        const auto old = collect<ObjectStatus>([&] { return decodeObjectStatus(object.status); });
+        if (const auto *known = std::get_if<ObjectStatus>(&old)) {
+            // The generation is the one that was in force when this version was looked at first.
+            const bool same
+                = known->observedVersion == status.observedVersion && known->valid == status.valid && known->reasons == status.reasons;
+            if (same) {
+                continue;
+            }
+        }
+        const std::string text = encodeObjectStatus(status);
+        std::string &written = m_writtenStatus[label(object)];
+        if (written != text && std::holds_alternative<StoreWritten>(m_store.putStatus(object.kind, object.name, text))) {
+            written = text;
+        }
+    }
+}
+
+void PublisherService::writePublicationStatus(const Generation &generation, bool valid, const std::vector<std::string> &reasons)
+{
+    if (generation->number == 0) {
+        // There is no pointer object yet whose status could be written.
+        return;
+    }
+    ObjectStatus status;
+    status.valid = valid;
+    status.reasons = reasons;
+    status.generation = generation->number;
+    for (const Member &member : m_cell.members()) {
+        if (member->state != MemberState::Dead) {
+            ++status.nodesKnown;
+            status.nodesInForce += member->generation >= generation->number ? 1 : 0;
+        }
+    }
+    const std::string text = encodeObjectStatus(status);
+    if (text != m_lastStatus && std::holds_alternative<StoreWritten>(m_store.putStatus("Pointer", "current", text))) {
+        m_lastStatus = text;
+    }
+}
+
+}
--- /dev/null
+++ b/packages/apricotladderd/publisherservice.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "apricotladderd/cellservice.h"
+#include "apricotladderd/journal.h"
+#include "apricotladderd/nodemetrics.h"
+#include "apricotladderd/storeclient.h"
+#include "coordination/leasekeeper.h"
+#include "state/configset.h"
+#include "transport/periodictask.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Apricot {
+
+/**
+ * \class PublisherService
+ * \brief On the node that holds the lease: checks the objects as a set, publishes it and writes status back.
+ */
+class PublisherService
+{
+public:
+    PublisherService(CellService &cell, StoreClient &store, Journal &journal, NodeMetrics &metrics);
+
+    void start();
+    void stop();
+
+    bool holdsLease() const
+    {
+        return m_holds;
+    }
+
+private:
+    void run();
+    bool isCandidate() const;
+    void keepLease();
+    void publishIfChanged();
+    void publish(const std::vector<StoredObject> &objects);
+    bool writeSnapshot(const std::string &snapshot, const Generation &next);
+    void writeStatuses(const std::vector<StoredObject> &objects, const std::map<std::string, std::vector<std::string>> &reasons,
+                       const Generation &generation);
+    void writePublicationStatus(const Generation &generation, bool valid, const std::vector<std::string> &reasons);
+
+    CellService &m_cell;
+    StoreClient &m_store;
+    Journal &m_journal;
+    NodeMetrics &m_metrics;
+    LeaseKeeper m_lease;
+    std::atomic<bool> m_holds{false};
+    std::uint64_t m_seenVersion = 0;
+    bool m_settled = false; ///< the set of m_seenVersion is published, or found invalid, and its status is written
+    bool m_valid = true;
+    std::vector<std::string> m_reasons;
+    Generation m_published;
+    std::string m_lastStatus;
+    std::map<std::string, std::string> m_writtenStatus; ///< by object, as last written
+    std::unique_ptr<PeriodicTask> m_task;
+};
+
+}
--- /dev/null
+++ b/packages/apricotladderd/slicehost.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "apricotladderd/cellservice.h"
+#include "apricotladderd/configkeeper.h"
+#include "apricotladderd/journal.h"
+#include "apricotladderd/nodemetrics.h"
+#include "coordination/slicescheduler.h"
+#include "state/mutex.h"
+#include "state/shardedmap.h"
+#include "transport/periodictask.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace Apricot {
+
+/**
+ * \class SliceHost
+ * \brief The slices that this node owns: each scheduler under its own lock, fed with events, its actions sent out.
+ */
+class SliceHost
+{
+public:
+    /// Delivers actions to a coordinator on this node.
+    using LocalDelivery = std::function<void(const ServiceName &, const std::vector<Action> &, const std::vector<RankLimit> &)>;
+
+    SliceHost(CellService &cell, ConfigKeeper &config, Journal &journal, NodeMetrics &metrics);
+
+    void start(LocalDelivery delivery);
+    void stop();
+
+    /// Takes in events that a coordinator sent.
+    void handle(const ServiceName &service, const NodeId &from, const std::vector<Event> &events);
+
+    /// Services whose slice is hosted here.
+    std::vector<ServiceName> hosted() const;
+
+    /// Counts of one slice; zeros if it is not hosted here.
+    SliceCounts counts(const ServiceName &service) const;
+
+    /// Adapts the schedulers to a new configuration.
+    void configChanged();
+
+private:
+    struct Slice
+    {
+        mutable Mutex mutex;
+        std::unique_ptr<SliceScheduler> scheduler ABSL_GUARDED_BY(mutex);
+        absl::flat_hash_map<RequestId, NodeId> coordinators ABSL_GUARDED_BY(mutex);
+        std::vector<Endpoint> endpoints ABSL_GUARDED_BY(mutex); ///< both roles
+        absl::Time lostAt ABSL_GUARDED_BY(mutex) = absl::InfiniteFuture(); ///< when another node became the owner
+    };
+
+    using ActionsByNode = std::map<NodeId, std::vector<Action>>;
+
+    std::shared_ptr<Slice> sliceFor(const ServiceName &service);
+    std::unique_ptr<SliceScheduler> makeScheduler(const ServiceName &service, std::vector<Endpoint> *endpoints) const;
+    void addRouted(Slice &slice, const Actions &actions, ActionsByNode *routed) ABSL_EXCLUSIVE_LOCKS_REQUIRED(slice.mutex);
+    void deliver(const ServiceName &service, const ActionsByNode &routed, const std::vector<RankLimit> &limits);
+    void tick();
+    void cancelOnEngine(const CancelOnEngine &action);
+    void runCancels();
+
+    CellService &m_cell;
+    ConfigKeeper &m_config;
+    Journal &m_journal;
+    NodeMetrics &m_metrics;
+    LocalDelivery m_delivery;
+    ShardedMap<ServiceName, std::shared_ptr<Slice>> m_slices;
+    Mutex m_cancelMutex;
+    std::deque<CancelOnEngine> m_cancels ABSL_GUARDED_BY(m_cancelMutex);
+    std::unique_ptr<PeriodicTask> m_ticks;
+    std::unique_ptr<PeriodicTask> m_cancelTask;
+};
+
+}
--- /dev/null
+++ b/packages/apricotladderd/storeclient.cpp
@@ -0,0 +1,142 @@
+#include "apricotladderd/storeclient.h"
+
+#include "transport/httpclient.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+/// A call waits at most this long for its part of the store's rates, then it is made all the same.
+constexpr absl::Duration longestBudgetWait = absl::Seconds(2);
+
+/// Status codes by which the store says that it did nothing.
+bool refusedWithoutEffect(int status)
+{
+    return status == 429 || status == 503;
+}
+
+}
+
+StoreClient::StoreClient(std::string url, absl::Duration limit, NodeMetrics &metrics)
+    : m_url(std::move(url)), m_limit(limit), m_metrics(metrics)
+{
+}
+
+Result<std::optional<StoredObject>> StoreClient::get(const std::string &kind, const std::string &name)
+{
+    bool missing = false;
+    BOOST_LEAF_AUTO(body, read("get", absl::StrCat("/objects/", kind, "/", name), m_limit, &missing));
+    if (missing) {
+        return std::optional<StoredObject>();
+    }
+    BOOST_LEAF_AUTO(object, decodeStoredObject(body));
+    return std::optional<StoredObject>(std::move(object));
+}
+
+Result<ObjectList> StoreClient::list(const std::string &kinds)
+{
+    bool missing = false;
+    BOOST_LEAF_AUTO(body, read("list", absl::StrCat("/objects?kinds=", kinds), m_limit, &missing));
+    return decodeObjectList(body);
+}
+
+Result<ObjectList> StoreClient::watch(const std::string &kinds, std::uint64_t version, absl::Duration wait)
+{
+    bool missing = false;
+    const std::string path = absl::StrCat("/watch?kinds=", kinds, "&after=", version, "&waitMs=", absl::ToInt64Milliseconds(wait));
+    BOOST_LEAF_AUTO(body, read("watch", path, wait + m_limit, &missing));
+    return decodeObjectList(body);
+}
+
+StoreWriteEnd StoreClient::put(const std::string &kind, const std::string &name, std::uint64_t ifVersion, const std::string &spec)
+{
+    return write("PUT", absl::StrCat("/objects/", kind, "/", name, "?ifVersion=", ifVersion), spec);
+}
+
+StoreWriteEnd StoreClient::putStatus(const std::string &kind, const std::string &name, const std::string &status)
+{
+    return write("PUT", absl::StrCat("/objects/", kind, "/", name, "/status"), status);
+}
+
+StoreWriteEnd StoreClient::remove(const std::string &kind, const std::string &name, std::uint64_t ifVersion)
+{
+    return write("DELETE", absl::StrCat("/objects/", kind, "/", name, "?ifVersion=", ifVersion), {});
+}
+
+void StoreClient::setNodes(std::size_t nodes)
+{
+    const MutexLock lock(m_mutex);
+    m_budget.setNodes(nodes);
+}
+
+void StoreClient::waitForBudget(bool write)
+{
+    absl::Duration wait;
+    {
+        const MutexLock lock(m_mutex);
+        const absl::Time now = absl::Now();
+        wait = write ? m_budget.spendWrite(now) : m_budget.spendRead(now);
+    }
+    if (wait > absl::ZeroDuration()) {
+        absl::SleepFor(std::min(wait, longestBudgetWait));
+    }
+}
+
+Result<std::string> StoreClient::read(const std::string &call, const std::string &path, absl::Duration limit, bool *missing)
+{
+    waitForBudget(false);
+    HttpCall request;
+    request.url = m_url + path;
+    request.limit = limit;
+    HttpReply reply = HttpClient::call(request);
+    m_metrics.countStoreCall(call, reply.end == CallEnd::Answered ? std::to_string(reply.status) : "failed");
+    *missing = reply.end == CallEnd::Answered && reply.status == 404;
+    if (*missing) {
+        return std::string();
+    }
+    if (reply.end != CallEnd::Answered || reply.status != 200) {
+        return fail(
+            ErrorKind::StoreUnavailable,
+            absl::StrCat("store: ", call, " ", path, ": ", reply.problem.empty() ? absl::StrCat("status ", reply.status) : reply.problem));
+    }
+    return std::move(reply.body);
+}
+
+StoreWriteEnd StoreClient::write(const std::string &method, const std::string &path, const std::string &body)
+{
+    waitForBudget(true);
+    HttpCall request;
+    request.method = method;
+    request.url = m_url + path;
+    request.body = body;
+    request.limit = m_limit;
+    request.ownConnection = true;
+    const HttpReply reply = HttpClient::call(request);
+    m_metrics.countStoreCall("write", reply.end == CallEnd::Answered ? std::to_string(reply.status) : "failed");
+    if (reply.end == CallEnd::NotSent) {
+        return StoreNotDone{};
+    }
+    if (reply.end != CallEnd::Answered) {
+        return StoreReplyLost{};
+    }
+    if (reply.status == 409) {
+        return StoreConflicted{};
+    }
+    if (refusedWithoutEffect(reply.status) || (reply.status >= 400 && reply.status < 500)) {
+        return StoreNotDone{};
+    }
+    if (reply.status != 200) {
+        return StoreReplyLost{};
+    }
+    const std::variant<std::uint64_t, Error> version = collect<std::uint64_t>([&] { return decodeVersion(reply.body); });
+    const auto *number = std::get_if<std::uint64_t>(&version);
+    return number != nullptr ? StoreWriteEnd(StoreWritten{*number}) : StoreWriteEnd(StoreReplyLost{});
+}
+
+}
--- /dev/null
+++ b/packages/apricotladderd/streambuffer.cpp
@@ -0,0 +1,145 @@
+#include "apricotladderd/streambuffer.h"
+
+#include "state/invariant.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot {
+
+StreamBuffer::StreamBuffer(std::int64_t base) : m_base(base)
+{
+}
+
+bool StreamBuffer::accept(std::int64_t offset, std::string token)
+{
+    const MutexLock lock(m_mutex);
+    if (m_done || m_failed) {
+        return false;
+    }
+    const bool taken = m_assembler.accept(offset - m_base, std::move(token));
+    m_changed.signalAll();
+    return taken;
+}
+
+void StreamBuffer::finish()
+{
+    const MutexLock lock(m_mutex);
+    APRICOT_INVARIANT(!m_done && !m_failed, "one-final-answer", "a stream was ended twice");
+    if (m_failed) {
+        return;
+    }
+    m_done = true;
+    m_endedAt = absl::Now();
+    m_changed.signalAll();
+}
+
+void StreamBuffer::fail(Error error, absl::Duration retryAfter)
+{
+    const MutexLock lock(m_mutex);
+    APRICOT_INVARIANT(!m_done && !m_failed, "one-final-answer", absl::StrCat("a stream was ended twice: ", error.message));
+    if (m_done || m_failed) {
+        return;
+    }
+    m_failed = BufferFailed{std::move(error), retryAfter};
+    m_endedAt = absl::Now();
+    m_changed.signalAll();
+}
+
+BufferPart StreamBuffer::read(std::int64_t offset, absl::Duration wait)
+{
+    const absl::Time until = absl::Now() + wait;
+    const MutexLock lock(m_mutex);
+    const auto index = static_cast<std::size_t>(std::max<std::int64_t>(offset - m_base, 0));
+    while (index >= m_assembler.tokens().size() && !m_done && !m_failed && absl::Now() < until) {
+        m_changed.waitFor(m_mutex, until - absl::Now());
+    }
+    if (index < m_assembler.tokens().size()) {
+        return BufferToken{offset, m_assembler.tokens()[index]};
+    }
+    if (m_done) {
+        return BufferDone{};
+    }
+    if (m_failed) {
+        return *m_failed;
+    }
+    return BufferQuiet{};
+}
+
+std::variant<std::vector<std::string>, BufferFailed> StreamBuffer::waitForEnd(absl::Duration limit)
+{
+    const absl::Time until = absl::Now() + limit;
+    const MutexLock lock(m_mutex);
+    while (!m_done && !m_failed && absl::Now() < until) {
+        m_changed.waitFor(m_mutex, until - absl::Now());
+    }
+    if (m_done) {
+        return m_assembler.tokens();
+    }
+    return m_failed ? *m_failed : BufferFailed{Error{ErrorKind::AnswerIncomplete, "the answer did not end in time"}, absl::ZeroDuration()};
+}
+
+void StreamBuffer::addReader()
+{
+    const MutexLock lock(m_mutex);
+    ++m_readers;
+    m_lastReaderLeft = absl::InfiniteFuture();
+}
+
+void StreamBuffer::removeReader()
+{
+    const MutexLock lock(m_mutex);
+    if (--m_readers == 0) {
+        m_lastReaderLeft = absl::Now();
+    }
+}
+
+void StreamBuffer::cancel()
+{
+    const MutexLock lock(m_mutex);
+    m_cancelled = true;
+}
+
+bool StreamBuffer::isAbandoned() const
+{
+    const MutexLock lock(m_mutex);
+    if (m_cancelled) {
+        return true;
+    }
+    return m_readers == 0 && m_lastReaderLeft != absl::InfiniteFuture() && absl::Now() - m_lastReaderLeft >= m_grace;
+}
+
+void StreamBuffer::setResumeGrace(absl::Duration grace)
+{
+    const MutexLock lock(m_mutex);
+    m_grace = grace;
+}
+
+std::int64_t StreamBuffer::next() const
+{
+    const MutexLock lock(m_mutex);
+    return m_base + m_assembler.next();
+}
+
+std::vector<std::string> StreamBuffer::tokens() const
+{
+    const MutexLock lock(m_mutex);
+    return m_assembler.tokens();
+}
+
+bool StreamBuffer::hasEnded() const
+{
+    const MutexLock lock(m_mutex);
+    return m_done || m_failed.has_value();
+}
+
+absl::Time StreamBuffer::endedAt() const
+{
+    const MutexLock lock(m_mutex);
+    return m_endedAt;
+}
+
+}
--- a/packages/coordination/membership.cpp
+++ b/packages/coordination/membership.cpp
@@ -1,7 +1,6 @@
 #include "coordination/membership.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace Apricot {
@@ -136,33 +135,22 @@
     return found;
 }
 
-std::vector<std::string> Membership::heartbeatTargets() const
+std::vector<HeartbeatTarget> Membership::heartbeatTargets(absl::Time now) const
 {
-    std::set<std::string> found;
+    std::vector<HeartbeatTarget> found;
     for (const auto &[name, address] : m_vmAddresses) {
-        if (name != m_self->id.text()) {
-            found.insert(address);
+        if (name != m_self->id.text() && !m_peers.contains(NodeId(name))) {
+            found.push_back(HeartbeatTarget{address, false});
         }
     }
     for (const auto &[id, peer] : m_peers) {
-        found.insert(peer.member->peerAddress);
+        const bool silent = now - peer.heard > MembershipTimes::rebindAfter;
+        // A silent node is sent to where it listens by its settings, as a rebound port may be gone with its process.
+        const std::string &address
+            = silent || peer.member->datagramAddress.empty() ? peer.member->peerAddress : peer.member->datagramAddress;
+        found.push_back(HeartbeatTarget{address, silent});
     }
-    return {found.begin(), found.end()};
-}
-
-bool Membership::pathLooksSilent(absl::Time now) const
-{
-    bool known = false;
-    for (const auto &[id, peer] : m_peers) {
-        if (peer.member->state == MemberState::Dead) {
-            continue;
-        }
-        known = true;
-        if (now - peer.heard < MembershipTimes::rebindAfter) {
-            return false;
-        }
-    }
-    return known;
+    return found;
 }
 
 std::optional<Member> Membership::find(const NodeId &id) const
--- a/packages/coordination/membership.h
+++ b/packages/coordination/membership.h
@@ -23,6 +23,15 @@
     static constexpr absl::Duration rebindAfter = absl::Milliseconds(450);
 };
 
+/// One address that gets a heartbeat.
+struct HeartbeatTarget
+{
+    std::string address; ///< "IP:port"
+    bool silent = false; ///< the node was heard before and no longer is: the path may be at fault, use another socket
+
+    friend auto operator<=>(const HeartbeatTarget &, const HeartbeatTarget &) = default;
+};
+
 /**
  * \class Membership
  * \brief The nodes of a cell as one node sees them: heartbeats, suspicion, refutation, joined with the VM list.
@@ -60,11 +69,8 @@
     /// Claims to send with the next heartbeat.
     std::vector<MemberClaim> claims() const;
 
-    /// Peer addresses to send heartbeats to, those of the VM list that were never heard included.
-    std::vector<std::string> heartbeatTargets() const;
-
-    /// Whether all other nodes are silent here although the VM list knows them: our own socket may be at fault.
-    bool pathLooksSilent(absl::Time now) const;
+    /// Where to send the next heartbeats, those of the VM list that were never heard included.
+    std::vector<HeartbeatTarget> heartbeatTargets(absl::Time now) const;
 
     std::optional<Member> find(const NodeId &id) const;
 
--- a/packages/coordination/runtap.cpp
+++ b/packages/coordination/runtap.cpp
@@ -78,7 +78,8 @@
     }
     switch (word) {
     case CreatorWord::InProgress:
-        return end(tap, {AnswerError{ErrorKind::DuplicateInProgress}});
+        // The record is read again until it says how the other attempt ended.
+        return readAgain(tap.with(&RunTapFields::sawInProgress, true));
     case CreatorWord::NeverDispatched:
         return create(tap, tap->seen);
     case CreatorWord::Unknown:
@@ -131,7 +132,7 @@
     if (!beforeDispatch) {
         return {tap, {}};
     }
-    std::vector<TapAction> actions{AnswerError{ErrorKind::StoreUnavailable}};
+    std::vector<TapAction> actions{AnswerError{tap->sawInProgress ? ErrorKind::DuplicateInProgress : ErrorKind::StoreUnavailable}};
     if (tap->createSent && !hasSeededBug(SeededBug::DropAbandonedMark)) {
         // The create may still take effect; the mark keeps later taps from waiting for a call that never comes.
         actions.emplace_back(SettleRecord{ownRecord(tap, RunState::Abandoned)});
--- a/packages/coordination/runtap.h
+++ b/packages/coordination/runtap.h
@@ -25,6 +25,7 @@
     NodeId node;
     TapPhase phase = TapPhase::Reading;
     std::optional<RunRecord> seen; ///< record as last read; the condition of the next write
+    bool sawInProgress = false; ///< another attempt with this key was in progress
     bool createSent = false; ///< a create was sent whose outcome is not known to be a refusal
     std::int64_t startedMs = 0; ///< ms since the epoch
 
--- a/packages/coordination/slicescheduler.cpp
+++ b/packages/coordination/slicescheduler.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace Apricot {
@@ -28,6 +29,9 @@
 /// Part of the urgent prompts for which memory is kept free.
 constexpr double headroomQuantile = 0.99;
 
+/// Highest attempt that fits the messages' signed numbers: all attempts of a request that nobody knows.
+constexpr std::uint64_t anyAttempt = std::numeric_limits<std::int64_t>::max();
+
 /// Headroom never takes more than this part of one engine.
 constexpr double largestHeadroomPart = 0.35;
 
@@ -94,7 +98,7 @@
     return counts;
 }
 
-SliceScheduler::Flight *SliceScheduler::flightOf(const RequestId &id, std::uint32_t attempt)
+SliceScheduler::Flight *SliceScheduler::flightOf(const RequestId &id, std::uint64_t attempt)
 {
     const auto it = m_flights.find(id);
     return it != m_flights.end() && it->second.work->attempt == attempt ? &it->second : nullptr;
@@ -391,7 +395,7 @@
         }
         const absl::Time since = m_unknown.try_emplace(id, now).first->second;
         if (now - since >= SchedulerTimes::orphanGrace && !hasSeededBug(SeededBug::ForgetOrphan)) {
-            m_actions.emplace_back(CancelOnEngine{id, event.engine});
+            m_actions.emplace_back(CancelOnEngine{id, anyAttempt, event.engine});
             m_unknown.erase(id);
         }
     }
@@ -622,9 +626,9 @@
         return;
     }
     if (flight.prefill && flight.stage != Stage::Decoding) {
-        m_actions.emplace_back(CancelOnEngine{id, m_engines.prefill()[*flight.prefill].id});
+        m_actions.emplace_back(CancelOnEngine{id, flight.work->attempt, m_engines.prefill()[*flight.prefill].id});
     }
-    m_actions.emplace_back(CancelOnEngine{id, m_engines.decode()[flight.decode].id});
+    m_actions.emplace_back(CancelOnEngine{id, flight.work->attempt, m_engines.decode()[flight.decode].id});
 }
 
 void SliceScheduler::settlePrefill(Flight &flight, absl::Time now)
--- a/packages/coordination/slicescheduler.h
+++ b/packages/coordination/slicescheduler.h
@@ -96,7 +96,7 @@
     void tick(absl::Time now);
 
     /// Finds the flight of exactly this attempt, or nullptr.
-    Flight *flightOf(const RequestId &id, std::uint32_t attempt);
+    Flight *flightOf(const RequestId &id, std::uint64_t attempt);
 
     /// Deals with another attempt at the same id; returns whether the new one goes on.
     bool supersede(const Work &work, absl::Time now);
--- a/packages/protocol/enginejson.cpp
+++ b/packages/protocol/enginejson.cpp
@@ -32,7 +32,7 @@
 Result<PrefillOrder> decodePrefillOrder(const std::string &json)
 {
     BOOST_LEAF_AUTO(parsed, parseJsonObject(json, "prefill order"));
-    return PrefillOrder{RequestId(jsonText(parsed, "requestId")), static_cast<std::uint32_t>(jsonInteger(parsed, "attempt", 1)),
+    return PrefillOrder{RequestId(jsonText(parsed, "requestId")), static_cast<std::uint64_t>(jsonInteger(parsed, "attempt", 1)),
                         jsonText(parsed, "prompt"), jsonTexts(parsed, "produced"), jsonInteger(parsed, "priority")};
 }
 
@@ -66,7 +66,7 @@
 {
     BOOST_LEAF_AUTO(parsed, parseJsonObject(json, "decode order"));
     return DecodeOrder{RequestId(jsonText(parsed, "requestId")),
-                       static_cast<std::uint32_t>(jsonInteger(parsed, "attempt", 1)),
+                       static_cast<std::uint64_t>(jsonInteger(parsed, "attempt", 1)),
                        jsonText(parsed, "source"),
                        jsonText(parsed, "handle"),
                        jsonInteger(parsed, "maxTokens"),
@@ -78,7 +78,11 @@
 {
     const Json json = std::visit(Overloaded{
                                      [](const StreamImported &it) {
-                                         return Json{{"imported", true}, {"tookMs", it.tookMs}};
+                                         return Json{{"imported", true},
+                                                     {"tookMs", it.tookMs},
+                                                     {"attempt", it.attempt},
+                                                     {"promptTokens", it.promptTokens},
+                                                     {"maxTokens", it.maxTokens}};
                                      },
                                      [](const StreamToken &it) {
                                          return Json{{"offset", it.offset}, {"token", it.token}};
@@ -95,7 +99,8 @@
 {
     BOOST_LEAF_AUTO(parsed, parseJsonObject(json, "stream line"));
     if (jsonFlag(parsed, "imported")) {
-        return StreamLine(StreamImported{jsonNumber(parsed, "tookMs"), static_cast<std::uint32_t>(jsonInteger(parsed, "attempt", 1)), jsonInteger(parsed, "promptTokens"), jsonInteger(parsed, "maxTokens")});
+        return StreamLine(StreamImported{jsonNumber(parsed, "tookMs"), static_cast<std::uint64_t>(jsonInteger(parsed, "attempt", 1)),
+                                         jsonInteger(parsed, "promptTokens"), jsonInteger(parsed, "maxTokens")});
     }
     if (jsonFlag(parsed, "done")) {
         return StreamLine(StreamDone{jsonInteger(parsed, "tokens")});
@@ -106,15 +111,15 @@
     return StreamLine(StreamToken{jsonInteger(parsed, "offset", -1), jsonText(parsed, "token")});
 }
 
-std::string encodeCancel(const RequestId &id)
+std::string encodeCancel(const CancelOrder &order)
 {
-    return jsonDump(Json{{"requestId", id.text()}});
+    return jsonDump(Json{{"requestId", order.id.text()}, {"attempt", order.attempt}});
 }
 
-Result<RequestId> decodeCancel(const std::string &json)
+Result<CancelOrder> decodeCancel(const std::string &json)
 {
     BOOST_LEAF_AUTO(parsed, parseJsonObject(json, "cancel"));
-    return RequestId(jsonText(parsed, "requestId"));
+    return CancelOrder{RequestId(jsonText(parsed, "requestId")), static_cast<std::uint64_t>(jsonInteger(parsed, "attempt", 1))};
 }
 
 std::string encodeEngineReport(const EngineReported &report)
--- a/packages/protocol/enginejson.h
+++ b/packages/protocol/enginejson.h
@@ -14,7 +14,7 @@
 struct PrefillOrder
 {
     RequestId id;
-    std::uint32_t attempt = 1;
+    std::uint64_t attempt = 1;
     std::string prompt;
     std::vector<std::string> produced; ///< tokens of the answer that are known already
     std::int64_t priority = 0;
@@ -32,7 +32,7 @@
 struct DecodeOrder
 {
     RequestId id;
-    std::uint32_t attempt = 1;
+    std::uint64_t attempt = 1;
     std::string source; ///< address of the prefill engine
     std::string handle;
     std::int64_t maxTokens = 0;
@@ -40,11 +40,18 @@
     std::int64_t priority = 0;
 };
 
+/// Body of POST /v1/cancel at an engine: attempts up to \a attempt are given up.
+struct CancelOrder
+{
+    RequestId id;
+    std::uint64_t attempt = 1;
+};
+
 /// The engine holds the KV cache. What it says of the request lets another node renew it after a resume.
 struct StreamImported
 {
     double tookMs = 0;
-    std::uint32_t attempt = 1;
+    std::uint64_t attempt = 1;
     std::int64_t promptTokens = 0;
     std::int64_t maxTokens = 0;
 };
@@ -73,8 +80,8 @@
 Result<DecodeOrder> decodeDecodeOrder(const std::string &json);
 std::string encodeStreamLine(const StreamLine &line);
 Result<StreamLine> decodeStreamLine(const std::string &json);
-std::string encodeCancel(const RequestId &id);
-Result<RequestId> decodeCancel(const std::string &json);
+std::string encodeCancel(const CancelOrder &order);
+Result<CancelOrder> decodeCancel(const std::string &json);
 std::string encodeEngineReport(const EngineReported &report);
 Result<EngineReported> decodeEngineReport(const std::string &json, const EngineId &engine);
 
--- a/packages/protocol/statearchive.h
+++ b/packages/protocol/statearchive.h
@@ -77,7 +77,7 @@
 template<class Archive>
 void serialize(Archive &archive, MemberFields &it)
 {
-    archive(it.id, it.incarnation, it.leaving, it.dataCentre, it.peerAddress, it.callerAddress, it.generation);
+    archive(it.id, it.incarnation, it.leaving, it.dataCentre, it.peerAddress, it.datagramAddress, it.callerAddress, it.generation);
     archiveEnum(archive, it.state, MemberState::Dead);
 }
 
@@ -214,7 +214,7 @@
 template<class Archive>
 void serialize(Archive &archive, CancelOnEngine &it)
 {
-    archive(it.id, it.engine);
+    archive(it.id, it.attempt, it.engine);
 }
 
 template<class Archive>
--- a/packages/state/action.h
+++ b/packages/state/action.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "state/errorkind.h"
+#include "state/overloaded.h"
 #include "state/work.h"
 
+#include <cstdint>
 #include <variant>
 #include <vector>
 
@@ -12,7 +14,7 @@
 struct StartPrefill
 {
     RequestId id;
-    std::uint32_t attempt = 1;
+    std::uint64_t attempt = 1;
     EngineId prefill;
     EngineId decode;
 
@@ -23,7 +25,7 @@
 struct StartDecode
 {
     RequestId id;
-    std::uint32_t attempt = 1;
+    std::uint64_t attempt = 1;
     EngineId prefill;
     EngineId decode;
 
@@ -34,17 +36,18 @@
 struct Refuse
 {
     RequestId id;
-    std::uint32_t attempt = 1;
+    std::uint64_t attempt = 1;
     ErrorKind kind = ErrorKind::Internal;
     absl::Duration retryAfter;
 
     friend bool operator==(const Refuse &, const Refuse &) = default;
 };
 
-/// Free what \a engine holds of the request.
+/// Free what \a engine holds of the request's attempts up to \a attempt.
 struct CancelOnEngine
 {
     RequestId id;
+    std::uint64_t attempt = 1;
     EngineId engine;
 
     friend bool operator==(const CancelOnEngine &, const CancelOnEngine &) = default;
@@ -54,14 +57,4 @@
 using Action = std::variant<StartPrefill, StartDecode, Refuse, CancelOnEngine>;
 using Actions = std::vector<Action>;
 
-/// Makes a visitor of several lambdas.
-template<class... Functions>
-struct Overloaded : Functions...
-{
-    using Functions::operator()...;
-};
-
-template<class... Functions>
-Overloaded(Functions...) -> Overloaded<Functions...>;
-
 }
--- a/packages/state/event.h
+++ b/packages/state/event.h
@@ -18,7 +18,7 @@
 struct PrefillFinished
 {
     RequestId id;
-    std::uint32_t attempt = 1;
+    std::uint64_t attempt = 1;
     absl::Duration took;
     std::int64_t cachedTokens = 0;
 };
@@ -27,14 +27,14 @@
 struct PrefillFailed
 {
     RequestId id;
-    std::uint32_t attempt = 1;
+    std::uint64_t attempt = 1;
 };
 
 /// The decode engine has the KV cache; \a transferTook is how long the take-over needed.
 struct DecodeStarted
 {
     RequestId id;
-    std::uint32_t attempt = 1;
+    std::uint64_t attempt = 1;
     absl::Duration transferTook;
 };
 
@@ -42,7 +42,7 @@
 struct TakeoverFailed
 {
     RequestId id;
-    std::uint32_t attempt = 1;
+    std::uint64_t attempt = 1;
 };
 
 /// The coordinator still works on the request and has received \a tokens of its answer.
@@ -60,7 +60,7 @@
 struct WorkFinished
 {
     RequestId id;
-    std::uint32_t attempt = 1;
+    std::uint64_t attempt = 1;
     std::int64_t tokens = 0;
 };
 
@@ -68,7 +68,7 @@
 struct WorkCancelled
 {
     RequestId id;
-    std::uint32_t attempt = 1;
+    std::uint64_t attempt = 1;
 };
 
 /// Connections to an engine fail and new ones do not work either.
--- a/packages/state/member.h
+++ b/packages/state/member.h
@@ -19,6 +19,7 @@
     bool leaving = false; ///< it takes no new callers and no slices
     DataCentreName dataCentre;
     std::string peerAddress; ///< "IP:port" of its UDP and TCP port for peers
+    std::string datagramAddress; ///< "IP:port" that this receiver sends datagrams to; differs after a rebind
     std::string callerAddress; ///< "IP:port" of its HTTP port for callers
     std::uint64_t generation = 0; ///< configuration in force there
 
--- a/packages/state/work.h
+++ b/packages/state/work.h
@@ -12,7 +12,7 @@
 struct WorkFields
 {
     RequestId id;
-    std::uint32_t attempt = 1; ///< a later attempt at the same id supersedes an earlier one
+    std::uint64_t attempt = 1; ///< a later attempt at the same id supersedes an earlier one
     RankName rank;
     WorkspaceName workspace;
     std::int64_t promptTokens = 0; ///< including tokens already generated, when an answer is rebuilt
--- a/packages/transport/httpserver.cpp
+++ b/packages/transport/httpserver.cpp
@@ -71,6 +71,9 @@
 
 MHD_Result reply(MHD_Connection *connection, HttpResponse response)
 {
+    if (response.status == 0) {
+        return MHD_NO;
+    }
     MHD_Response *raw = nullptr;
     if (response.source) {
         auto *outgoing = new Outgoing{std::move(response.source), std::move(response.closed), {}};
--- a/packages/transport/httpserver.h
+++ b/packages/transport/httpserver.h
@@ -40,7 +40,7 @@
 /// What to answer: a whole body, or a source that is read until it ends.
 struct HttpResponse
 {
-    int status = 200;
+    int status = 200; ///< 0 closes the connection without an answer
     std::map<std::string, std::string> headers;
     std::string body;
     BodySource source; ///< if set, it is read in place of body
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Installs what is missing and builds into build/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install_packages.sh
+cmake --preset default >/dev/null
+cmake --build build --parallel "$(nproc)"
--- /dev/null
+++ b/scripts/check_format.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Checks that all sources are formatted as .clang-format says.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+git ls-files '*.cpp' '*.h' | xargs clang-format-14 --dry-run -Werror
+echo "format: clean"
--- /dev/null
+++ b/scripts/check_tidy.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over the packages, with the settings of .clang-tidy.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+git ls-files 'packages/*.cpp' 'bench/*.cpp' | grep -v /tests/ | xargs -P "$(nproc)" -n 2 clang-tidy-14 -p build --quiet 2>/dev/null
+echo "clang-tidy: clean"
--- /dev/null
+++ b/scripts/deployment.sh
@@ -0,0 +1,105 @@
+# Functions that start and stop a deployment on loopback: the stand-in platform, the stand-in endpoints of an example
+# set, and nodes. To be sourced; all processes are known by id and ended by id.
+
+bin=build/bin
+work=${work:-$(mktemp -d)}
+platform=127.0.0.1:21000
+key=000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f
+declare -A pids=()
+
+# start_process NAME COMMAND...: runs it in the background, its output in $work/NAME.log.
+start_process() {
+  local name=$1
+  shift
+  "$@" >>"$work/$name.log" 2>&1 &
+  pids[$name]=$!
+}
+
+# stop_process NAME [SIGNAL]: ends one process and waits for it.
+stop_process() {
+  local pid=${pids[$1]:-}
+  [ -n "$pid" ] || return 0
+  kill "-${2:-TERM}" "$pid" 2>/dev/null || true
+  wait "$pid" 2>/dev/null || true
+  unset "pids[$1]"
+}
+
+stop_all() {
+  local name
+  for name in "${!pids[@]}"; do kill -KILL "${pids[$name]}" 2>/dev/null || true; done
+  for name in "${!pids[@]}"; do wait "${pids[$name]}" 2>/dev/null || true; done
+  pids=()
+}
+
+node_url() { echo "http://127.0.0.1:$((21010 + $1))"; }
+
+data_centre() { echo "$1" | cut -d, -f$((($2 - 1) % 3 + 1)); }
+
+# start_node NUMBER DATACENTRES
+start_node() {
+  start_process "node-$1" "$bin/apricotladderd" --node "node-$1" --dataCentre "$(data_centre "$2" "$1")" \
+    --peerAddress "127.0.0.1:$((21040 + $1))" --callerAddress "127.0.0.1:$((21010 + $1))" \
+    --storeUrl "http://$platform" --vmListUrl "http://$platform/vms" --peerKeys "$key" ${node_flags:-}
+  curl -s -o /dev/null -X PUT "http://$platform/vms" \
+    -d "{\"name\":\"node-$1\",\"address\":\"127.0.0.1:$((21040 + $1))\",\"leaving\":false}"
+}
+
+# endpoints_of DIR: name, role and address of each endpoint, one a line.
+endpoints_of() {
+  python3 - "$1" <<'PY'
+import json, sys
+pools = {o["name"]: o["spec"]["role"] for o in json.load(open(sys.argv[1] + "/pools.json"))}
+for o in json.load(open(sys.argv[1] + "/endpoints.json")):
+    print(o["name"], pools[o["spec"]["pool"]], o["spec"]["address"])
+PY
+}
+
+# start_endpoint NAME ROLE ADDRESS
+start_endpoint() {
+  if [ "$2" = plain ]; then
+    start_process "$1" "$bin/standin_service" "$3"
+  else
+    start_process "$1" "$bin/standin_engine" --address "$3"
+  fi
+}
+
+# start_deployment DIR NODES: everything up to a published configuration that is in force on all nodes.
+start_deployment() {
+  local dir=$1 nodes=$2 name role address i
+  centres=$(python3 -c 'import json,sys; print(",".join(o["name"] for o in json.load(open(sys.argv[1]+"/places.json"))))' "$dir")
+  start_process platform "$bin/standin_platform" "$platform"
+  wait_until 50 curl -sf -o /dev/null "http://$platform/stats"
+  engine_urls=
+  service_urls=
+  while read -r name role address; do
+    start_endpoint "$name" "$role" "$address"
+    if [ "$role" = plain ]; then service_urls+="http://$address,"; else engine_urls+="http://$address,"; fi
+  done < <(endpoints_of "$dir")
+  node_urls=
+  for i in $(seq 1 "$nodes"); do
+    start_node "$i" "$centres"
+    node_urls+="$(node_url "$i"),"
+  done
+  "$bin/apricotladder" apply "$dir" --store "http://$platform" >"$work/apply.log"
+  for i in $(seq 1 "$nodes"); do
+    wait_until 200 curl -sf -o /dev/null "$(node_url "$i")/readyz"
+    wait_until 200 knows_members "$(node_url "$i")" "$nodes"
+  done
+}
+
+# knows_members URL COUNT: whether the node sees so many nodes alive.
+knows_members() {
+  [ "$(curl -s "$1/v1/status" | grep -o '"state":"alive"' | wc -l)" -eq "$2" ]
+}
+
+# wait_until TRIES COMMAND...: runs it every 50 ms until it succeeds.
+wait_until() {
+  local tries=$1
+  shift
+  for _ in $(seq 1 "$tries"); do
+    "$@" && return 0
+    sleep 0.05
+  done
+  echo "gave up waiting for: $*" >&2
+  return 1
+}
--- /dev/null
+++ b/tests/caller/addresslookup.cpp
@@ -0,0 +1,62 @@
+#include "caller/addresslookup.h"
+
+#include "protocol/jsonreader.h"
+#include "transport/httpclient.h"
+
+#include <absl/time/clock.h>
+
+#include <utility>
+
+namespace Apricot {
+
+AddressLookup::AddressLookup(std::vector<std::string> entryUrls) : m_entryUrls(std::move(entryUrls))
+{
+}
+
+std::string AddressLookup::node(const std::string &service, int turn)
+{
+    Kept kept;
+    {
+        const MutexLock lock(m_mutex);
+        kept = m_kept[service];
+    }
+    if (absl::Now() >= kept.until) {
+        absl::Duration keep;
+        kept.urls = ask(service, &keep);
+        kept.until = absl::Now() + keep;
+        const MutexLock lock(m_mutex);
+        m_kept[service] = kept;
+    }
+    const std::vector<std::string> &urls = kept.urls.empty() ? m_entryUrls : kept.urls;
+    return urls[static_cast<std::size_t>(turn) % urls.size()];
+}
+
+void AddressLookup::failed(const std::string &service)
+{
+    const MutexLock lock(m_mutex);
+    m_kept.erase(service);
+}
+
+std::vector<std::string> AddressLookup::ask(const std::string &service, absl::Duration *keep) const
+{
+    *keep = absl::ZeroDuration();
+    for (const std::string &entry : m_entryUrls) {
+        HttpCall call;
+        call.url = entry + "/v1/address?service=" + service;
+        call.limit = absl::Milliseconds(500);
+        const HttpReply reply = HttpClient::call(call);
+        const Json json = Json::parse(reply.body, nullptr, false);
+        if (reply.end != CallEnd::Answered || reply.status != 200 || json.is_discarded()) {
+            continue;
+        }
+        *keep = absl::Milliseconds(jsonInteger(json, "keepMs"));
+        std::vector<std::string> urls;
+        for (const std::string &address : jsonTexts(json, "addresses")) {
+            urls.push_back("http://" + address);
+        }
+        return urls;
+    }
+    return {};
+}
+
+}
--- /dev/null
+++ b/tests/standins/enginemain.cpp
@@ -0,0 +1,29 @@
+#include "standins/enginestandin.h"
+#include "standins/standinmain.h"
+
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+using namespace Apricot;
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("standin_engine", "A stand-in for an inference engine.");
+    options.add_options()("address", "IP:port", cxxopts::value<std::string>())("pieces", "Pieces of memory",
+                                                                               cxxopts::value<std::int64_t>()->default_value("2000"))(
+        "slots", "Requests decoded at once",
+        cxxopts::value<std::int64_t>()->default_value("20"))("checks-fencing", "Refuse orders with an old fencing number");
+    try {
+        const cxxopts::ParseResult parsed = options.parse(argc, argv);
+        EngineTraits traits;
+        traits.pieces = parsed["pieces"].as<std::int64_t>();
+        traits.slots = parsed["slots"].as<std::int64_t>();
+        traits.checksFencing = parsed.count("checks-fencing") > 0;
+        EngineStandIn engine(traits);
+        return serveStandIn(parsed["address"].as<std::string>(), [&](const HttpRequest &request) { return engine.handle(request); });
+    } catch (const std::exception &ec) {
+        std::cerr << "standin_engine: " << ec.what() << "\n" << options.help() << "\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/tests/standins/enginestandin.cpp
@@ -0,0 +1,369 @@
+#include "standins/enginestandin.h"
+
+#include "protocol/callerjson.h"
+#include "protocol/jsonreader.h"
+#include "transport/httpclient.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <absl/time/clock.h>
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace {
+
+constexpr std::int64_t prefixTokens = 64;
+constexpr std::size_t cachedPrefixes = 64;
+constexpr absl::Duration keepFinished = absl::Seconds(10);
+constexpr absl::Duration readStep = absl::Milliseconds(50);
+
+HttpResponse answer(int status, const std::string &body)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers["Content-Type"] = "application/json";
+    response.body = body;
+    return response;
+}
+
+HttpResponse problem(int status, const std::string &text)
+{
+    return answer(status, jsonDump(Json{{"error", text}}));
+}
+
+}
+
+std::string standInToken(const std::string &prompt, std::int64_t index)
+{
+    return absl::StrFormat("w%04x", XXH3_64bits_withSeed(prompt.data(), prompt.size(), static_cast<XXH64_hash_t>(index)) & 0xffff);
+}
+
+std::int64_t standInLength(const std::string &prompt, std::int64_t maxTokens)
+{
+    const auto hash = XXH3_64bits(prompt.data(), prompt.size());
+    return std::min(maxTokens, static_cast<std::int64_t>(20 + hash % 41));
+}
+
+EngineStandIn::EngineStandIn(EngineTraits traits) : m_traits(traits)
+{
+}
+
+HttpResponse EngineStandIn::handle(const HttpRequest &request)
+{
+    const std::string &path = request.path;
+    if (path == "/v1/prefill") {
+        return prefill(request);
+    }
+    if (path == "/v1/decode") {
+        return decode(request);
+    }
+    if (path == "/v1/cancel") {
+        return cancel(request);
+    }
+    if (path == "/v1/report") {
+        return report();
+    }
+    if (path == "/v1/orders") {
+        return order(request);
+    }
+    if (path == "/control") {
+        return control(request);
+    }
+    if (absl::StartsWith(path, "/v1/kv/")) {
+        return exportKv(path.substr(7));
+    }
+    if (absl::StartsWith(path, "/v1/streams/")) {
+        return resume(request, path.substr(12));
+    }
+    return problem(404, "no such path");
+}
+
+HttpResponse EngineStandIn::prefill(const HttpRequest &request)
+{
+    const auto decoded = collect<PrefillOrder>([&] { return decodePrefillOrder(request.body); });
+    if (const auto *error = std::get_if<Error>(&decoded)) {
+        return problem(400, error->message);
+    }
+    const auto &order = std::get<PrefillOrder>(decoded);
+    const std::uint64_t prefix = prefixHashOf(order.prompt, prefixTokens);
+    const std::int64_t tokens = countTokens(order.prompt) + static_cast<std::int64_t>(order.produced.size());
+    PrefillResult result;
+    absl::Time ready;
+    {
+        const MutexLock lock(m_mutex);
+        const bool cached = prefix != 0 && std::find(m_cache.begin(), m_cache.end(), prefix) != m_cache.end();
+        result.cachedTokens = cached ? prefixTokens : 0;
+        result.tookMs = std::max(0.1, static_cast<double>(tokens - result.cachedTokens) / 1000.0 * m_traits.prefillMsPerThousand);
+        result.handle = absl::StrCat("kv-", m_nextHandle++);
+        m_busyUntil = std::max(m_busyUntil, absl::Now()) + absl::Milliseconds(result.tookMs);
+        ready = m_busyUntil;
+    }
+    absl::SleepFor(ready - absl::Now());
+    const MutexLock lock(m_mutex);
+    m_results[result.handle] = Prefilled{order.prompt, order.produced, absl::Now() + absl::Milliseconds(m_traits.resultLifetimeMs)};
+    if (prefix != 0) {
+        std::erase(m_cache, prefix);
+        m_cache.push_front(prefix);
+        m_cache.resize(std::min(m_cache.size(), cachedPrefixes));
+    }
+    return answer(200, encodePrefillResult(result));
+}
+
+HttpResponse EngineStandIn::exportKv(const std::string &handle)
+{
+    const MutexLock lock(m_mutex);
+    const auto it = m_results.find(handle);
+    if (it == m_results.end() || it->second.expires < absl::Now()) {
+        return problem(410, "the result has expired");
+    }
+    return answer(200, jsonDump(Json{{"prompt", it->second.prompt}, {"produced", it->second.produced}}));
+}
+
+bool EngineStandIn::importKv(const DecodeOrder &order, std::string *prompt, std::vector<std::string> *produced) const
+{
+    HttpCall call;
+    call.url = absl::StrCat("http://", order.source, "/v1/kv/", order.handle);
+    call.limit = absl::Seconds(1);
+    const HttpReply reply = HttpClient::call(call);
+    const Json json = Json::parse(reply.body, nullptr, false);
+    if (reply.end != CallEnd::Answered || reply.status != 200 || json.is_discarded()) {
+        return false;
+    }
+    *prompt = jsonText(json, "prompt");
+    *produced = jsonTexts(json, "produced");
+    return true;
+}
+
+HttpResponse EngineStandIn::decode(const HttpRequest &request)
+{
+    const auto decoded = collect<DecodeOrder>([&] { return decodeDecodeOrder(request.body); });
+    if (const auto *error = std::get_if<Error>(&decoded)) {
+        return problem(400, error->message);
+    }
+    const auto &order = std::get<DecodeOrder>(decoded);
+    {
+        const MutexLock lock(m_mutex);
+        sweep(absl::Now());
+        if (running() + m_importing >= m_traits.slots) {
+            return problem(503, "no slot");
+        }
+        ++m_importing;
+    }
+    std::string prompt;
+    std::vector<std::string> produced;
+    const bool imported = importKv(order, &prompt, &produced);
+    const std::int64_t tokens = countTokens(prompt) + static_cast<std::int64_t>(produced.size());
+    const double transferMs = static_cast<double>(tokens) / 1000.0 * m_traits.transferMsPerThousand;
+    absl::Time stalledUntil;
+    {
+        const MutexLock lock(m_mutex);
+        stalledUntil = m_faults.stallTransfersUntil;
+    }
+    absl::SleepFor(std::max(absl::Milliseconds(transferMs), stalledUntil - absl::Now()));
+    const MutexLock lock(m_mutex);
+    --m_importing;
+    if (!imported) {
+        return problem(410, "the result has expired");
+    }
+    const absl::Time now = absl::Now();
+    auto stream = std::make_shared<Stream>();
+    stream->id = order.id;
+    stream->attempt = order.attempt;
+    stream->prompt = prompt;
+    stream->promptTokens = tokens;
+    stream->maxTokens = order.maxTokens;
+    stream->first = static_cast<std::int64_t>(produced.size());
+    stream->total = standInLength(prompt, order.maxTokens);
+    stream->started = now;
+    stream->gapMs = m_traits.gapMs
+        + (m_traits.loadedGapMs - m_traits.gapMs) * static_cast<double>(running() + 1) / static_cast<double>(m_traits.slots);
+    if (piecesInUse(now) + piecesOf(*stream, now) > m_traits.pieces) {
+        return problem(507, "no memory");
+    }
+    const auto known = m_streams.find(order.id);
+    if (known != m_streams.end()) {
+        if (known->second->attempt > order.attempt) {
+            return problem(409, "a later attempt is known");
+        }
+        known->second->cancelled = true;
+    }
+    m_streams[order.id] = stream;
+    return streamFrom(stream, order.offset, std::max(transferMs, 0.1));
+}
+
+HttpResponse EngineStandIn::resume(const HttpRequest &request, const std::string &id)
+{
+    std::int64_t offset = 0;
+    const bool hasOffset = absl::SimpleAtoi(request.parameter("offset"), &offset);
+    const MutexLock lock(m_mutex);
+    sweep(absl::Now());
+    const auto it = m_streams.find(RequestId(id));
+    if (it == m_streams.end() || it->second->cancelled || !hasOffset || offset > it->second->total) {
+        return problem(404, "no such stream");
+    }
+    return streamFrom(it->second, offset, 0);
+}
+
+HttpResponse EngineStandIn::streamFrom(const std::shared_ptr<Stream> &stream, std::int64_t offset, double importMs)
+{
+    struct Cursor
+    {
+        std::int64_t next;
+        bool announced = false;
+        bool ended = false;
+        absl::Time opened = absl::Now();
+    };
+    auto cursor = std::make_shared<Cursor>(Cursor{offset});
+    HttpResponse response;
+    response.headers["Content-Type"] = "application/x-ndjson";
+    response.source = [this, stream, cursor, importMs]() -> std::optional<std::string> {
+        const MutexLock lock(m_mutex);
+        while (true) {
+            const absl::Time now = absl::Now();
+            if (stream->cancelled || cursor->ended) {
+                return std::nullopt;
+            }
+            const bool silent = cursor->opened < m_faults.silentBefore;
+            if (!silent && !cursor->announced) {
+                cursor->announced = true;
+                return encodeStreamLine(StreamImported{importMs, stream->attempt, stream->promptTokens, stream->maxTokens});
+            }
+            if (!silent && cursor->next < tokensNow(*stream, now)) {
+                const std::int64_t index = cursor->next++;
+                return encodeStreamLine(StreamToken{index, standInToken(stream->prompt, index)});
+            }
+            if (!silent && cursor->next >= stream->total) {
+                cursor->ended = true;
+                return encodeStreamLine(StreamDone{stream->total});
+            }
+            m_changed.waitFor(m_mutex, std::min(readStep, absl::Milliseconds(stream->gapMs / 2)));
+        }
+    };
+    return response;
+}
+
+HttpResponse EngineStandIn::cancel(const HttpRequest &request)
+{
+    const auto decoded = collect<CancelOrder>([&] { return decodeCancel(request.body); });
+    if (const auto *error = std::get_if<Error>(&decoded)) {
+        return problem(400, error->message);
+    }
+    const auto &order = std::get<CancelOrder>(decoded);
+    const MutexLock lock(m_mutex);
+    const auto it = m_streams.find(order.id);
+    if (it != m_streams.end() && it->second->attempt <= order.attempt) {
+        it->second->cancelled = true;
+        it->second->holdsMemory = false;
+        m_streams.erase(it);
+        m_changed.signalAll();
+    }
+    return answer(200, "{}");
+}
+
+HttpResponse EngineStandIn::report()
+{
+    const MutexLock lock(m_mutex);
+    const absl::Time now = absl::Now();
+    if (now - m_lastReportAt < absl::Milliseconds(m_faults.reportLagMs)) {
+        return answer(200, m_lastReport);
+    }
+    sweep(now);
+    EngineReported report;
+    report.running = running();
+    report.piecesInUse = piecesInUse(now);
+    for (const auto &[id, stream] : m_streams) {
+        if (stream->holdsMemory) {
+            report.held.push_back(id);
+        }
+    }
+    for (std::size_t i = 0; i < m_cache.size(); ++i) {
+        if (m_faults.dropCacheEvents == 0 || i % static_cast<std::size_t>(m_faults.dropCacheEvents) != 0) {
+            report.cachedPrefixes.push_back(m_cache[i]);
+        }
+    }
+    m_lastReport = encodeEngineReport(report);
+    m_lastReportAt = now;
+    return answer(200, m_lastReport);
+}
+
+HttpResponse EngineStandIn::order(const HttpRequest &request)
+{
+    const Json json = Json::parse(request.body.empty() ? "{}" : request.body, nullptr, false);
+    const MutexLock lock(m_mutex);
+    if (request.method == "POST") {
+        const auto fence = static_cast<std::uint64_t>(json.is_object() ? jsonInteger(json, "fence") : 0);
+        if (m_traits.checksFencing && fence < m_highestFence) {
+            return problem(409, "an order with a higher fencing number was accepted before");
+        }
+        m_highestFence = std::max(m_highestFence, fence);
+        m_wanted = request.body;
+    }
+    return answer(200, m_wanted.empty() ? "{}" : m_wanted);
+}
+
+HttpResponse EngineStandIn::control(const HttpRequest &request)
+{
+    const Json json = Json::parse(request.body, nullptr, false);
+    if (json.is_discarded()) {
+        return problem(400, "no JSON");
+    }
+    const MutexLock lock(m_mutex);
+    if (jsonFlag(json, "silenceOpenConnections")) {
+        m_faults.silentBefore = absl::Now();
+    }
+    const std::int64_t stallMs = jsonInteger(json, "stallTransfersMs");
+    if (stallMs > 0) {
+        m_faults.stallTransfersUntil = absl::Now() + absl::Milliseconds(stallMs);
+    }
+    m_faults.reportLagMs = jsonInteger(json, "reportLagMs", m_faults.reportLagMs);
+    m_faults.dropCacheEvents = jsonInteger(json, "dropCacheEvents", m_faults.dropCacheEvents);
+    return answer(200, "{}");
+}
+
+std::int64_t EngineStandIn::tokensNow(const Stream &stream, absl::Time now) const
+{
+    const double made = absl::ToDoubleMilliseconds(now - stream.started) / stream.gapMs;
+    return std::min(stream.total, stream.first + static_cast<std::int64_t>(made));
+}
+
+std::int64_t EngineStandIn::piecesOf(const Stream &stream, absl::Time now) const
+{
+    const std::int64_t tokens = stream.promptTokens + tokensNow(stream, now) - stream.first;
+    return (tokens + m_traits.tokensPerPiece - 1) / m_traits.tokensPerPiece;
+}
+
+std::int64_t EngineStandIn::piecesInUse(absl::Time now)
+{
+    std::int64_t n = 0;
+    for (const auto &[id, stream] : m_streams) {
+        n += stream->holdsMemory ? piecesOf(*stream, now) : 0;
+    }
+    return n;
+}
+
+std::int64_t EngineStandIn::running() const
+{
+    return std::count_if(m_streams.begin(), m_streams.end(), [](const auto &it) { return it.second->holdsMemory; });
+}
+
+void EngineStandIn::sweep(absl::Time now)
+{
+    for (auto &[id, stream] : m_streams) {
+        if (tokensNow(*stream, now) >= stream->total) {
+            stream->holdsMemory = false;
+        }
+    }
+    std::erase_if(m_streams, [&](const auto &it) {
+        const Stream &stream = *it.second;
+        const absl::Time ended = stream.started + absl::Milliseconds(stream.gapMs * static_cast<double>(stream.total - stream.first));
+        return !stream.holdsMemory && now - ended > keepFinished;
+    });
+    std::erase_if(m_results, [&](const auto &it) { return it.second.expires < now; });
+}
+
+}
--- /dev/null
+++ b/tests/standins/servicemain.cpp
@@ -0,0 +1,17 @@
+#include "standins/servicestandin.h"
+#include "standins/standinmain.h"
+
+#include <iostream>
+
+using namespace Apricot;
+
+/// A plain service. The only argument is the address.
+int main(int argc, char **argv)
+{
+    if (argc != 2) {
+        std::cerr << "usage: standin_service IP:port\n";
+        return 2;
+    }
+    ServiceStandIn service;
+    return serveStandIn(argv[1], [&](const HttpRequest &request) { return service.handle(request); });
+}
--- /dev/null
+++ b/tests/standins/servicestandin.cpp
@@ -0,0 +1,74 @@
+#include "standins/servicestandin.h"
+
+#include "protocol/jsonreader.h"
+
+#include <absl/strings/match.h>
+#include <absl/time/clock.h>
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace {
+
+const std::string operationsPath = "/v1/operations/";
+
+HttpResponse answer(int status, const Json &json)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers["Content-Type"] = "application/json";
+    response.body = jsonDump(json);
+    return response;
+}
+
+}
+
+HttpResponse ServiceStandIn::handle(const HttpRequest &request)
+{
+    if (request.path == "/control") {
+        return control(request);
+    }
+    if (request.path == "/runs") {
+        const MutexLock lock(m_mutex);
+        return answer(200, Json(m_runs));
+    }
+    if (absl::StartsWith(request.path, operationsPath)) {
+        return run(request, request.path.substr(operationsPath.size()));
+    }
+    return answer(404, Json{{"error", "no such path"}});
+}
+
+HttpResponse ServiceStandIn::run(const HttpRequest &request, const std::string &operation)
+{
+    const std::string key = request.header("idempotency-key");
+    std::int64_t delayMs = 0;
+    std::int64_t runs = 0;
+    bool lose = false;
+    {
+        const MutexLock lock(m_mutex);
+        runs = key.empty() ? 0 : ++m_runs[key];
+        delayMs = m_delayMs;
+        lose = m_loseReplies > 0;
+        m_loseReplies -= lose ? 1 : 0;
+    }
+    absl::SleepFor(absl::Milliseconds(delayMs));
+    if (lose) {
+        return HttpResponse{0, {}, {}, {}, {}};
+    }
+    return answer(200, Json{{"operation", operation}, {"done", true}, {"run", runs}});
+}
+
+HttpResponse ServiceStandIn::control(const HttpRequest &request)
+{
+    const Json json = Json::parse(request.body, nullptr, false);
+    if (json.is_discarded()) {
+        return answer(400, Json{{"error", "no JSON"}});
+    }
+    const MutexLock lock(m_mutex);
+    m_delayMs = jsonInteger(json, "delayMs", m_delayMs);
+    m_loseReplies = jsonInteger(json, "loseReplies", m_loseReplies);
+    return answer(200, Json{{"done", true}});
+}
+
+}
--- /dev/null
+++ b/tests/standins/vmliststandin.cpp
@@ -0,0 +1,50 @@
+#include "standins/vmliststandin.h"
+
+#include "protocol/jsonreader.h"
+
+#include <absl/time/clock.h>
+
+namespace Apricot {
+
+HttpResponse VmListStandIn::handle(const HttpRequest &request)
+{
+    const absl::Time now = absl::Now();
+    const Json json = Json::parse(request.body.empty() ? "{}" : request.body, nullptr, false);
+    HttpResponse response;
+    response.headers["Content-Type"] = "application/json";
+    if (json.is_discarded()) {
+        response.status = 400;
+        return response;
+    }
+    const MutexLock lock(m_mutex);
+    if (request.method == "PUT") {
+        m_changes.push_back(
+            Change{now + m_lag, Vm(VmFields{jsonText(json, "name"), jsonText(json, "address"), jsonFlag(json, "leaving")}), false});
+    } else if (request.method == "DELETE") {
+        m_changes.push_back(Change{now + m_lag, Vm(VmFields{request.parameter("name"), {}, false}), true});
+    } else if (request.method == "POST") {
+        m_lag = absl::Milliseconds(jsonInteger(json, "lagMs"));
+    }
+    applyDue(now);
+    Json list = Json::array();
+    for (const auto &[name, vm] : m_vms) {
+        list.push_back(Json{{"name", vm->name}, {"address", vm->address}, {"leaving", vm->leaving}});
+    }
+    response.body = jsonDump(Json{{"vms", std::move(list)}});
+    return response;
+}
+
+void VmListStandIn::applyDue(absl::Time now)
+{
+    while (!m_changes.empty() && m_changes.front().shows <= now) {
+        const Change &change = m_changes.front();
+        if (change.removed) {
+            m_vms.erase(change.vm->name);
+        } else {
+            m_vms.insert_or_assign(change.vm->name, change.vm);
+        }
+        m_changes.pop_front();
+    }
+}
+
+}
