--- /dev/null
+++ b/bench/decisionbench.cpp
@@ -0,0 +1,120 @@
+#include "coordination/slicescheduler.h"
+
+#include <absl/strings/str_cat.h>
+#include <benchmark/benchmark.h>
+
+#include <cstdint>
+#include <deque>
+
+using namespace Apricot;
+
+namespace {
+
+constexpr int queued = 1000;
+
+/// An owner with all slots in use and a long queue, and what its engines would say.
+class BusyOwner
+{
+public:
+    explicit BusyOwner(std::int64_t engines)
+        : m_scheduler(settings(engines))
+    {
+        const std::int64_t slots = engines / 2 * PoolFields().slots;
+        for (std::int64_t i = 0; i < slots + queued; ++i) {
+            arrive();
+        }
+        settle();
+        while (m_waiting < queued) {
+            arrive();
+        }
+    }
+
+    /// One request arrives at the owner.
+    void arrive()
+    {
+        const Work work = Work::Builder()
+                              .set(&WorkFields::id, RequestId(absl::StrCat("request-", m_next)))
+                              .set(&WorkFields::rank, RankName(m_next % 2 == 0 ? "urgent" : "other"))
+                              .set(&WorkFields::workspace, WorkspaceName(absl::StrCat("w", m_next % 40)))
+                              .set(&WorkFields::promptTokens, 200 + m_next * 37 % 1500)
+                              .set(&WorkFields::maxTokens, 400)
+                              .set(&WorkFields::prefixHash, static_cast<std::uint64_t>(m_next % 50))
+                              .set(&WorkFields::arrival, m_now)
+                              .build();
+        ++m_next;
+        ++m_waiting;
+        take(m_scheduler.handle(WorkArrived{work}, m_now));
+    }
+
+    /// One request ends, so that another one starts.
+    void finish()
+    {
+        const RequestId id = m_decoding.front();
+        m_decoding.pop_front();
+        take(m_scheduler.handle(WorkFinished{id, 1, 140}, m_now));
+    }
+
+    /// All prefills that run end.
+    void settle()
+    {
+        while (!m_prefilling.empty()) {
+            const RequestId id = m_prefilling.front();
+            m_prefilling.pop_front();
+            m_now += absl::Milliseconds(1);
+            take(m_scheduler.handle(PrefillFinished{id, 1, absl::Milliseconds(60), 0}, m_now));
+        }
+    }
+
+private:
+    static SchedulerSettings settings(std::int64_t engines)
+    {
+        SchedulerSettings settings;
+        LadderPolicy ladder;
+        ladder.queueLimit = false;
+        settings.policy = ladder;
+        settings.decodePool = settings.decodePool.with(&PoolFields::role, PoolRole::Decode);
+        for (std::int64_t i = 0; i < engines / 2; ++i) {
+            settings.prefillEndpoints.push_back(Endpoint::Builder().set(&EndpointFields::name, absl::StrCat("p", i)).build());
+            settings.decodeEndpoints.push_back(Endpoint::Builder().set(&EndpointFields::name, absl::StrCat("d", i)).build());
+        }
+        const Rank rank = Rank::Builder().set(&RankFields::floorShare, 0.2).set(&RankFields::firstTokenMs, 600000).build();
+        settings.ranks = {rank.with(&RankFields::name, RankName("urgent")), rank.with(&RankFields::name, RankName("other")).with(&RankFields::priority, 1)};
+        return settings;
+    }
+
+    void take(const Actions &actions)
+    {
+        for (const Action &action : actions) {
+            if (const auto *prefill = std::get_if<StartPrefill>(&action)) {
+                m_prefilling.push_back(prefill->id);
+                --m_waiting;
+            } else if (const auto *decode = std::get_if<StartDecode>(&action)) {
+                m_decoding.push_back(decode->id);
+            }
+        }
+    }
+
+    SliceScheduler m_scheduler;
+    absl::Time m_now = absl::UnixEpoch();
+    std::int64_t m_next = 0;
+    std::int64_t m_waiting = 0;
+    std::deque<RequestId> m_prefilling;
+    std::deque<RequestId> m_decoding;
+};
+
+/// The whole life of one request at the owner: it arrives, another one ends, one starts, one result is taken over.
+void decideOneRequest(benchmark::State &state)
+{
+    BusyOwner owner(state.range(0));
+    for (auto step : state) {
+        owner.arrive();
+        owner.finish();
+        owner.settle();
+    }
+}
+
+BENCHMARK(decideOneRequest)->RangeMultiplier(2)->Range(4, 256)->Repetitions(5)->ReportAggregatesOnly(true)->Unit(benchmark::kMicrosecond);
+
+}
+
+BENCHMARK_MAIN();
--- a/packages/coordination/placement.cpp
+++ b/packages/coordination/placement.cpp
@@ -78,7 +78,7 @@
         const DecodeEngine &engine = m_table.decode()[i];
         const bool mayTake = engine.usable() || (engine.alive && hasSeededBug(SeededBug::WorkToLeavingEngine));
         const std::int64_t free = m_table.freePieces(i, m_rules.careful);
-        const bool fits = free >= pieces || hasSeededBug(SeededBug::OverfillEngine);
+        const bool fits = free >= pieces + m_rules.growthPieces || hasSeededBug(SeededBug::OverfillEngine);
         if (!mayTake || engine.id == work->avoid || (m_rules.checkMemory && (!fits || !keepsHeadroom(i, free - pieces)))) {
             continue;
         }
--- a/packages/coordination/placement.h
+++ b/packages/coordination/placement.h
@@ -38,6 +38,7 @@
     bool forecast = true; ///< count on slots that become free in the meantime
     bool checkMemory = true;
     bool usePrefixCache = true;
+    std::int64_t growthPieces = 0; ///< pieces of each engine that are left for answers longer than reserved
     std::int64_t headroomPieces = 0; ///< pieces that must stay free on one engine
     bool careful = false; ///< count what engines report as taken
 };
--- a/packages/coordination/slicescheduler.cpp
+++ b/packages/coordination/slicescheduler.cpp
@@ -26,14 +26,17 @@
 /// First estimate of a prefill, ms.
 constexpr double firstPrefillMs = 80;
 
+/// Part of an engine's memory that is left for answers that grow beyond their reservation.
+constexpr double growthPart = 0.02;
+
 /// Part of the urgent prompts for which memory is kept free.
-constexpr double headroomQuantile = 0.99;
+constexpr double headroomQuantile = 0.95;
 
 /// Highest attempt that fits the messages' signed numbers: all attempts of a request that nobody knows.
 constexpr std::uint64_t anyAttempt = std::numeric_limits<std::int64_t>::max();
 
 /// Headroom never takes more than this part of one engine.
-constexpr double largestHeadroomPart = 0.35;
+constexpr double largestHeadroomPart = 0.15;
 
 const LadderPolicy *ladderOf(const Policy &policy)
 {
@@ -430,9 +433,12 @@
     if (m_results.empty()) {
         return;
     }
-    // Results of urgent ranks take a free slot first, then the result that expires first.
-    std::stable_sort(m_results.begin(), m_results.end(),
-                     [&](const RequestId &a, const RequestId &b) { return m_flights.at(a).rank < m_flights.at(b).rank; });
+    // The ranks' shares were settled when the prefills started; now the earliest deadline takes the next free slot.
+    const auto deadline = [this](const RequestId &id) {
+        const Flight &flight = m_flights.at(id);
+        return flight.work->arrival + m_queue.target(flight.rank);
+    };
+    std::stable_sort(m_results.begin(), m_results.end(), [&](const RequestId &x, const RequestId &y) { return deadline(x) < deadline(y); });
     const std::vector<RequestId> results = m_results;
     for (const RequestId &id : results) {
         Flight &flight = m_flights.at(id);
@@ -676,6 +682,7 @@
     rules.forecast = ladder->slotForecast;
     rules.checkMemory = ladder->memoryReservation;
     rules.usePrefixCache = ladder->prefixCache;
+    rules.growthPieces = static_cast<std::int64_t>(static_cast<double>(m_settings.decodePool->pieces) * growthPart);
     if (ladder->headroom && m_queue.hasUrgentDemand(rank, now)) {
         const auto largest = static_cast<std::int64_t>(static_cast<double>(m_settings.decodePool->pieces) * largestHeadroomPart);
         rules.headroomPieces = std::min(m_sizes[0].quantile(headroomQuantile), largest);
