coordination: Find the memory kept free once per placement

Cause: each candidate engine looked through all others for the largest free memory, so a decision grew with the square of the engines (38 us at 32 engines for a request's whole life at the owner). Change: the two largest free amounts are found once; candidates are pointers in place of copies. A request whose forecast is too late is skipped in place of refused, as a slot may come free sooner.

--- a/bench/benchreport.cpp
+++ b/bench/benchreport.cpp
@@ -62,8 +62,8 @@
             stream << "\n";
         }
     }
-    std::string script = absl::StrCat("set terminal png size 640,400; set output '", picture.string(), "'; set xlabel 'load'; set ylabel '", plot.title,
-                                      "'; set yrange [0:*]; set key outside; plot ");
+    std::string script = absl::StrCat("set terminal png size 640,400; set output '", picture.string(), "'; set xlabel 'load'; set ylabel '",
+                                      plot.title, "'; set yrange [0:*]; set key outside; plot ");
     for (std::size_t i = 0; i < policies.size(); ++i) {
         script += absl::StrCat(i == 0 ? "" : ", ", "'", data, "' using 1:", i + 2, " with linespoints title '", policies[i], "'");
     }
--- a/bench/benchrun.cpp
+++ b/bench/benchrun.cpp
@@ -119,7 +119,8 @@
             settings.decodeEndpoints.push_back(Endpoint::Builder().set(&EndpointFields::name, absl::StrCat("d", i)).build());
         }
         const Rank rank = Rank::Builder().set(&RankFields::floorShare, floorShareOfRanks).build();
-        settings.ranks = {rank.with(&RankFields::name, RankName("urgent")).with(&RankFields::priority, 0), rank.with(&RankFields::name, RankName("other")).with(&RankFields::priority, 1)};
+        settings.ranks = {rank.with(&RankFields::name, RankName("urgent")).with(&RankFields::priority, 0),
+                          rank.with(&RankFields::name, RankName("other")).with(&RankFields::priority, 1)};
         return settings;
     }
 
@@ -441,7 +442,9 @@
         }
         gaps.insert(gaps.end(), seen.gapsMs.begin(), seen.gapsMs.end());
     }
-    const auto ratio = [](double part, double whole) { return whole > 0 ? part / whole : 0.0; };
+    const auto ratio = [](double part, double whole) {
+        return whole > 0 ? part / whole : 0.0;
+    };
     const double windowMs = absl::ToDoubleMilliseconds(m_plan.length - warmUp);
     const EngineTime &time = m_pool.engineTime();
     const double urgentTime = time.prefillUrgent + time.decodeUrgent;
@@ -464,9 +467,11 @@
     figures.capacityBound = capacityBound(m_plan.deployment);
     figures.admittedGoodShare = ratio(urgent.good + other.good, urgent.admitted + other.admitted);
     if (decodeIsBottleneck(m_plan.deployment)) {
-        figures.goodputOfBound = ratio(goodDecodeMs, std::min(offeredDecodeMs, windowMs * static_cast<double>(m_plan.deployment.decodeEngines)));
+        figures.goodputOfBound
+            = ratio(goodDecodeMs, std::min(offeredDecodeMs, windowMs * static_cast<double>(m_plan.deployment.decodeEngines)));
     } else {
-        figures.goodputOfBound = ratio(goodPrefillMs, std::min(offeredPrefillMs, windowMs * static_cast<double>(m_plan.deployment.prefillEngines)));
+        figures.goodputOfBound
+            = ratio(goodPrefillMs, std::min(offeredPrefillMs, windowMs * static_cast<double>(m_plan.deployment.prefillEngines)));
     }
     return figures;
 }
@@ -480,11 +485,12 @@
 
 std::string figuresLine(const BenchFigures &it)
 {
-    return absl::StrFormat("{\"goodputShare\":%.4f,\"urgentGoodputShare\":%.4f,\"otherRankShare\":%.4f,\"floorShare\":%.2f,\"wastedPrefillShare\":%.4f,"
-                           "\"refusedEarlyShare\":%.4f,\"ttftP95Ms\":%.1f,\"tokenGapP95Ms\":%.2f,\"peakMemoryShare\":%.4f,\"decisionsPerSecond\":%.0f,"
-                           "\"capacityBound\":%.2f,\"goodputOfBound\":%.4f,\"admittedGoodShare\":%.4f}",
-                           it.goodputShare, it.urgentGoodputShare, it.otherRankShare, it.floorShare, it.wastedPrefillShare, it.refusedEarlyShare, it.ttftP95Ms,
-                           it.tokenGapP95Ms, it.peakMemoryShare, it.decisionsPerSecond, it.capacityBound, it.goodputOfBound, it.admittedGoodShare);
+    return absl::StrFormat(
+        "{\"goodputShare\":%.4f,\"urgentGoodputShare\":%.4f,\"otherRankShare\":%.4f,\"floorShare\":%.2f,\"wastedPrefillShare\":%.4f,"
+        "\"refusedEarlyShare\":%.4f,\"ttftP95Ms\":%.1f,\"tokenGapP95Ms\":%.2f,\"peakMemoryShare\":%.4f,\"decisionsPerSecond\":%.0f,"
+        "\"capacityBound\":%.2f,\"goodputOfBound\":%.4f,\"admittedGoodShare\":%.4f}",
+        it.goodputShare, it.urgentGoodputShare, it.otherRankShare, it.floorShare, it.wastedPrefillShare, it.refusedEarlyShare, it.ttftP95Ms,
+        it.tokenGapP95Ms, it.peakMemoryShare, it.decisionsPerSecond, it.capacityBound, it.goodputOfBound, it.admittedGoodShare);
 }
 
 }
--- a/bench/benchrun.h
+++ b/bench/benchrun.h
@@ -16,7 +16,8 @@
 {
     double goodputShare = 0; ///< of all that was offered
     double urgentGoodputShare = 0; ///< of what the urgent rank offered (engine-loss: outside two seconds after the loss)
-    double otherRankShare = 0; ///< of the other rank's offer; in a flood: part of the engine time that the rank that is not flooding received
+    double otherRankShare
+        = 0; ///< of the other rank's offer; in a flood: part of the engine time that the rank that is not flooding received
     double floorShare = 0; ///< configured for the rank that is not flooding
     double wastedPrefillShare = 0; ///< of all prefill time, without what was lost with a dead engine
     double refusedEarlyShare = 0; ///< of what was offered
--- a/bench/decisionbench.cpp
+++ b/bench/decisionbench.cpp
@@ -78,7 +78,8 @@
             settings.decodeEndpoints.push_back(Endpoint::Builder().set(&EndpointFields::name, absl::StrCat("d", i)).build());
         }
         const Rank rank = Rank::Builder().set(&RankFields::floorShare, 0.2).set(&RankFields::firstTokenMs, 600000).build();
-        settings.ranks = {rank.with(&RankFields::name, RankName("urgent")), rank.with(&RankFields::name, RankName("other")).with(&RankFields::priority, 1)};
+        settings.ranks = {rank.with(&RankFields::name, RankName("urgent")),
+                          rank.with(&RankFields::name, RankName("other")).with(&RankFields::priority, 1)};
         return settings;
     }
 
--- a/bench/fakeenginepool.cpp
+++ b/bench/fakeenginepool.cpp
@@ -86,7 +86,8 @@
     }
     const Job &job = engine.queue.front();
     const OfferedRequest &request = m_requests[job.request];
-    const bool cached = request.prefixHash != 0 && std::find(engine.cache.begin(), engine.cache.end(), request.prefixHash) != engine.cache.end();
+    const bool cached
+        = request.prefixHash != 0 && std::find(engine.cache.begin(), engine.cache.end(), request.prefixHash) != engine.cache.end();
     engine.cachedTokens = cached ? request.prefixTokens : 0;
     engine.costMs = static_cast<double>(job.tokens - engine.cachedTokens) / 1000.0 * EngineFigures::prefillMsPerThousand;
     engine.doneAt = now + absl::Milliseconds(engine.costMs);
@@ -133,7 +134,8 @@
         if (piecesOf(engine) + piecesOf(result->second.tokens) > EngineFigures::pieces) {
             return;
         }
-        const double transferMs = static_cast<double>(result->second.tokens) / 1000.0 * EngineFigures::transferMsPerThousand * engine.transferFactor;
+        const double transferMs
+            = static_cast<double>(result->second.tokens) / 1000.0 * EngineFigures::transferMsPerThousand * engine.transferFactor;
         engine.running.push_back(Running{job.request, job.attempt, result->second.tokens, now + absl::Milliseconds(transferMs)});
         events->push_back(PoolEvent{PoolEvent::Kind::TakenOver, job.request, job.attempt, transferMs});
         m_results.erase(result);
@@ -189,7 +191,8 @@
         return;
     }
     const double load = static_cast<double>(decoding) / static_cast<double>(EngineFigures::slots);
-    engine.stepAt = now + absl::Milliseconds(EngineFigures::unloadedGapMs + (EngineFigures::loadedGapMs - EngineFigures::unloadedGapMs) * load);
+    engine.stepAt
+        = now + absl::Milliseconds(EngineFigures::unloadedGapMs + (EngineFigures::loadedGapMs - EngineFigures::unloadedGapMs) * load);
 }
 
 void FakeEnginePool::cancel(std::size_t request, std::uint64_t attempt, absl::Time now)
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -137,11 +137,11 @@
 }
 
 const std::array<std::pair<const char *, Scenario>, 6> scenarios{{{"steady", Scenario::Steady},
-                                                                   {"flood-low", Scenario::FloodLow},
-                                                                   {"flood-urgent", Scenario::FloodUrgent},
-                                                                   {"engine-loss", Scenario::EngineLoss},
-                                                                   {"slow-transfer", Scenario::SlowTransfer},
-                                                                   {"mixed", Scenario::Mixed}}};
+                                                                  {"flood-low", Scenario::FloodLow},
+                                                                  {"flood-urgent", Scenario::FloodUrgent},
+                                                                  {"engine-loss", Scenario::EngineLoss},
+                                                                  {"slow-transfer", Scenario::SlowTransfer},
+                                                                  {"mixed", Scenario::Mixed}}};
 
 }
 
@@ -175,7 +175,8 @@
             drawArrivals(plan, urgent, i, random, &requests);
         }
     }
-    std::stable_sort(requests.begin(), requests.end(), [](const OfferedRequest &a, const OfferedRequest &b) { return a.arrival < b.arrival; });
+    std::stable_sort(requests.begin(), requests.end(),
+                     [](const OfferedRequest &a, const OfferedRequest &b) { return a.arrival < b.arrival; });
     return requests;
 }
 
--- a/packages/apricotladder/storeaccess.cpp
+++ b/packages/apricotladder/storeaccess.cpp
@@ -6,7 +6,8 @@
 
 namespace Apricot {
 
-StoreAccess::StoreAccess(std::string url) : m_url(std::move(url))
+StoreAccess::StoreAccess(std::string url)
+    : m_url(std::move(url))
 {
 }
 
--- a/packages/apricotladderd/cellservice.cpp
+++ b/packages/apricotladderd/cellservice.cpp
@@ -42,7 +42,11 @@
 }
 
 CellService::CellService(const NodeSettings &settings, DatagramSeal seal, Journal &journal, NodeMetrics &metrics)
-    : m_settings(settings), m_seal(std::move(seal)), m_journal(journal), m_metrics(metrics), m_membership(selfOf(settings))
+    : m_settings(settings)
+    , m_seal(std::move(seal))
+    , m_journal(journal)
+    , m_metrics(metrics)
+    , m_membership(selfOf(settings))
 {
 }
 
--- a/packages/apricotladderd/configkeeper.cpp
+++ b/packages/apricotladderd/configkeeper.cpp
@@ -8,7 +8,9 @@
 namespace Apricot {
 
 ConfigKeeper::ConfigKeeper(Journal &journal, NodeMetrics &metrics)
-    : m_journal(journal), m_metrics(metrics), m_set(std::make_shared<const ConfigSet>())
+    : m_journal(journal)
+    , m_metrics(metrics)
+    , m_set(std::make_shared<const ConfigSet>())
 {
 }
 
--- a/packages/apricotladderd/configsync.cpp
+++ b/packages/apricotladderd/configsync.cpp
@@ -22,7 +22,10 @@
 }
 
 ConfigSync::ConfigSync(CellService &cell, ConfigKeeper &keeper, StoreClient &store, Journal &journal)
-    : m_cell(cell), m_keeper(keeper), m_store(store), m_journal(journal)
+    : m_cell(cell)
+    , m_keeper(keeper)
+    , m_store(store)
+    , m_journal(journal)
 {
 }
 
--- a/packages/apricotladderd/enginepoller.cpp
+++ b/packages/apricotladderd/enginepoller.cpp
@@ -18,7 +18,10 @@
 }
 
 EnginePoller::EnginePoller(SliceHost &host, ConfigKeeper &config, CellService &cell, Journal &journal)
-    : m_host(host), m_config(config), m_cell(cell), m_journal(journal)
+    : m_host(host)
+    , m_config(config)
+    , m_cell(cell)
+    , m_journal(journal)
 {
 }
 
--- a/packages/apricotladderd/flowthreads.h
+++ b/packages/apricotladderd/flowthreads.h
@@ -29,7 +29,8 @@
     class Visit
     {
     public:
-        explicit Visit(FlowThreads &flows) : m_flows(flows)
+        explicit Visit(FlowThreads &flows)
+            : m_flows(flows)
         {
             const MutexLock lock(m_flows.m_mutex);
             ++m_flows.m_active;
--- a/packages/apricotladderd/frontend.cpp
+++ b/packages/apricotladderd/frontend.cpp
@@ -71,7 +71,10 @@
 
 }
 
-FrontEnd::FrontEnd(NodeContext context, FlowThreads &flows, Hooks hooks) : m_context(context), m_flows(flows), m_hooks(std::move(hooks))
+FrontEnd::FrontEnd(NodeContext context, FlowThreads &flows, Hooks hooks)
+    : m_context(context)
+    , m_flows(flows)
+    , m_hooks(std::move(hooks))
 {
 }
 
--- a/packages/apricotladderd/journal.cpp
+++ b/packages/apricotladderd/journal.cpp
@@ -16,7 +16,9 @@
 
 }
 
-Journal::Journal(NodeId node, std::size_t ringEvents) : m_node(std::move(node)), m_ring(ringEvents)
+Journal::Journal(NodeId node, std::size_t ringEvents)
+    : m_node(std::move(node))
+    , m_ring(ringEvents)
 {
 }
 
--- a/packages/apricotladderd/ownerlink.cpp
+++ b/packages/apricotladderd/ownerlink.cpp
@@ -53,7 +53,10 @@
     return m_renewal;
 }
 
-OwnerLink::OwnerLink(CellService &cell, SliceHost &host, Journal &journal) : m_cell(cell), m_host(host), m_journal(journal)
+OwnerLink::OwnerLink(CellService &cell, SliceHost &host, Journal &journal)
+    : m_cell(cell)
+    , m_host(host)
+    , m_journal(journal)
 {
 }
 
--- a/packages/apricotladderd/publisherservice.cpp
+++ b/packages/apricotladderd/publisherservice.cpp
@@ -36,7 +36,11 @@
 }
 
 PublisherService::PublisherService(CellService &cell, StoreClient &store, Journal &journal, NodeMetrics &metrics)
-    : m_cell(cell), m_store(store), m_journal(journal), m_metrics(metrics), m_lease(cell.self())
+    : m_cell(cell)
+    , m_store(store)
+    , m_journal(journal)
+    , m_metrics(metrics)
+    , m_lease(cell.self())
 {
 }
 
--- a/packages/apricotladderd/runstore.cpp
+++ b/packages/apricotladderd/runstore.cpp
@@ -26,7 +26,9 @@
 
 }
 
-RunStore::RunStore(StoreClient &store, Journal &journal) : m_store(store), m_journal(journal)
+RunStore::RunStore(StoreClient &store, Journal &journal)
+    : m_store(store)
+    , m_journal(journal)
 {
     for (Lane &lane : m_lanes) {
         lane.thread = Thread("run-store", [this, &lane] { run(lane); });
--- a/packages/apricotladderd/slicehost.cpp
+++ b/packages/apricotladderd/slicehost.cpp
@@ -41,7 +41,10 @@
 }
 
 SliceHost::SliceHost(CellService &cell, ConfigKeeper &config, Journal &journal, NodeMetrics &metrics)
-    : m_cell(cell), m_config(config), m_journal(journal), m_metrics(metrics)
+    : m_cell(cell)
+    , m_config(config)
+    , m_journal(journal)
+    , m_metrics(metrics)
 {
 }
 
--- a/packages/apricotladderd/storeclient.cpp
+++ b/packages/apricotladderd/storeclient.cpp
@@ -24,7 +24,9 @@
 }
 
 StoreClient::StoreClient(std::string url, absl::Duration limit, NodeMetrics &metrics)
-    : m_url(std::move(url)), m_limit(limit), m_metrics(metrics)
+    : m_url(std::move(url))
+    , m_limit(limit)
+    , m_metrics(metrics)
 {
 }
 
--- a/packages/apricotladderd/streambuffer.cpp
+++ b/packages/apricotladderd/streambuffer.cpp
@@ -10,7 +10,8 @@
 
 namespace Apricot {
 
-StreamBuffer::StreamBuffer(std::int64_t base) : m_base(base)
+StreamBuffer::StreamBuffer(std::int64_t base)
+    : m_base(base)
 {
 }
 
--- a/packages/coordination/admissionqueue.cpp
+++ b/packages/coordination/admissionqueue.cpp
@@ -133,15 +133,16 @@
     std::vector<std::size_t> ranks = m_shares.order(hasWork, now);
     if (!m_byUrgency) {
         const auto firstDeadline = [&](std::size_t rank) {
-            const std::vector<RequestId> first = m_queues[rank].candidates(FairQueue::Order::ByDeadline, 1);
-            return first.empty() ? absl::InfiniteFuture() : m_queues[rank].find(first.front())->latestStart;
+            const std::vector<const FairQueue::Entry *> first = m_queues[rank].candidates(FairQueue::Order::ByDeadline, 1);
+            return first.empty() ? absl::InfiniteFuture() : first.front()->latestStart;
         };
         std::stable_sort(ranks.begin(), ranks.end(), [&](std::size_t a, std::size_t b) { return firstDeadline(a) < firstDeadline(b); });
     }
     return ranks;
 }
 
-std::vector<RequestId> AdmissionQueue::candidates(std::size_t rank, double capacityPerSecond, absl::Time now, std::size_t most) const
+std::vector<const FairQueue::Entry *> AdmissionQueue::candidates(std::size_t rank, double capacityPerSecond, absl::Time now,
+                                                                 std::size_t most) const
 {
     const FairQueue &queue = m_queues[rank];
     const double places = placesWithin(rank, capacityPerSecond, target(rank), now);
--- a/packages/coordination/admissionqueue.h
+++ b/packages/coordination/admissionqueue.h
@@ -56,7 +56,7 @@
     std::vector<std::size_t> order(absl::Time now) const;
 
     /// Requests of one rank in the order in which they should start. \a capacityPerSecond says whether it is overloaded.
-    std::vector<RequestId> candidates(std::size_t rank, double capacityPerSecond, absl::Time now, std::size_t most) const;
+    std::vector<const FairQueue::Entry *> candidates(std::size_t rank, double capacityPerSecond, absl::Time now, std::size_t most) const;
 
     /// Requests of all ranks that can no longer meet their target.
     std::vector<RequestId> overdue(absl::Time now) const;
--- a/packages/coordination/configvalidator.cpp
+++ b/packages/coordination/configvalidator.cpp
@@ -32,7 +32,8 @@
 class Checker
 {
 public:
-    explicit Checker(const std::vector<RawObject> &objects) : m_objects(objects)
+    explicit Checker(const std::vector<RawObject> &objects)
+        : m_objects(objects)
     {
         for (const RawObject &object : objects) {
             m_known.emplace(object->kind, object->name);
@@ -260,7 +261,8 @@
 class FieldReader
 {
 public:
-    explicit FieldReader(const RawObject &object) : m_object(object)
+    explicit FieldReader(const RawObject &object)
+        : m_object(object)
     {
     }
 
--- a/packages/coordination/decayingrate.cpp
+++ b/packages/coordination/decayingrate.cpp
@@ -4,7 +4,8 @@
 
 namespace Apricot {
 
-DecayingRate::DecayingRate(absl::Duration timeConstant) : m_timeConstantSeconds(absl::ToDoubleSeconds(timeConstant))
+DecayingRate::DecayingRate(absl::Duration timeConstant)
+    : m_timeConstantSeconds(absl::ToDoubleSeconds(timeConstant))
 {
 }
 
--- a/packages/coordination/enginetable.cpp
+++ b/packages/coordination/enginetable.cpp
@@ -9,7 +9,9 @@
 
 namespace Apricot {
 
-EngineTable::EngineTable(Pool prefillPool, Pool decodePool) : m_prefillPool(std::move(prefillPool)), m_decodePool(std::move(decodePool))
+EngineTable::EngineTable(Pool prefillPool, Pool decodePool)
+    : m_prefillPool(std::move(prefillPool))
+    , m_decodePool(std::move(decodePool))
 {
 }
 
@@ -106,12 +108,18 @@
     return nominal * it.gapFactor.estimate();
 }
 
-std::int64_t EngineTable::largestFree(std::size_t without, std::int64_t withoutFree, bool careful) const
+EngineTable::LargestFree EngineTable::largestFree(bool careful) const
 {
-    std::int64_t largest = withoutFree;
+    LargestFree largest;
     for (std::size_t i = 0; i < m_decode.size(); ++i) {
-        if (i != without && m_decode[i].usable()) {
-            largest = std::max(largest, freePieces(i, careful));
+        if (!m_decode[i].usable()) {
+            continue;
+        }
+        const std::int64_t free = freePieces(i, careful);
+        if (free > largest.first) {
+            largest = LargestFree{i, free, largest.first};
+        } else {
+            largest.second = std::max(largest.second, free);
         }
     }
     return largest;
--- a/packages/coordination/enginetable.h
+++ b/packages/coordination/enginetable.h
@@ -126,8 +126,14 @@
     /// Gap between tokens in ms on \a engine with \a running requests.
     double gapMs(std::size_t engine, std::int64_t running) const;
 
-    /// Largest number of free pieces on one usable engine other than \a without, which counts with \a withoutFree.
-    std::int64_t largestFree(std::size_t without, std::int64_t withoutFree, bool careful) const;
+    /// The two largest numbers of free pieces on usable engines, and where the first one is.
+    struct LargestFree
+    {
+        std::size_t engine = 0;
+        std::int64_t first = 0;
+        std::int64_t second = 0;
+    };
+    LargestFree largestFree(bool careful) const;
 
 private:
     void checkLedger(const DecodeEngine &engine) const;
--- a/packages/coordination/fairqueue.cpp
+++ b/packages/coordination/fairqueue.cpp
@@ -49,17 +49,18 @@
     return std::move(slot.entry);
 }
 
-std::vector<RequestId> FairQueue::candidates(Order order, std::size_t most) const
+std::vector<const FairQueue::Entry *> FairQueue::candidates(Order order, std::size_t most) const
 {
-    std::vector<RequestId> found;
+    std::vector<const Entry *> found;
+    found.reserve(most);
     if (order == Order::ByDeadline) {
         for (auto it = m_byDeadline.begin(); it != m_byDeadline.end() && found.size() < most; ++it) {
-            found.push_back(it->second);
+            found.push_back(find(it->second));
         }
         return found;
     }
     for (auto it = m_byReceived.begin(); it != m_byReceived.end() && found.size() < most; ++it) {
-        found.push_back(m_workspaces.at(it->second).waiting.begin()->second);
+        found.push_back(find(m_workspaces.at(it->second).waiting.begin()->second));
     }
     return found;
 }
--- a/packages/coordination/fairqueue.h
+++ b/packages/coordination/fairqueue.h
@@ -40,7 +40,8 @@
     std::optional<Entry> remove(const RequestId &id);
 
     /// Returns up to \a most waiting requests in the order in which they should start.
-    std::vector<RequestId> candidates(Order order, std::size_t most) const;
+    /// The pointers hold until the queue changes.
+    std::vector<const Entry *> candidates(Order order, std::size_t most) const;
 
     /// The waiting request \a id, or nullptr.
     const Entry *find(const RequestId &id) const;
--- a/packages/coordination/leasekeeper.cpp
+++ b/packages/coordination/leasekeeper.cpp
@@ -6,7 +6,8 @@
 
 namespace Apricot {
 
-LeaseKeeper::LeaseKeeper(NodeId self) : m_self(std::move(self))
+LeaseKeeper::LeaseKeeper(NodeId self)
+    : m_self(std::move(self))
 {
 }
 
--- a/packages/coordination/membership.cpp
+++ b/packages/coordination/membership.cpp
@@ -5,7 +5,8 @@
 
 namespace Apricot {
 
-Membership::Membership(Member self) : m_self(std::move(self))
+Membership::Membership(Member self)
+    : m_self(std::move(self))
 {
 }
 
--- a/packages/coordination/placement.cpp
+++ b/packages/coordination/placement.cpp
@@ -31,7 +31,10 @@
     return now + absl::Milliseconds(std::min(waitMs, longestForecastMs));
 }
 
-PlacementFinder::PlacementFinder(const EngineTable &table, PlacementRules rules) : m_table(table), m_rules(rules)
+PlacementFinder::PlacementFinder(const EngineTable &table, PlacementRules rules)
+    : m_table(table)
+    , m_rules(rules)
+    , m_largest(rules.headroomPieces > 0 ? table.largestFree(rules.careful) : EngineTable::LargestFree())
 {
 }
 
@@ -130,7 +133,8 @@
 
 bool PlacementFinder::keepsHeadroom(std::size_t decode, std::int64_t freeAfter) const
 {
-    return m_rules.headroomPieces == 0 || m_table.largestFree(decode, freeAfter, m_rules.careful) >= m_rules.headroomPieces;
+    const std::int64_t elsewhere = m_largest.engine == decode ? m_largest.second : m_largest.first;
+    return std::max(elsewhere, freeAfter) >= m_rules.headroomPieces;
 }
 
 }
--- a/packages/coordination/placement.h
+++ b/packages/coordination/placement.h
@@ -48,7 +48,7 @@
 
 /**
  * \class PlacementFinder
- * \brief Chooses prefill and decode engine of a request together. It only reads the table.
+ * \brief Chooses prefill and decode engine of a request together. It only reads the table, which must not change meanwhile.
  */
 class PlacementFinder
 {
@@ -76,6 +76,7 @@
 
     const EngineTable &m_table;
     PlacementRules m_rules;
+    EngineTable::LargestFree m_largest; ///< as of the construction; used if headroom is kept
 };
 
 }
--- a/packages/coordination/prefixindex.cpp
+++ b/packages/coordination/prefixindex.cpp
@@ -2,7 +2,8 @@
 
 namespace Apricot {
 
-PrefixIndex::PrefixIndex(std::size_t capacity) : m_capacity(capacity)
+PrefixIndex::PrefixIndex(std::size_t capacity)
+    : m_capacity(capacity)
 {
 }
 
--- a/packages/coordination/rankshares.cpp
+++ b/packages/coordination/rankshares.cpp
@@ -11,7 +11,9 @@
 
 }
 
-RankShares::RankShares(std::vector<Rank> ranks, bool useFloors) : m_ranks(std::move(ranks)), m_useFloors(useFloors)
+RankShares::RankShares(std::vector<Rank> ranks, bool useFloors)
+    : m_ranks(std::move(ranks))
+    , m_useFloors(useFloors)
 {
     std::stable_sort(m_ranks.begin(), m_ranks.end(), [](const Rank &a, const Rank &b) { return a->priority < b->priority; });
     if (m_ranks.empty()) {
--- a/packages/coordination/slicescheduler.cpp
+++ b/packages/coordination/slicescheduler.cpp
@@ -510,12 +510,12 @@
     return false;
 }
 
-std::optional<RequestId> SliceScheduler::startFrom(std::size_t rank, SlotForecast slots, absl::Time now, bool *poolFull)
+bool SliceScheduler::startFrom(std::size_t rank, const SlotForecast &slots, absl::Time now, bool *poolFull)
 {
     const PlacementFinder finder(m_engines, rulesFor(rank, now));
     const LadderPolicy *ladder = ladderOf(m_settings.policy);
-    for (const RequestId &id : m_queue.candidates(rank, capacityPerSecond(), now, candidatesTried)) {
-        const Work work = m_queue.find(id)->work;
+    for (const FairQueue::Entry *entry : m_queue.candidates(rank, capacityPerSecond(), now, candidatesTried)) {
+        const Work &work = entry->work;
         NoPlacement reason = NoPlacement::NoPrefillEngine;
         const std::optional<Placement> placement = finder.find(work, piecesNeeded(work), meanOutput(work->maxTokens), slots, now, &reason);
         if (!placement) {
@@ -523,17 +523,16 @@
                 continue;
             }
             *poolFull = true;
-            return std::nullopt;
+            return false;
         }
         if (ladder != nullptr && ladder->earlyRefusal && isTooLate(work, rank, placement->firstTokenAt)) {
-            m_queue.remove(id);
-            refuse(work, rank, ErrorKind::TargetUnreachable, now);
+            // A slot may come free sooner than forecast: the request waits until its latest start has passed.
             continue;
         }
-        start(id, rank, *placement, now);
-        return id;
+        start(RequestId(work->id), rank, *placement, now);
+        return true;
     }
-    return std::nullopt;
+    return false;
 }
 
 bool SliceScheduler::isTooLate(const Work &work, std::size_t rank, absl::Time firstToken) const
@@ -543,7 +542,7 @@
 
 void SliceScheduler::start(const RequestId &id, std::size_t rank, const Placement &placement, absl::Time now)
 {
-    const FairQueue::Entry entry = *m_queue.remove(id);
+    FairQueue::Entry entry = *m_queue.remove(id);
     const Work &work = entry.work;
     PrefillEngine &prefill = m_engines.prefill()[placement.prefill];
     const DecodeEngine &decode = m_engines.decode()[placement.decode];
--- a/packages/coordination/slicescheduler.h
+++ b/packages/coordination/slicescheduler.h
@@ -109,7 +109,8 @@
     void pump(absl::Time now);
     void pumpResults(absl::Time now);
     bool startNext(absl::Time now);
-    std::optional<RequestId> startFrom(std::size_t rank, SlotForecast slots, absl::Time now, bool *poolFull);
+    /// Starts or refuses one request of the rank; returns false if there is nothing that can be done now.
+    bool startFrom(std::size_t rank, const SlotForecast &slots, absl::Time now, bool *poolFull);
     void start(const RequestId &id, std::size_t rank, const Placement &placement, absl::Time now);
     bool isTooLate(const Work &work, std::size_t rank, absl::Time firstToken) const;
     void refuseOverdue(absl::Time now);
--- a/packages/coordination/speedmodel.cpp
+++ b/packages/coordination/speedmodel.cpp
@@ -4,7 +4,9 @@
 
 namespace Apricot {
 
-SpeedModel::SpeedModel(double firstEstimate) : m_first(firstEstimate), m_estimate(firstEstimate)
+SpeedModel::SpeedModel(double firstEstimate)
+    : m_first(firstEstimate)
+    , m_estimate(firstEstimate)
 {
 }
 
--- a/packages/protocol/boundedarchive.h
+++ b/packages/protocol/boundedarchive.h
@@ -17,7 +17,8 @@
 class BoundedOutputArchive : public cereal::OutputArchive<BoundedOutputArchive, cereal::AllowEmptyClassElision>
 {
 public:
-    BoundedOutputArchive() : cereal::OutputArchive<BoundedOutputArchive, cereal::AllowEmptyClassElision>(this)
+    BoundedOutputArchive()
+        : cereal::OutputArchive<BoundedOutputArchive, cereal::AllowEmptyClassElision>(this)
     {
     }
 
@@ -44,7 +45,8 @@
 {
 public:
     explicit BoundedInputArchive(std::string_view bytes)
-        : cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision>(this), m_rest(bytes)
+        : cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision>(this)
+        , m_rest(bytes)
     {
     }
 
--- a/packages/state/eventring.cpp
+++ b/packages/state/eventring.cpp
@@ -4,7 +4,8 @@
 
 namespace Apricot {
 
-EventRing::EventRing(std::size_t capacity) : m_capacity(capacity)
+EventRing::EventRing(std::size_t capacity)
+    : m_capacity(capacity)
 {
 }
 
--- a/packages/state/immutable.h
+++ b/packages/state/immutable.h
@@ -42,7 +42,8 @@
 
     Immutable() = default;
 
-    explicit Immutable(Fields fields) : m_fields(std::move(fields))
+    explicit Immutable(Fields fields)
+        : m_fields(std::move(fields))
     {
     }
 
--- a/packages/state/mutex.h
+++ b/packages/state/mutex.h
@@ -70,7 +70,8 @@
 class ABSL_SCOPED_LOCKABLE MutexLock
 {
 public:
-    explicit MutexLock(Mutex &mutex) ABSL_EXCLUSIVE_LOCK_FUNCTION(mutex) : m_mutex(mutex)
+    explicit MutexLock(Mutex &mutex) ABSL_EXCLUSIVE_LOCK_FUNCTION(mutex)
+        : m_mutex(mutex)
     {
         m_mutex.lock();
     }
--- a/packages/state/name.h
+++ b/packages/state/name.h
@@ -16,7 +16,8 @@
 public:
     Name() = default;
 
-    explicit Name(std::string text) : m_text(std::move(text))
+    explicit Name(std::string text)
+        : m_text(std::move(text))
     {
     }
 
--- a/packages/transport/httpserver.cpp
+++ b/packages/transport/httpserver.cpp
@@ -135,7 +135,9 @@
     }
 };
 
-HttpServer::HttpServer(const std::string &address, Limits limits, Handler handler) : m_limits(limits), m_handler(std::move(handler))
+HttpServer::HttpServer(const std::string &address, Limits limits, Handler handler)
+    : m_limits(limits)
+    , m_handler(std::move(handler))
 {
     const std::optional<sockaddr_in> parsed = parseSocketAddress(address);
     if (!parsed) {
--- a/packages/transport/periodictask.cpp
+++ b/packages/transport/periodictask.cpp
@@ -7,7 +7,9 @@
 namespace Apricot {
 
 PeriodicTask::PeriodicTask(const char *name, absl::Duration interval, std::function<void()> function)
-    : m_interval(interval), m_function(std::move(function)), m_thread(name, [this] { run(); })
+    : m_interval(interval)
+    , m_function(std::move(function))
+    , m_thread(name, [this] { run(); })
 {
 }
 
--- a/packages/transport/tcpframes.cpp
+++ b/packages/transport/tcpframes.cpp
@@ -68,7 +68,8 @@
 class SocketCloser
 {
 public:
-    explicit SocketCloser(int socket) : m_socket(socket)
+    explicit SocketCloser(int socket)
+        : m_socket(socket)
     {
     }
 
--- a/packages/transport/tcpserver.cpp
+++ b/packages/transport/tcpserver.cpp
@@ -19,7 +19,8 @@
 
 }
 
-TcpServer::TcpServer(const std::string &address, Handler handler) : m_handler(std::move(handler))
+TcpServer::TcpServer(const std::string &address, Handler handler)
+    : m_handler(std::move(handler))
 {
     const std::optional<sockaddr_in> parsed = parseSocketAddress(address);
     if (!parsed) {
--- a/packages/transport/thread.cpp
+++ b/packages/transport/thread.cpp
@@ -41,7 +41,9 @@
     join();
 }
 
-Thread::Thread(Thread &&other) noexcept : m_thread(other.m_thread), m_running(std::exchange(other.m_running, false))
+Thread::Thread(Thread &&other) noexcept
+    : m_thread(other.m_thread)
+    , m_running(std::exchange(other.m_running, false))
 {
 }
 
--- a/tests/caller/addresslookup.cpp
+++ b/tests/caller/addresslookup.cpp
@@ -9,7 +9,8 @@
 
 namespace Apricot {
 
-AddressLookup::AddressLookup(std::vector<std::string> entryUrls) : m_entryUrls(std::move(entryUrls))
+AddressLookup::AddressLookup(std::vector<std::string> entryUrls)
+    : m_entryUrls(std::move(entryUrls))
 {
 }
 
--- a/tests/caller/callerclient.cpp
+++ b/tests/caller/callerclient.cpp
@@ -90,7 +90,8 @@
 
 }
 
-CallerClient::CallerClient(AddressLookup &addresses) : m_addresses(addresses)
+CallerClient::CallerClient(AddressLookup &addresses)
+    : m_addresses(addresses)
 {
 }
 
--- a/tests/caller/callermain.cpp
+++ b/tests/caller/callermain.cpp
@@ -31,7 +31,10 @@
 {
 public:
     Run(std::vector<Sending> sendings, AddressLookup &addresses, bool print)
-        : m_sendings(std::move(sendings)), m_addresses(addresses), m_print(print), m_results(m_sendings.size())
+        : m_sendings(std::move(sendings))
+        , m_addresses(addresses)
+        , m_print(print)
+        , m_results(m_sendings.size())
     {
     }
 
--- a/tests/standins/enginestandin.cpp
+++ b/tests/standins/enginestandin.cpp
@@ -49,7 +49,8 @@
     return std::min(maxTokens, static_cast<std::int64_t>(20 + hash % 41));
 }
 
-EngineStandIn::EngineStandIn(EngineTraits traits) : m_traits(traits)
+EngineStandIn::EngineStandIn(EngineTraits traits)
+    : m_traits(traits)
 {
 }
 
