coordination: Keep the cost of a decision linear in the engines

Cause: callgrind showed results that wait for a slot being sorted and matched against every engine at each event, rates worked out anew several times per event, and candidates copied. Change: results are kept in order of deadline and matched only when a slot is free; rates are kept for 10 ms; candidates are visited in place; a request larger than any free memory is skipped in one comparison.

--- a/packages/coordination/admissionqueue.cpp
+++ b/packages/coordination/admissionqueue.cpp
@@ -124,30 +124,24 @@
     m_queues[rank].charge(entry.work, entry.weight, engineMs);
 }
 
-std::vector<std::size_t> AdmissionQueue::order(absl::Time now) const
+RankOrder AdmissionQueue::order(absl::Time now) const
 {
-    std::vector<bool> hasWork(m_queues.size());
-    for (std::size_t i = 0; i < m_queues.size(); ++i) {
-        hasWork[i] = !m_queues[i].isEmpty();
-    }
-    std::vector<std::size_t> ranks = m_shares.order(hasWork, now);
+    RankOrder ranks = m_shares.order([this](std::size_t rank) { return !m_queues[rank].isEmpty(); }, now);
     if (!m_byUrgency) {
-        const auto firstDeadline = [&](std::size_t rank) {
-            const std::vector<const FairQueue::Entry *> first = m_queues[rank].candidates(FairQueue::Order::ByDeadline, 1);
-            return first.empty() ? absl::InfiniteFuture() : first.front()->latestStart;
-        };
-        std::stable_sort(ranks.begin(), ranks.end(), [&](std::size_t a, std::size_t b) { return firstDeadline(a) < firstDeadline(b); });
+        std::stable_sort(ranks.begin(), ranks.end(),
+                         [&](std::size_t a, std::size_t b) { return m_queues[a].firstLatestStart() < m_queues[b].firstLatestStart(); });
     }
     return ranks;
 }
 
-std::vector<const FairQueue::Entry *> AdmissionQueue::candidates(std::size_t rank, double capacityPerSecond, absl::Time now,
-                                                                 std::size_t most) const
+FairQueue::Order AdmissionQueue::orderOf(std::size_t rank, double capacityPerSecond, absl::Time now) const
 {
-    const FairQueue &queue = m_queues[rank];
+    if (!m_fair) {
+        return FairQueue::Order::ByDeadline;
+    }
     const double places = placesWithin(rank, capacityPerSecond, target(rank), now);
-    const bool overloaded = static_cast<double>(queue.size()) > places * overloadPart;
-    return queue.candidates(m_fair && overloaded ? FairQueue::Order::FairBetweenWorkspaces : FairQueue::Order::ByDeadline, most);
+    const bool overloaded = static_cast<double>(m_queues[rank].size()) > places * overloadPart;
+    return overloaded ? FairQueue::Order::FairBetweenWorkspaces : FairQueue::Order::ByDeadline;
 }
 
 std::vector<RequestId> AdmissionQueue::overdue(absl::Time now) const
--- a/packages/coordination/admissionqueue.h
+++ b/packages/coordination/admissionqueue.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace Apricot {
@@ -53,10 +54,15 @@
     void noteStart(std::size_t rank, const FairQueue::Entry &entry, double engineMs, absl::Time now);
 
     /// Ranks in the order in which they are served.
-    std::vector<std::size_t> order(absl::Time now) const;
+    RankOrder order(absl::Time now) const;
 
-    /// Requests of one rank in the order in which they should start. \a capacityPerSecond says whether it is overloaded.
-    std::vector<const FairQueue::Entry *> candidates(std::size_t rank, double capacityPerSecond, absl::Time now, std::size_t most) const;
+    /// Runs \a visit on requests of one rank in the order in which they should start, until it returns true; see FairQueue.
+    /// \a capacityPerSecond says whether the rank is overloaded.
+    template<class Visit>
+    bool anyCandidate(std::size_t rank, double capacityPerSecond, absl::Time now, std::size_t most, Visit &&visit) const
+    {
+        return m_queues[rank].anyCandidate(orderOf(rank, capacityPerSecond, now), most, std::forward<Visit>(visit));
+    }
 
     /// Requests of all ranks that can no longer meet their target.
     std::vector<RequestId> overdue(absl::Time now) const;
@@ -77,6 +83,7 @@
     }
 
 private:
+    FairQueue::Order orderOf(std::size_t rank, double capacityPerSecond, absl::Time now) const;
     double availableShare(std::size_t rank, absl::Time now) const;
     double placesWithin(std::size_t rank, double capacityPerSecond, absl::Duration time, absl::Time now) const;
 
--- a/packages/coordination/enginetable.cpp
+++ b/packages/coordination/enginetable.cpp
@@ -66,6 +66,25 @@
     return it.slots - (careful ? std::max(it.running, it.reportedRunning) : it.running);
 }
 
+std::int64_t EngineTable::openSlots(bool careful) const
+{
+    std::int64_t open = 0;
+    for (std::size_t i = 0; i < m_decode.size(); ++i) {
+        open += m_decode[i].usable() ? freeSlots(i, careful) - m_decode[i].incoming : 0;
+    }
+    return open;
+}
+
+bool EngineTable::hasFreeSlot(bool careful) const
+{
+    for (std::size_t i = 0; i < m_decode.size(); ++i) {
+        if (m_decode[i].usable() && freeSlots(i, careful) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void EngineTable::reserve(std::size_t engine, std::int64_t count)
 {
     DecodeEngine &it = m_decode[engine];
--- a/packages/coordination/enginetable.h
+++ b/packages/coordination/enginetable.h
@@ -111,6 +111,12 @@
     /// Slots of \a engine that nobody holds. While \a careful, what the engine reports counts as taken too.
     std::int64_t freeSlots(std::size_t engine, bool careful) const;
 
+    /// Slots of all usable decode engines that are neither held nor promised; below zero if more are promised.
+    std::int64_t openSlots(bool careful) const;
+
+    /// Whether any usable decode engine has a slot that nobody holds.
+    bool hasFreeSlot(bool careful) const;
+
     /// Takes \a count pieces and one place among the incoming reservations.
     void reserve(std::size_t engine, std::int64_t count);
 
--- a/packages/coordination/fairqueue.cpp
+++ b/packages/coordination/fairqueue.cpp
@@ -49,22 +49,6 @@
     return std::move(slot.entry);
 }
 
-std::vector<const FairQueue::Entry *> FairQueue::candidates(Order order, std::size_t most) const
-{
-    std::vector<const Entry *> found;
-    found.reserve(most);
-    if (order == Order::ByDeadline) {
-        for (auto it = m_byDeadline.begin(); it != m_byDeadline.end() && found.size() < most; ++it) {
-            found.push_back(find(it->second));
-        }
-        return found;
-    }
-    for (auto it = m_byReceived.begin(); it != m_byReceived.end() && found.size() < most; ++it) {
-        found.push_back(find(m_workspaces.at(it->second).waiting.begin()->second));
-    }
-    return found;
-}
-
 const FairQueue::Entry *FairQueue::find(const RequestId &id) const
 {
     const auto it = m_entries.find(id);
--- a/packages/coordination/fairqueue.h
+++ b/packages/coordination/fairqueue.h
@@ -39,9 +39,32 @@
     /// Removes the request; returns it if it was waiting.
     std::optional<Entry> remove(const RequestId &id);
 
-    /// Returns up to \a most waiting requests in the order in which they should start.
-    /// The pointers hold until the queue changes.
-    std::vector<const Entry *> candidates(Order order, std::size_t most) const;
+    /// Runs \a visit on up to \a most waiting requests in the order in which they should start, until it returns true.
+    /// Returns whether it did. The queue must not change before that.
+    template<class Visit>
+    bool anyCandidate(Order order, std::size_t most, Visit &&visit) const
+    {
+        if (order == Order::ByDeadline) {
+            for (auto it = m_byDeadline.begin(); it != m_byDeadline.end() && most > 0; ++it, --most) {
+                if (visit(*find(it->second))) {
+                    return true;
+                }
+            }
+            return false;
+        }
+        for (auto it = m_byReceived.begin(); it != m_byReceived.end() && most > 0; ++it, --most) {
+            if (visit(*find(m_workspaces.at(it->second).waiting.begin()->second))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /// Latest start of the request whose deadline comes first; infinite if none waits.
+    absl::Time firstLatestStart() const
+    {
+        return m_byDeadline.empty() ? absl::InfiniteFuture() : m_byDeadline.begin()->first.first;
+    }
 
     /// The waiting request \a id, or nullptr.
     const Entry *find(const RequestId &id) const;
--- a/packages/coordination/placement.cpp
+++ b/packages/coordination/placement.cpp
@@ -34,7 +34,7 @@
 PlacementFinder::PlacementFinder(const EngineTable &table, PlacementRules rules)
     : m_table(table)
     , m_rules(rules)
-    , m_largest(rules.headroomPieces > 0 ? table.largestFree(rules.careful) : EngineTable::LargestFree())
+    , m_largest(rules.checkMemory ? table.largestFree(rules.careful) : EngineTable::LargestFree())
 {
 }
 
@@ -53,19 +53,28 @@
     return m_table.prefill()[prefill].dataCentre == engine.dataCentre ? near : near * otherDataCentreFactor;
 }
 
+bool PlacementFinder::hasFreePrefill(absl::Time now) const
+{
+    const absl::Time latest = now + m_rules.lookahead;
+    return std::any_of(m_table.prefill().begin(), m_table.prefill().end(),
+                       [&](const PrefillEngine &it) { return it.alive && it.busyUntil <= latest; });
+}
+
 std::optional<std::size_t> PlacementFinder::earliestPrefill(const Work &work, absl::Time now) const
 {
     std::optional<std::size_t> best;
-    absl::Time bestDone = absl::InfiniteFuture();
+    double bestDoneMs = std::numeric_limits<double>::infinity();
+    const absl::Time latest = now + m_rules.lookahead;
     for (std::size_t i = 0; i < m_table.prefill().size(); ++i) {
         const PrefillEngine &engine = m_table.prefill()[i];
         const bool mayTake = engine.usable() || (engine.alive && hasSeededBug(SeededBug::WorkToLeavingEngine));
-        if (!mayTake || engine.busyUntil > now + m_rules.lookahead || engine.id == work->avoid) {
+        if (!mayTake || engine.busyUntil > latest || engine.id == work->avoid) {
             continue;
         }
-        const absl::Time done = std::max(engine.busyUntil, now) + absl::Milliseconds(prefillMs(work, i));
-        if (done < bestDone) {
-            bestDone = done;
+        const double waitMs = engine.busyUntil > now ? absl::ToDoubleMilliseconds(engine.busyUntil - now) : 0;
+        const double doneMs = waitMs + prefillMs(work, i);
+        if (doneMs < bestDoneMs) {
+            bestDoneMs = doneMs;
             best = i;
         }
     }
@@ -105,6 +114,10 @@
 std::optional<Placement> PlacementFinder::find(const Work &work, std::int64_t pieces, double meanOutputTokens, const SlotForecast &forecast,
                                                absl::Time now, NoPlacement *reason) const
 {
+    if (m_rules.checkMemory && pieces + m_rules.growthPieces > m_largest.first && !hasSeededBug(SeededBug::OverfillEngine)) {
+        *reason = NoPlacement::NoMemory;
+        return std::nullopt;
+    }
     const std::optional<std::size_t> prefill = earliestPrefill(work, now);
     if (!prefill) {
         *reason = NoPlacement::NoPrefillEngine;
--- a/packages/coordination/placement.h
+++ b/packages/coordination/placement.h
@@ -61,6 +61,9 @@
     /// Estimated KV transfer from one engine to another, ms.
     double transferMs(const Work &work, std::size_t prefill, std::size_t decode) const;
 
+    /// Whether any prefill engine may be given more work now.
+    bool hasFreePrefill(absl::Time now) const;
+
     /// The prefill engine that would finish \a work first, within the lookahead.
     std::optional<std::size_t> earliestPrefill(const Work &work, absl::Time now) const;
 
@@ -76,7 +79,7 @@
 
     const EngineTable &m_table;
     PlacementRules m_rules;
-    EngineTable::LargestFree m_largest; ///< as of the construction; used if headroom is kept
+    EngineTable::LargestFree m_largest; ///< as of the construction; used if memory is checked
 };
 
 }
--- a/packages/coordination/rankshares.cpp
+++ b/packages/coordination/rankshares.cpp
@@ -46,23 +46,10 @@
     return total > 0 ? m_given[index].sum(now) / total : 0;
 }
 
-std::vector<std::size_t> RankShares::order(const std::vector<bool> &hasWork, absl::Time now) const
+bool RankShares::isBelowFloor(std::size_t index, absl::Time now) const
 {
-    std::vector<std::size_t> belowFloor;
-    std::vector<std::size_t> others;
-    std::vector<std::size_t> idle;
-    for (std::size_t i = 0; i < m_ranks.size(); ++i) {
-        if (!hasWork[i]) {
-            idle.push_back(i);
-        } else if (m_useFloors && share(i, now) < m_ranks[i]->floorShare * floorMargin) {
-            belowFloor.push_back(i);
-        } else {
-            others.push_back(i);
-        }
-    }
-    belowFloor.insert(belowFloor.end(), others.begin(), others.end());
-    belowFloor.insert(belowFloor.end(), idle.begin(), idle.end());
-    return belowFloor;
+    const double floor = m_ranks[index]->floorShare;
+    return m_useFloors && floor > 0 && share(index, now) < floor * floorMargin;
 }
 
 }
--- a/packages/coordination/rankshares.h
+++ b/packages/coordination/rankshares.h
@@ -3,11 +3,16 @@
 #include "coordination/decayingrate.h"
 #include "state/configobjects.h"
 
+#include <absl/container/inlined_vector.h>
+
 #include <cstddef>
 #include <vector>
 
 namespace Apricot {
 
+/// Ranks by index, first the one that is served first.
+using RankOrder = absl::InlinedVector<std::size_t, 8>;
+
 /**
  * \class RankShares
  * \brief Says which rank is served next: the most urgent one, unless another is below its floor share.
@@ -39,10 +44,24 @@
     /// Part of the recent engine time that went to the rank; 0 if none was given out.
     double share(std::size_t index, absl::Time now) const;
 
-    /// Order in which the ranks are served at \a now; ranks for which \a hasWork is false come last.
-    std::vector<std::size_t> order(const std::vector<bool> &hasWork, absl::Time now) const;
+    /// Ranks for which \a hasWork(index) is true, in the order in which they are served at \a now.
+    template<class HasWork>
+    RankOrder order(HasWork &&hasWork, absl::Time now) const
+    {
+        RankOrder belowFloor;
+        RankOrder others;
+        for (std::size_t i = 0; i < m_ranks.size(); ++i) {
+            if (hasWork(i)) {
+                (isBelowFloor(i, now) ? belowFloor : others).push_back(i);
+            }
+        }
+        belowFloor.insert(belowFloor.end(), others.begin(), others.end());
+        return belowFloor;
+    }
 
 private:
+    bool isBelowFloor(std::size_t index, absl::Time now) const;
+
     /// The floor is kept a little above its nominal value, as the charged cost is an estimate.
     static constexpr double floorMargin = 1.05;
 
--- a/packages/coordination/slicescheduler.cpp
+++ b/packages/coordination/slicescheduler.cpp
@@ -20,6 +20,9 @@
 /// A reservation is made for this many times the mean answer.
 constexpr double reservedOutputFactor = 1.15;
 
+/// Estimates of the engines' rates are kept for this long.
+constexpr absl::Duration ratesRefresh = absl::Milliseconds(10);
+
 /// First estimate of an answer, tokens.
 constexpr double firstOutputTokens = 200;
 
@@ -133,7 +136,7 @@
     const absl::Time start = latestStart(work, rank);
     const absl::Duration service = work->arrival + m_queue.target(rank) - start;
     const bool hopeless = ladder.earlyRefusal && start < now;
-    const bool full = ladder.queueLimit && m_queue.isFull(rank, capacityPerSecond(), service, now);
+    const bool full = ladder.queueLimit && m_queue.isFull(rank, capacityPerSecond(now), service, now);
     if (!work->resumed && (hopeless || full)) {
         refuse(work, rank, hopeless ? ErrorKind::TargetUnreachable : ErrorKind::RateLimited, now);
         return;
@@ -213,7 +216,7 @@
     flight->stage = Stage::ResultWaiting;
     flight->renewed = now;
     flight->resultExpires = now + absl::Milliseconds(m_settings.prefillPool->resultLifetimeMs);
-    m_results.push_back(event.id);
+    m_results.insert(resultKey(*flight));
 }
 
 void SliceScheduler::prefillFailed(const PrefillFailed &event, absl::Time now)
@@ -425,22 +428,22 @@
 void SliceScheduler::pump(absl::Time now)
 {
     pumpResults(now);
-    while (!m_queue.isEmpty() && startNext(now)) { }
+    if (m_queue.isEmpty()) {
+        return;
+    }
+    SlotForecast slots = slotForecast(now);
+    while (!m_queue.isEmpty() && startNext(slots, now)) {
+        slots.freeNow -= 1;
+    }
 }
 
 void SliceScheduler::pumpResults(absl::Time now)
 {
-    if (m_results.empty()) {
-        return;
-    }
     // The ranks' shares were settled when the prefills started; now the earliest deadline takes the next free slot.
-    const auto deadline = [this](const RequestId &id) {
-        const Flight &flight = m_flights.at(id);
-        return flight.work->arrival + m_queue.target(flight.rank);
-    };
-    std::stable_sort(m_results.begin(), m_results.end(), [&](const RequestId &x, const RequestId &y) { return deadline(x) < deadline(y); });
-    const std::vector<RequestId> results = m_results;
-    for (const RequestId &id : results) {
+    bool mayHaveSlot = takesOverAtOnce() || m_engines.hasFreeSlot(isCareful(now));
+    for (auto it = m_results.begin(); it != m_results.end();) {
+        const RequestId id = it->second;
+        ++it; // The entry may go.
         Flight &flight = m_flights.at(id);
         if (flight.resultExpires - SchedulerTimes::takeoverMargin < now) {
             const Work work = flight.work;
@@ -449,12 +452,24 @@
             refuse(work, rank, ErrorKind::NoCapacity, now);
             continue;
         }
-        if (const std::optional<std::size_t> decode = decodeForResult(flight, now)) {
+        const std::optional<std::size_t> decode = mayHaveSlot ? decodeForResult(flight, now) : std::nullopt;
+        if (decode) {
             takeOver(flight, *decode);
+            mayHaveSlot = takesOverAtOnce() || m_engines.hasFreeSlot(isCareful(now));
         }
     }
 }
 
+bool SliceScheduler::takesOverAtOnce() const
+{
+    return std::holds_alternative<LeastLoadedPolicy>(m_settings.policy) || std::holds_alternative<PrefixAffinityPolicy>(m_settings.policy);
+}
+
+std::pair<absl::Time, RequestId> SliceScheduler::resultKey(const Flight &flight) const
+{
+    return {flight.work->arrival + m_queue.target(flight.rank), flight.work->id};
+}
+
 std::optional<std::size_t> SliceScheduler::decodeForResult(const Flight &flight, absl::Time now) const
 {
     const LadderPolicy *ladder = ladderOf(m_settings.policy);
@@ -491,13 +506,12 @@
     }
     m_engines.takeSlot(decode);
     flight.stage = Stage::Decoding;
-    std::erase(m_results, flight.work->id);
+    m_results.erase(resultKey(flight));
     repeatOrder(flight);
 }
 
-bool SliceScheduler::startNext(absl::Time now)
+bool SliceScheduler::startNext(const SlotForecast &slots, absl::Time now)
 {
-    const SlotForecast slots = slotForecast(now);
     bool poolFull = false;
     for (const std::size_t rank : m_queue.order(now)) {
         if (startFrom(rank, slots, now, &poolFull)) {
@@ -514,25 +528,33 @@
 {
     const PlacementFinder finder(m_engines, rulesFor(rank, now));
     const LadderPolicy *ladder = ladderOf(m_settings.policy);
-    for (const FairQueue::Entry *entry : m_queue.candidates(rank, capacityPerSecond(), now, candidatesTried)) {
-        const Work &work = entry->work;
+    std::optional<Placement> placement;
+    RequestId chosen;
+    *poolFull = !finder.hasFreePrefill(now);
+    if (*poolFull) {
+        return false;
+    }
+    m_queue.anyCandidate(rank, capacityPerSecond(now), now, candidatesTried, [&](const FairQueue::Entry &entry) {
+        const Work &work = entry.work;
         NoPlacement reason = NoPlacement::NoPrefillEngine;
-        const std::optional<Placement> placement = finder.find(work, piecesNeeded(work), meanOutput(work->maxTokens), slots, now, &reason);
+        placement = finder.find(work, piecesNeeded(work), meanOutput(work->maxTokens), slots, now, &reason);
         if (!placement) {
-            if (reason == NoPlacement::NoMemory) {
-                continue;
-            }
-            *poolFull = true;
-            return false;
+            *poolFull = reason != NoPlacement::NoMemory;
+            return *poolFull;
         }
         if (ladder != nullptr && ladder->earlyRefusal && isTooLate(work, rank, placement->firstTokenAt)) {
             // A slot may come free sooner than forecast: the request waits until its latest start has passed.
-            continue;
+            placement.reset();
+            return false;
         }
-        start(RequestId(work->id), rank, *placement, now);
+        chosen = work->id;
         return true;
+    });
+    if (!placement) {
+        return false;
     }
-    return false;
+    start(chosen, rank, *placement, now);
+    return true;
 }
 
 bool SliceScheduler::isTooLate(const Work &work, std::size_t rank, absl::Time firstToken) const
@@ -619,7 +641,7 @@
     }
     Flight flight = std::move(it->second);
     m_flights.erase(it);
-    std::erase(m_results, id);
+    m_results.erase(resultKey(flight));
     if (flight.stage == Stage::Prefilling) {
         settlePrefill(flight, now);
     }
@@ -650,7 +672,7 @@
 void SliceScheduler::refuse(const Work &work, std::size_t rank, ErrorKind kind, absl::Time now)
 {
     m_queue.noteRefusal(rank, now);
-    m_actions.emplace_back(Refuse{work->id, work->attempt, kind, m_queue.retryAfter(rank, capacityPerSecond(), now)});
+    m_actions.emplace_back(Refuse{work->id, work->attempt, kind, m_queue.retryAfter(rank, capacityPerSecond(now), now)});
 }
 
 bool SliceScheduler::isCareful(absl::Time now) const
@@ -691,18 +713,8 @@
 
 SlotForecast SliceScheduler::slotForecast(absl::Time now) const
 {
-    SlotForecast forecast;
-    const bool careful = isCareful(now);
-    const double tokens = m_meanOutput.estimate();
-    for (std::size_t i = 0; i < m_engines.decode().size(); ++i) {
-        const DecodeEngine &engine = m_engines.decode()[i];
-        if (!engine.usable()) {
-            continue;
-        }
-        forecast.freeNow += static_cast<double>(m_engines.freeSlots(i, careful) - engine.incoming);
-        forecast.releasesPerMs += static_cast<double>(engine.running) / (tokens * m_engines.gapMs(i, engine.running));
-    }
-    return forecast;
+    refreshRates(now);
+    return SlotForecast{static_cast<double>(m_engines.openSlots(isCareful(now))), m_releasesPerMs};
 }
 
 std::int64_t SliceScheduler::piecesNeeded(const Work &work) const
@@ -716,12 +728,24 @@
     return std::min(m_meanOutput.estimate(), static_cast<double>(maxTokens));
 }
 
-double SliceScheduler::capacityPerSecond() const
+double SliceScheduler::capacityPerSecond(absl::Time now) const
 {
+    refreshRates(now);
+    return m_capacityPerSecond;
+}
+
+void SliceScheduler::refreshRates(absl::Time now) const
+{
+    if (now >= m_ratesAt && now - m_ratesAt < ratesRefresh) {
+        return;
+    }
+    m_ratesAt = now;
+    m_releasesPerMs = 0;
     double decodePerMs = 0;
     for (std::size_t i = 0; i < m_engines.decode().size(); ++i) {
         const DecodeEngine &engine = m_engines.decode()[i];
         if (engine.usable()) {
+            m_releasesPerMs += static_cast<double>(engine.running) / (m_meanOutput.estimate() * m_engines.gapMs(i, engine.running));
             decodePerMs += static_cast<double>(engine.slots) / (m_meanOutput.estimate() * m_engines.gapMs(i, engine.slots));
         }
     }
@@ -729,7 +753,7 @@
     for (const PrefillEngine &engine : m_engines.prefill()) {
         prefillPerMs += engine.usable() ? 1.0 / m_meanPrefillMs.estimate() : 0.0;
     }
-    return 1000.0 * std::min(decodePerMs, prefillPerMs);
+    m_capacityPerSecond = 1000.0 * std::min(decodePerMs, prefillPerMs);
 }
 
 absl::Time SliceScheduler::latestStart(const Work &work, std::size_t rank) const
--- a/packages/coordination/slicescheduler.h
+++ b/packages/coordination/slicescheduler.h
@@ -13,6 +13,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace Apricot {
@@ -108,8 +110,8 @@
 
     void pump(absl::Time now);
     void pumpResults(absl::Time now);
-    bool startNext(absl::Time now);
-    /// Starts or refuses one request of the rank; returns false if there is nothing that can be done now.
+    bool startNext(const SlotForecast &slots, absl::Time now);
+    /// Starts one request of the rank; returns false if there is none that can start now.
     bool startFrom(std::size_t rank, const SlotForecast &slots, absl::Time now, bool *poolFull);
     void start(const RequestId &id, std::size_t rank, const Placement &placement, absl::Time now);
     bool isTooLate(const Work &work, std::size_t rank, absl::Time firstToken) const;
@@ -118,6 +120,8 @@
     std::size_t fewestPrefills(const Work &work) const;
     std::optional<std::size_t> decodeForResult(const Flight &flight, absl::Time now) const;
     void takeOver(Flight &flight, std::size_t decode);
+    bool takesOverAtOnce() const;
+    std::pair<absl::Time, RequestId> resultKey(const Flight &flight) const;
 
     void release(const RequestId &id, bool cancelOnEngines, absl::Time now);
     void settlePrefill(Flight &flight, absl::Time now);
@@ -128,7 +132,8 @@
     SlotForecast slotForecast(absl::Time now) const;
     std::int64_t piecesNeeded(const Work &work) const;
     double meanOutput(std::int64_t maxTokens) const;
-    double capacityPerSecond() const;
+    double capacityPerSecond(absl::Time now) const;
+    void refreshRates(absl::Time now) const;
     absl::Time latestStart(const Work &work, std::size_t rank) const;
 
     SchedulerSettings m_settings;
@@ -136,10 +141,13 @@
     AdmissionQueue m_queue;
     std::vector<SizeQuantile> m_sizes; ///< pieces wanted, per rank
     absl::flat_hash_map<RequestId, Flight> m_flights;
-    std::vector<RequestId> m_results; ///< flights whose result waits for a slot, oldest first
+    std::set<std::pair<absl::Time, RequestId>> m_results; ///< flights whose result waits for a slot, by deadline of the first token
     absl::flat_hash_map<RequestId, absl::Time> m_unknown; ///< held by engines, known to nobody, since when
     SpeedModel m_meanOutput;
     SpeedModel m_meanPrefillMs;
+    mutable double m_capacityPerSecond = 0; ///< estimates of m_ratesAt
+    mutable double m_releasesPerMs = 0;
+    mutable absl::Time m_ratesAt = absl::InfinitePast();
     Actions m_actions;
 };
 
