--- a/packages/apricotladderd/cellservice.cpp
+++ b/packages/apricotladderd/cellservice.cpp
@@ -58,7 +58,8 @@
 std::string CellService::start(Handlers handlers)
 {
     m_handlers = std::move(handlers);
-    m_socket = std::make_unique<UdpSocket>(m_settings->peerAddress);
+    const std::string &listen = m_settings->datagramListenAddress;
+    m_socket = std::make_unique<UdpSocket>(listen.empty() ? m_settings->peerAddress : listen);
     m_tcp = std::make_unique<TcpServer>(m_settings->peerAddress, [this](const std::string &request) { return answerQuery(request); });
     if (!m_socket->isOpen() || !m_tcp->isOpen()) {
         return absl::StrCat("peerAddress: cannot listen on ", m_settings->peerAddress, "; choose a free port of this VM");
--- a/packages/apricotladderd/completionflow.h
+++ b/packages/apricotladderd/completionflow.h
@@ -2,6 +2,7 @@
 
 #include "apricotladderd/nodecontext.h"
 #include "apricotladderd/streambuffer.h"
+#include "coordination/completionmachine.h"
 #include "protocol/enginejson.h"
 #include "state/callerrequest.h"
 #include "transport/httpclient.h"
@@ -9,6 +10,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,7 +19,7 @@
 
 /**
  * \class CompletionFlow
- * \brief The coordinator of one completion: asks the owner, starts the prefill, streams from the decode engine.
+ * \brief Carries out what a CompletionMachine decides for one completion: calls to engines, messages to the owner.
  *
  * It runs on a thread of its own and ends the buffer exactly once.
  */
@@ -33,39 +35,32 @@
     void resume();
 
 private:
-    /// How one attempt ended.
-    enum class AttemptEnd { Done, Failed, Cancelled, TryAgain };
-
-    AttemptEnd runAttempt();
-    Work makeWork() const;
-    std::optional<StartPrefill> askOwner(const Work &work);
-    std::optional<PrefillResult> prefill(const StartPrefill &order, const Work &work);
-    std::optional<StartDecode> reportPrefill(const PrefillResult &result, const Work &work);
-    AttemptEnd decode(const StartDecode &order, const PrefillResult &result, const Work &work);
-    AttemptEnd followStream(const EngineId &engine, const HttpCall &first, const Work &work, std::int64_t firstToken);
-    HttpReply streamOnce(const HttpCall &call, const Work &work, bool *done);
-    void takeLine(const std::string &line, const Work &work, bool *done, bool *broken);
-    AttemptEnd settleStream(const Work &work);
-    HttpCall resumeCall(const EngineId &engine) const;
-
+    CompletionPlan makePlan(absl::Time arrival) const;
+    void loop(CompletionActions actions);
+    void add(CompletionActions actions);
+    void tell(const CompletionEvent &event);
+    void carryOut(const CompletionAction &action);
+    void awaitOwner(absl::Duration wait);
+    void runPrefill(const RunPrefill &order);
+    void openStream(const OpenStream &order);
+    void resumeStream(const ResumeStream &order);
+    void follow(const EngineId &engine, HttpCall call);
+    void takeLine(const std::string &line, bool *done, bool *broken);
+    void takeToken(StreamToken token, bool *broken);
+    void tellAdvanced();
+    void cancelEngines(const CancelEngines &order);
+    void answerComplete();
+    void answerFailed(const AnswerFailed &answer);
     std::string addressOf(const EngineId &engine) const;
-    void refuse(const Refuse &refusal);
-    void fail(ErrorKind kind, const std::string &message);
-    void cancelEverywhere(const Work &work);
-    void endCancelled();
-    void sendOwner(const Event &event);
-    absl::Duration target() const;
-    bool isResumed() const;
 
     NodeContext m_context;
     CompletionRequest m_request;
     std::shared_ptr<StreamBuffer> m_buffer;
-    std::shared_ptr<PendingWork> m_pending;
     absl::Time m_arrival;
-    std::uint64_t m_attempt;
-    EngineId m_avoid;
-    EngineId m_prefillEngine;
-    EngineId m_decodeEngine;
+    CompletionMachine m_machine;
+    std::shared_ptr<PendingWork> m_pending;
+    std::deque<CompletionAction> m_actions;
+    std::int64_t m_toldNext = 0; ///< tokens that the machine knows of
 };
 
 }
--- a/packages/apricotladderd/node.cpp
+++ b/packages/apricotladderd/node.cpp
@@ -53,7 +53,9 @@
         m_host.handle(it.service, it.from, it.events);
     };
     handlers.ownerActions = [this](const OwnerActionsMessage &it) {
-        m_owners.deliver(it.service, it.actions, it.limits);
+        if (!it.isStale(absl::Now())) {
+            m_owners.deliver(it.service, it.actions, it.limits);
+        }
     };
     handlers.newerGeneration = [this](const Member &) {
         m_sync.peerHasNewer();
--- a/packages/apricotladderd/ownerlink.cpp
+++ b/packages/apricotladderd/ownerlink.cpp
@@ -77,9 +77,9 @@
     return pending;
 }
 
-void OwnerLink::close(const RequestId &id)
+void OwnerLink::close(const RequestId &id, const std::shared_ptr<PendingWork> &pending)
 {
-    m_entries.erase(id);
+    m_entries.eraseOneIf(id, [&](const Entry &entry) { return entry.pending == pending; });
 }
 
 void OwnerLink::send(const ServiceName &service, const std::vector<Event> &events)
--- a/packages/apricotladderd/ownerlink.h
+++ b/packages/apricotladderd/ownerlink.h
@@ -51,7 +51,9 @@
 
     /// Registers a request and returns where its orders arrive.
     std::shared_ptr<PendingWork> open(const ServiceName &service, const RequestId &id);
-    void close(const RequestId &id);
+
+    /// Ends the registration, unless a later attempt on this node has replaced it.
+    void close(const RequestId &id, const std::shared_ptr<PendingWork> &pending);
 
     /// Sends events to the owner of the slice, wherever it is.
     void send(const ServiceName &service, const std::vector<Event> &events);
--- a/packages/apricotladderd/slicehost.cpp
+++ b/packages/apricotladderd/slicehost.cpp
@@ -167,7 +167,18 @@
     settings.careful = true;
     *endpoints = settings.prefillEndpoints;
     endpoints->insert(endpoints->end(), settings.decodeEndpoints.begin(), settings.decodeEndpoints.end());
-    return std::make_unique<SliceScheduler>(std::move(settings));
+    auto scheduler = std::make_unique<SliceScheduler>(std::move(settings));
+    noteLeaving(*scheduler, *endpoints);
+    return scheduler;
+}
+
+void SliceHost::noteLeaving(SliceScheduler &scheduler, const std::vector<Endpoint> &endpoints) const
+{
+    for (const Endpoint &endpoint : endpoints) {
+        if (m_cell.isLeavingVm(endpoint->name)) {
+            scheduler.handle(EngineLeaving{EngineId(endpoint->name)}, absl::Now());
+        }
+    }
 }
 
 void SliceHost::addRouted(Slice &slice, const Actions &actions, ActionsByNode *routed)
@@ -212,11 +223,7 @@
             const MutexLock lock(slice->mutex);
             slice->lostAt = mine ? absl::InfiniteFuture() : std::min(slice->lostAt, now);
             expired = now - slice->lostAt > keepLostSlice;
-            for (const Endpoint &endpoint : slice->endpoints) {
-                if (m_cell.isLeavingVm(endpoint->name)) {
-                    slice->scheduler->handle(EngineLeaving{EngineId(endpoint->name)}, now);
-                }
-            }
+            noteLeaving(*slice->scheduler, slice->endpoints);
             // Only the owner gives up what is not renewed: coordinators renew at the new owner after a hand-over.
             if (mine) {
                 addRouted(*slice, slice->scheduler->handle(Tick{}, now), &routed);
--- a/packages/apricotladderd/slicehost.h
+++ b/packages/apricotladderd/slicehost.h
@@ -59,6 +59,7 @@
 
     std::shared_ptr<Slice> sliceFor(const ServiceName &service);
     std::unique_ptr<SliceScheduler> makeScheduler(const ServiceName &service, std::vector<Endpoint> *endpoints) const;
+    void noteLeaving(SliceScheduler &scheduler, const std::vector<Endpoint> &endpoints) const;
     void addRouted(Slice &slice, const Actions &actions, ActionsByNode *routed) ABSL_EXCLUSIVE_LOCKS_REQUIRED(slice.mutex);
     void deliver(const ServiceName &service, const ActionsByNode &routed, const std::vector<RankLimit> &limits);
     void tick();
--- a/packages/coordination/runpagecommitter.cpp
+++ b/packages/coordination/runpagecommitter.cpp
@@ -111,7 +111,9 @@
     const auto it = page->records.find(change.next->key);
     const bool absent = it == page->records.end();
     if (change.settles) {
-        return absent || it->second->creator == change.next->creator;
+        // Over another attempt's abandoned record it is written too: a create of ours that is still on its way expects that
+        // very record, and only a new version of the page keeps it out.
+        return absent || it->second->creator == change.next->creator || it->second->state == RunState::Abandoned;
     }
     return absent ? !change.expected.has_value() : change.expected == it->second;
 }
--- a/packages/coordination/runpagecommitter.h
+++ b/packages/coordination/runpagecommitter.h
@@ -48,7 +48,7 @@
     /// Writes \a next if the record under its key is \a expected.
     void change(std::uint64_t ticket, std::optional<RunRecord> expected, RunRecord next);
 
-    /// Writes \a next if the record under its key is absent or of the same creator; otherwise reports Conflict.
+    /// Writes \a next if the record under its key is absent, abandoned or of the same creator; otherwise reports Conflict.
     void settle(std::uint64_t ticket, RunRecord next);
 
     /// Takes a change back that is not in a write at the moment.
--- a/packages/coordination/slicescheduler.cpp
+++ b/packages/coordination/slicescheduler.cpp
@@ -254,12 +254,21 @@
         return;
     }
     Flight &flight = it->second;
+    if (event.work->attempt > flight.work->attempt && event.decoding) {
+        // A later attempt was given engines by another owner meanwhile.
+        const std::optional<std::size_t> decode = m_engines.findDecode(event.decode);
+        release(event.work->id, true, now);
+        if (decode) {
+            adopt(event, *decode, now);
+        }
+        return;
+    }
     const bool sameAttempt = flight.work->attempt == event.work->attempt;
-    APRICOT_INVARIANT(sameAttempt || event.work->attempt < flight.work->attempt || !event.decoding, "renewal-of-known-attempt",
-                      absl::StrCat(event.work->id.text(), " attempt ", event.work->attempt, " known ", flight.work->attempt));
     if (!sameAttempt && !hasSeededBug(SeededBug::RenewWithoutOwnerCheck)) {
         return;
     }
+    APRICOT_INVARIANT(sameAttempt, "renewal-of-current-attempt",
+                      absl::StrCat(event.work->id.text(), " attempt ", event.work->attempt, " current ", flight.work->attempt));
     if (flight.stage == Stage::Decoding) {
         learnGap(flight, event.tokens, now);
         flight.tokens = std::max(flight.tokens, event.tokens);
@@ -279,6 +288,8 @@
     flight.tokens = event.tokens;
     flight.pieces = std::max(piecesNeeded(event.work), m_engines.piecesFor(event.work->promptTokens + event.tokens));
     flight.renewed = now;
+    flight.adopted = true;
+    ++m_adopted;
     m_engines.reserve(decode, flight.pieces);
     if (event.decoding) {
         m_engines.takeSlot(decode);
@@ -582,7 +593,7 @@
     flight.prefillMs = placement.prefillMs;
     flight.renewed = now;
     m_engines.reserve(placement.decode, flight.pieces);
-    APRICOT_INVARIANT(mayOverfill(now) || decode.reserved <= decode.pieces, "reservations-within-memory",
+    APRICOT_INVARIANT(mayOverfill() || decode.reserved <= decode.pieces, "reservations-within-memory",
                       absl::StrCat(decode.id.text(), " reserved=", decode.reserved, " of ", decode.pieces));
     const double slotMs = m_engines.gapMs(placement.decode, decode.slots) / static_cast<double>(std::max<std::int64_t>(decode.slots, 1));
     m_queue.noteStart(rank, entry, placement.prefillMs + meanOutput(work->maxTokens) * slotMs, now);
@@ -642,6 +653,7 @@
     Flight flight = std::move(it->second);
     m_flights.erase(it);
     m_results.erase(resultKey(flight));
+    m_adopted -= flight.adopted ? 1 : 0;
     if (flight.stage == Stage::Prefilling) {
         settlePrefill(flight, now);
     }
@@ -680,11 +692,11 @@
     return m_settings.careful && now < m_settings.startedAt + SchedulerTimes::carefulStart;
 }
 
-bool SliceScheduler::mayOverfill(absl::Time now) const
+bool SliceScheduler::mayOverfill() const
 {
-    // Baselines do not reserve, and after a change of owner adopted reservations may add up to more.
+    // Baselines do not reserve, and reservations taken over from an earlier owner may add up to more.
     const LadderPolicy *ladder = ladderOf(m_settings.policy);
-    return ladder == nullptr || !ladder->memoryReservation || m_settings.careful || isCareful(now);
+    return ladder == nullptr || !ladder->memoryReservation || m_adopted > 0;
 }
 
 PlacementRules SliceScheduler::rulesFor(std::size_t rank, absl::Time now) const
--- a/packages/coordination/slicescheduler.h
+++ b/packages/coordination/slicescheduler.h
@@ -81,6 +81,7 @@
         double prefillMs = 0;
         absl::Time resultExpires = absl::InfiniteFuture();
         absl::Time renewed;
+        bool adopted = false; ///< reserved by an earlier owner
     };
 
     void arrived(const WorkArrived &event, absl::Time now);
@@ -127,7 +128,7 @@
     void settlePrefill(Flight &flight, absl::Time now);
     void refuse(const Work &work, std::size_t rank, ErrorKind kind, absl::Time now);
     bool isCareful(absl::Time now) const;
-    bool mayOverfill(absl::Time now) const;
+    bool mayOverfill() const;
     PlacementRules rulesFor(std::size_t rank, absl::Time now) const;
     SlotForecast slotForecast(absl::Time now) const;
     std::int64_t piecesNeeded(const Work &work) const;
@@ -141,6 +142,7 @@
     AdmissionQueue m_queue;
     std::vector<SizeQuantile> m_sizes; ///< pieces wanted, per rank
     absl::flat_hash_map<RequestId, Flight> m_flights;
+    std::int64_t m_adopted = 0; ///< flights that an earlier owner reserved
     std::set<std::pair<absl::Time, RequestId>> m_results; ///< flights whose result waits for a slot, by deadline of the first token
     absl::flat_hash_map<RequestId, absl::Time> m_unknown; ///< held by engines, known to nobody, since when
     SpeedModel m_meanOutput;
--- a/packages/protocol/peermessage.h
+++ b/packages/protocol/peermessage.h
@@ -43,6 +43,14 @@
     HybridStamp stamp;
     std::vector<Action> actions;
     std::vector<RankLimit> limits;
+
+    /// Orders older than this are not carried out: a receiver that was paused finds engines that are leaving by now.
+    static constexpr absl::Duration validity = absl::Seconds(1);
+
+    bool isStale(absl::Time now) const
+    {
+        return now - absl::FromUnixMicros(stamp.micros) > validity;
+    }
 };
 
 using PeerMessage = std::variant<HeartbeatMessage, OwnerEventsMessage, OwnerActionsMessage>;
--- a/packages/protocol/settingsjson.cpp
+++ b/packages/protocol/settingsjson.cpp
@@ -87,6 +87,8 @@
         {"node", "text", "", true, "", 0, 0, "Name of the node; the name of its VM in the VM list."},
         {"dataCentre", "text", "", true, "", 0, 0, "Data centre that the node runs in."},
         {"peerAddress", "text", "IP:port", true, "", 0, 0, "Where other nodes reach it, UDP and TCP."},
+        {"datagramListenAddress", "text", "IP:port", false, "", 0, 0,
+         "Where the UDP socket binds, if that is not peerAddress (address translation)."},
         {"callerAddress", "text", "IP:port", true, "", 0, 0, "Where callers and operators reach it, HTTP."},
         {"storeUrl", "text", "URL", true, "", 0, 0, "Base of the platform's object API."},
         {"vmListUrl", "text", "URL", true, "", 0, 0, "The platform's VM list."},
@@ -121,6 +123,7 @@
         .set(&NodeSettingsFields::node, NodeId(jsonText(parsed, "node")))
         .set(&NodeSettingsFields::dataCentre, DataCentreName(jsonText(parsed, "dataCentre")))
         .set(&NodeSettingsFields::peerAddress, jsonText(parsed, "peerAddress"))
+        .set(&NodeSettingsFields::datagramListenAddress, jsonText(parsed, "datagramListenAddress"))
         .set(&NodeSettingsFields::callerAddress, jsonText(parsed, "callerAddress"))
         .set(&NodeSettingsFields::storeUrl, jsonText(parsed, "storeUrl"))
         .set(&NodeSettingsFields::vmListUrl, jsonText(parsed, "vmListUrl"))
--- a/packages/state/nodesettings.h
+++ b/packages/state/nodesettings.h
@@ -14,6 +14,7 @@
     NodeId node;
     DataCentreName dataCentre;
     std::string peerAddress; ///< "IP:port" for UDP and TCP between nodes
+    std::string datagramListenAddress; ///< "IP:port" that the UDP socket binds to; empty: peerAddress
     std::string callerAddress; ///< "IP:port" for HTTP
     std::string storeUrl; ///< object API, without a slash at the end
     std::string vmListUrl; ///< VM list
--- a/packages/state/shardedmap.h
+++ b/packages/state/shardedmap.h
@@ -67,6 +67,20 @@
         }
     }
 
+    /// Removes the key if \a predicate(value) is true of its value.
+    template<class Predicate>
+    bool eraseOneIf(const Key &key, Predicate &&predicate)
+    {
+        Shard &shard = shardOf(key);
+        const MutexLock lock(shard.mutex);
+        const auto it = shard.entries.find(key);
+        if (it == shard.entries.end() || !predicate(it->second)) {
+            return false;
+        }
+        shard.entries.erase(it);
+        return true;
+    }
+
     /// Removes the entries for which \a predicate(key, value) is true; returns how many.
     template<class Predicate>
     std::size_t eraseIf(Predicate &&predicate)
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -37,9 +37,14 @@
 
 # start_node NUMBER DATACENTRES
 start_node() {
+  local listen=
+  if [ -n "${use_relays:-}" ]; then
+    listen="--datagramListenAddress 127.0.0.1:$((21060 + $1))"
+    start_process "relay-$1" "$bin/standin_relay" "127.0.0.1:$((21040 + $1))" "127.0.0.1:$((21060 + $1))" "127.0.0.1:$((21070 + $1))"
+  fi
   start_process "node-$1" "$bin/apricotladderd" --node "node-$1" --dataCentre "$(data_centre "$2" "$1")" \
     --peerAddress "127.0.0.1:$((21040 + $1))" --callerAddress "127.0.0.1:$((21010 + $1))" \
-    --storeUrl "http://$platform" --vmListUrl "http://$platform/vms" --peerKeys "$key" ${node_flags:-}
+    --storeUrl "http://$platform" --vmListUrl "http://$platform/vms" --peerKeys "$key" $listen ${node_flags:-}
   curl -s -o /dev/null -X PUT "http://$platform/vms" \
     -d "{\"name\":\"node-$1\",\"address\":\"127.0.0.1:$((21040 + $1))\",\"leaving\":false}"
 }
--- /dev/null
+++ b/tests/randomrun/simnode.cpp
@@ -0,0 +1,627 @@
+#include "randomrun/simnode.h"
+
+#include "randomrun/simworld.h"
+
+#include "coordination/ownership.h"
+#include "state/invariant.h"
+#include "state/overloaded.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot::Sim {
+
+namespace {
+
+const ServiceName service("summarizer");
+
+constexpr absl::Duration tickInterval = absl::Milliseconds(50);
+constexpr absl::Duration pollInterval = absl::Milliseconds(250);
+constexpr absl::Duration publishInterval = absl::Milliseconds(300);
+constexpr absl::Duration watchInterval = absl::Milliseconds(500);
+constexpr absl::Duration silenceLimit = absl::Seconds(1);
+constexpr absl::Duration silenceCheck = absl::Milliseconds(250);
+constexpr absl::Duration keepLostSlice = absl::Seconds(3);
+constexpr absl::Duration keepAddress = absl::Seconds(3);
+constexpr int failuresUntilLost = 2;
+
+}
+
+SimNode::State::State(Member self, SimNode &node)
+    : membership(std::move(self))
+    , lease(node.id())
+    , runs(node)
+{
+}
+
+SimNode::SimNode(SimWorld &world, NodeId id, std::size_t index)
+    : m_world(world)
+    , m_id(std::move(id))
+    , m_index(index)
+{
+}
+
+SimClock &SimNode::clock()
+{
+    return m_world.clock();
+}
+
+void SimNode::boot()
+{
+    m_alive = true;
+    m_paused = false;
+    ++m_epoch;
+    const Member self = Member::Builder()
+                            .set(&MemberFields::id, m_id)
+                            .set(&MemberFields::incarnation, static_cast<std::uint64_t>(absl::ToUnixMillis(clock().now())))
+                            .set(&MemberFields::peerAddress, m_id.text())
+                            .set(&MemberFields::callerAddress, m_id.text())
+                            .build();
+    m_state = std::make_unique<State>(self, *this);
+    m_state->membership.vmList(m_world.vms(), clock().now());
+    every(MembershipTimes::heartbeatInterval, [this] { heartbeat(); });
+    every(tickInterval, [this] { tick(); });
+    every(SchedulerTimes::renewalInterval, [this] { renew(); });
+    every(pollInterval, [this] { pollEngines(); });
+    every(publishInterval, [this] { publish(); });
+    every(watchInterval, [this] { watchPointer(); });
+}
+
+void SimNode::crash()
+{
+    m_alive = false;
+    m_paused = false;
+    ++m_epoch;
+    m_deferred.clear();
+    for (const auto &[id, flow] : m_state->flows) {
+        if (flow->sink && !flow->end) {
+            send(flow, CallerPart{CallerPart::Kind::Broken});
+        }
+    }
+    // Objects that callbacks of this epoch still point at live on in the graveyard; guard() keeps them from running.
+    m_world.bury(std::shared_ptr<void>(m_state.release(), [](void *state) { delete static_cast<State *>(state); }));
+}
+
+void SimNode::pause()
+{
+    m_paused = true;
+}
+
+void SimNode::resume()
+{
+    m_paused = false;
+    std::vector<std::function<void()>> deferred;
+    deferred.swap(m_deferred);
+    for (const std::function<void()> &it : deferred) {
+        it();
+    }
+}
+
+void SimNode::drain()
+{
+    m_state->membership.setLeaving();
+    after(keepAddress, [this] { m_state->draining = true; });
+}
+
+void SimNode::onNode(std::uint64_t epoch, std::function<void()> function)
+{
+    if (!m_alive || epoch != m_epoch) {
+        return;
+    }
+    if (m_paused) {
+        m_deferred.push_back([this, epoch, function = std::move(function)] { onNode(epoch, function); });
+        return;
+    }
+    function();
+}
+
+void SimNode::after(absl::Duration delay, std::function<void()> function)
+{
+    clock().after(delay, [this, epoch = m_epoch, function = std::move(function)] { onNode(epoch, function); });
+}
+
+void SimNode::every(absl::Duration interval, std::function<void()> function)
+{
+    // A small offset keeps the nodes from acting in step.
+    after(interval * (0.9 + 0.2 * clock().uniform()), [this, interval, function = std::move(function)] {
+        function();
+        every(interval, function);
+    });
+}
+
+void SimNode::heartbeat()
+{
+    Membership &membership = m_state->membership;
+    membership.tick(clock().now());
+    membership.setGeneration(m_state->gate.inForce()->number);
+    const std::string bytes = encodePeerMessage(HeartbeatMessage{membership.self(), membership.claims(), {}});
+    for (const HeartbeatTarget &target : membership.heartbeatTargets(clock().now())) {
+        m_world.send(*this, NodeId(target.address), bytes);
+    }
+}
+
+void SimNode::receive(const std::string &bytes)
+{
+    const auto decoded = collect<PeerMessage>([&] { return decodePeerMessage(bytes); });
+    const auto *message = std::get_if<PeerMessage>(&decoded);
+    APRICOT_INVARIANT(message != nullptr, "own-messages-decode", m_id.text());
+    if (message == nullptr) {
+        return;
+    }
+    std::visit(Overloaded{
+                   [&](const HeartbeatMessage &it) {
+                       m_state->membership.heartbeat(it.sender, it.claims, clock().now());
+                       if (it.sender->generation != m_state->gate.inForce()->number) {
+                           m_world.askGeneration(*this, it.sender->id);
+                       }
+                   },
+                   [&](const OwnerEventsMessage &it) { hostEvents(it.from, it.events); },
+                   [&](const OwnerActionsMessage &it) {
+                       if (!it.isStale(clock().now())) {
+                           takeOrders(it);
+                       }
+                   },
+               },
+               *message);
+}
+
+NodeId SimNode::owner() const
+{
+    return ownerOf(service.text(), m_state->membership.owners());
+}
+
+void SimNode::sendOwner(const std::vector<Event> &events)
+{
+    const NodeId to = owner();
+    if (to == m_id || to.isEmpty()) {
+        hostEvents(m_id, events);
+    } else {
+        m_world.send(*this, to, encodePeerMessage(OwnerEventsMessage{service, m_id, {}, events}));
+    }
+}
+
+void SimNode::ensureScheduler()
+{
+    if (m_state->scheduler == nullptr) {
+        SchedulerSettings settings = m_world.schedulerSettings();
+        settings.startedAt = clock().now();
+        settings.careful = true;
+        m_state->scheduler = std::make_unique<SliceScheduler>(std::move(settings));
+        noteLeaving();
+    }
+}
+
+void SimNode::noteLeaving()
+{
+    for (const EngineId &engine : m_world.leavingEngines()) {
+        m_state->scheduler->handle(EngineLeaving{engine}, clock().now());
+    }
+}
+
+void SimNode::hostEvents(const NodeId &from, const std::vector<Event> &events)
+{
+    ensureScheduler();
+    for (const Event &event : events) {
+        if (const auto *arrival = std::get_if<WorkArrived>(&event)) {
+            m_state->coordinators[arrival->work->id] = from;
+        } else if (const auto *renewal = std::get_if<WorkRenewed>(&event)) {
+            m_state->coordinators[renewal->work->id] = from;
+        }
+        routeActions(m_state->scheduler->handle(event, clock().now()));
+    }
+}
+
+void SimNode::routeActions(const Actions &actions)
+{
+    for (const Action &action : actions) {
+        if (const auto *cancel = std::get_if<CancelOnEngine>(&action)) {
+            m_world.engine(cancel->engine).cancel(cancel->id, cancel->attempt);
+            continue;
+        }
+        const RequestId &request = std::visit([](const auto &it) -> const RequestId & { return it.id; }, action);
+        const auto it = m_state->coordinators.find(request);
+        if (it == m_state->coordinators.end()) {
+            continue;
+        }
+        const OwnerActionsMessage message{
+            service, m_id, HybridStamp{absl::ToUnixMicros(clock().now()), 0}, {action}, m_state->scheduler->limits(clock().now())};
+        if (it->second == m_id) {
+            // The order reaches the flow after this event has been dealt with, as on a real node.
+            after(absl::ZeroDuration(), [this, message] { takeOrders(message); });
+        } else {
+            m_world.send(*this, it->second, encodePeerMessage(message));
+        }
+    }
+}
+
+void SimNode::takeOrders(const OwnerActionsMessage &message)
+{
+    m_state->floodGate.update(message.limits, m_state->membership.owners().size(), clock().now());
+    for (const Action &action : message.actions) {
+        const RequestId &request = std::visit([](const auto &it) -> const RequestId & { return it.id; }, action);
+        const auto it = m_state->flows.find(request);
+        if (it == m_state->flows.end() || it->second->end) {
+            continue;
+        }
+        const FlowPointer flow = it->second;
+        if (flow->awaiting) {
+            flow->awaiting = false;
+            advance(flow, OwnerOrdered{action});
+        } else {
+            flow->inbox.push_back(action);
+        }
+    }
+}
+
+void SimNode::tick()
+{
+    if (m_state->scheduler == nullptr) {
+        return;
+    }
+    const bool mine = owner() == m_id;
+    const absl::Time now = clock().now();
+    m_state->lostAt = mine ? absl::InfiniteFuture() : std::min(m_state->lostAt, now);
+    noteLeaving();
+    if (mine) {
+        routeActions(m_state->scheduler->handle(Tick{}, now));
+    } else if (now - m_state->lostAt > keepLostSlice) {
+        m_state->scheduler.reset();
+        m_state->coordinators.clear();
+    }
+}
+
+void SimNode::renew()
+{
+    std::vector<Event> events;
+    for (const auto &[id, flow] : m_state->flows) {
+        if (flow->renewal) {
+            events.emplace_back(*flow->renewal);
+        }
+    }
+    if (!events.empty()) {
+        sendOwner(events);
+    }
+}
+
+void SimNode::pollEngines()
+{
+    if (m_state->scheduler == nullptr || owner() != m_id) {
+        return;
+    }
+    for (SimEngine *engine : m_world.engines()) {
+        EngineReported report;
+        int &failures = m_state->pollFailures[engine->id()];
+        if (!engine->report(&report)) {
+            if (++failures >= failuresUntilLost) {
+                routeActions(m_state->scheduler->handle(EngineLost{engine->id()}, clock().now()));
+            }
+            continue;
+        }
+        if (failures >= failuresUntilLost) {
+            routeActions(m_state->scheduler->handle(EngineBack{engine->id()}, clock().now()));
+        }
+        failures = 0;
+        routeActions(m_state->scheduler->handle(report, clock().now()));
+    }
+}
+
+bool SimNode::isCandidate(std::string_view job, std::size_t count) const
+{
+    const std::vector<NodeId> order = ownersInOrder(job, m_state->membership.owners());
+    const auto it = std::find(order.begin(), order.end(), m_id);
+    return it != order.end() && static_cast<std::size_t>(it - order.begin()) < count;
+}
+
+void SimNode::publish()
+{
+    if (!isCandidate("publisher", 3)) {
+        return;
+    }
+    SimStore &store = m_world.store();
+    store.readLease(guard<std::optional<Lease>>([this, &store](std::optional<Lease> stored) {
+        if (!stored) {
+            return;
+        }
+        if ((*stored)->holder != m_id) {
+            m_state->lease.lost();
+        }
+        const absl::Time sentAt = clock().now();
+        const std::optional<Lease> wanted = m_state->lease.wanted(*stored, sentAt);
+        if (!wanted) {
+            return;
+        }
+        store.writeLease(
+            *wanted,
+            [this, wanted = *wanted, sentAt,
+             run = guard<std::pair<WriteEnd, std::uint64_t>>([this, wanted = *wanted, sentAt](std::pair<WriteEnd, std::uint64_t> end) {
+                 if (end.first == WriteEnd::Written) {
+                     m_state->lease.written(wanted, end.second, sentAt);
+                 } else if (end.first == WriteEnd::Conflict) {
+                     m_state->lease.lost();
+                 }
+             })](WriteEnd end, std::uint64_t version) {
+                run({end, version});
+            });
+    }));
+    if (!m_state->lease.holds(clock().now())) {
+        return;
+    }
+    const Lease &truth = store.lease();
+    APRICOT_INVARIANT(truth->holder == m_id && clock().now() < absl::FromUnixMillis(truth->untilMs), "no-act-after-lease", m_id.text());
+    const std::string content = m_world.wantedConfig();
+    store.readPointer([this, content, &store,
+                       run = guard<std::pair<std::optional<Generation>, std::uint64_t>>(
+                           [this, content, &store](std::pair<std::optional<Generation>, std::uint64_t> read) {
+                               const std::optional<Generation> next = read.first ? nextGeneration(*read.first, content, 1) : std::nullopt;
+                               if (next) {
+                                   store.writePointer(*next, read.second, [](WriteEnd, std::uint64_t) {});
+                               }
+                           })](std::optional<Generation> pointer, std::uint64_t version) {
+        run({std::move(pointer), version});
+    });
+}
+
+void SimNode::watchPointer()
+{
+    if (!isCandidate("config-watch", 2)) {
+        return;
+    }
+    m_world.store().readPointer([this, run = guard<std::optional<Generation>>([this](std::optional<Generation> pointer) {
+                                           if (pointer && (*pointer)->number > 0) {
+                                               offerGeneration(*pointer);
+                                           }
+                                       })](std::optional<Generation> pointer, std::uint64_t) { run(std::move(pointer)); });
+}
+
+void SimNode::offerGeneration(const Generation &generation)
+{
+    m_state->gate.accept(generation);
+}
+
+std::uint64_t SimNode::generation() const
+{
+    return m_state->gate.inForce()->number;
+}
+
+Generation SimNode::generationInForce() const
+{
+    return m_state->gate.inForce();
+}
+
+CreatorWord SimNode::wordOf(const RequestId &attempt) const
+{
+    return m_state->runs.wordOf(attempt);
+}
+
+bool SimNode::isIdle() const
+{
+    const bool flowsEnded
+        = std::all_of(m_state->flows.begin(), m_state->flows.end(), [](const auto &it) { return it.second->end.has_value(); });
+    return flowsEnded && !m_state->runs.hasWork();
+}
+
+bool SimNode::holdsLease() const
+{
+    return m_state->lease.fence() != 0;
+}
+
+bool SimNode::tap(const IdempotencyKey &key, std::function<void(const TapAnswer &)> done)
+{
+    if (m_state->draining) {
+        return false;
+    }
+    m_state->runs.tap(key, std::move(done));
+    return true;
+}
+
+bool SimNode::complete(const SimRequest &request, std::int64_t offset, CallerSink sink)
+{
+    const auto known = m_state->flows.find(request.id);
+    const bool failed = known != m_state->flows.end() && known->second->end && known->second->end->kind == CallerPart::Kind::Failed;
+    if (known != m_state->flows.end() && !failed && offset >= known->second->base) {
+        // The same request again: it gets the same answer, from its offset on.
+        const FlowPointer flow = known->second;
+        flow->sink = std::move(sink);
+        for (std::int64_t i = offset; i < flow->base + flow->assembler.next(); ++i) {
+            send(flow, CallerPart{CallerPart::Kind::Token, i, flow->assembler.tokens()[static_cast<std::size_t>(i - flow->base)]});
+        }
+        if (flow->end) {
+            send(flow, *flow->end);
+        }
+        return true;
+    }
+    if (m_state->draining) {
+        return false;
+    }
+    const FlowPointer flow = makeFlow(request, offset);
+    flow->sink = std::move(sink);
+    m_state->flows[request.id] = flow;
+    if (!m_state->floodGate.admits(request.rank, clock().now())) {
+        carryOut(flow, {AnswerFailed{ErrorKind::RateLimited, absl::Seconds(1), {}}});
+        return true;
+    }
+    carryOut(flow, offset > 0 ? flow->machine.startResume(clock().now()) : flow->machine.start(clock().now()));
+    return true;
+}
+
+SimNode::FlowPointer SimNode::makeFlow(const SimRequest &request, std::int64_t offset)
+{
+    CompletionPlan plan;
+    plan.target = absl::Milliseconds(1200);
+    plan.resultLifetime = absl::Milliseconds(800);
+    plan.base = offset;
+    for (SimEngine *engine : m_world.decodeEngines()) {
+        plan.decodeEngines.push_back(engine->id());
+    }
+    plan.work = Work::Builder()
+                    .set(&WorkFields::id, request.id)
+                    .set(&WorkFields::attempt, static_cast<std::uint64_t>(absl::ToUnixMillis(clock().now())))
+                    .set(&WorkFields::rank, request.rank)
+                    .set(&WorkFields::promptTokens, request.promptTokens)
+                    .set(&WorkFields::maxTokens, request.maxTokens)
+                    .set(&WorkFields::arrival, clock().now())
+                    .build();
+    return std::make_shared<Flow>(Flow{request, CompletionMachine(plan), {}, offset, {}, false, 0, 0, clock().now(), {}, {}, {}});
+}
+
+void SimNode::cancel(const RequestId &request)
+{
+    const auto it = m_state->flows.find(request);
+    if (it != m_state->flows.end() && !it->second->end) {
+        ++it->second->streamNumber;
+        advance(it->second, CallerGone{});
+    }
+}
+
+void SimNode::advance(const FlowPointer &flow, const CompletionEvent &event)
+{
+    carryOut(flow, flow->machine.handle(event, clock().now()));
+}
+
+void SimNode::carryOut(const FlowPointer &flow, const CompletionActions &actions)
+{
+    const SimRequest &request = flow->request;
+    for (const CompletionAction &action : actions) {
+        std::visit(Overloaded{
+                       [&](const TellOwner &it) { sendOwner({it.event}); },
+                       [&](const AwaitOwner &it) { awaitOwner(flow, it.wait); },
+                       [&](const RunPrefill &it) {
+                           const std::int64_t tokens = request.promptTokens + flow->assembler.next();
+                           auto done = guard<std::pair<std::string, absl::Duration>>(
+                               [this, flow, attempt = it.attempt](const std::pair<std::string, absl::Duration> &result) {
+                                   if (attempt != flow->machine.attempt()) {
+                                       return;
+                                   }
+                                   advance(flow,
+                                           result.first.empty() ? CompletionEvent(PrefillUnreachable{})
+                                                                : CompletionEvent(PrefillReturned{result.first, result.second, 0}));
+                               });
+                           m_world.engine(it.engine).prefill(request.id, tokens, [done](std::string handle, absl::Duration took) {
+                               done({std::move(handle), took});
+                           });
+                       },
+                       [&](const OpenStream &it) {
+                           const std::int64_t tokens = request.promptTokens + flow->assembler.next();
+                           m_world.engine(it.decode).decode(request.id, it.attempt, m_world.engine(it.prefill), it.handle, tokens,
+                                                            request.maxTokens, it.offset, readerFor(flow, it.decode));
+                       },
+                       [&](const ResumeStream &it) { m_world.engine(it.decode).resume(request.id, it.offset, readerFor(flow, it.decode)); },
+                       [&](const CancelEngines &it) {
+                           for (const EngineId &engine : it.engines) {
+                               m_world.engine(engine).cancel(request.id, it.attempt);
+                           }
+                       },
+                       [&](const KeepRenewing &it) { flow->renewal = it.renewal; },
+                       [&](const SpendRetry &) {
+                           after(absl::ZeroDuration(),
+                                 [this, flow] { advance(flow, RetryDecided{m_state->retries.trySpend(clock().now())}); });
+                       },
+                       [&](const Pause &it) { after(it.length, [this, flow] { advance(flow, PauseOver{}); }); },
+                       [&](const AnswerComplete &) {
+                           flow->end = CallerPart{CallerPart::Kind::Done, flow->base + flow->assembler.next()};
+                           send(flow, *flow->end);
+                       },
+                       [&](const AnswerFailed &it) {
+                           flow->end = CallerPart{CallerPart::Kind::Failed, 0, {}, it.kind};
+                           send(flow, *flow->end);
+                       },
+                   },
+                   action);
+    }
+}
+
+void SimNode::awaitOwner(const FlowPointer &flow, absl::Duration wait)
+{
+    if (!flow->inbox.empty()) {
+        const Action order = flow->inbox.front();
+        flow->inbox.pop_front();
+        after(absl::ZeroDuration(), [this, flow, order] { advance(flow, OwnerOrdered{order}); });
+        return;
+    }
+    flow->awaiting = true;
+    const std::uint64_t number = ++flow->awaitNumber;
+    after(wait, [this, flow, number] {
+        if (flow->awaiting && flow->awaitNumber == number) {
+            flow->awaiting = false;
+            advance(flow, OwnerQuiet{});
+        }
+    });
+}
+
+StreamReader SimNode::readerFor(const FlowPointer &flow, const EngineId &engine)
+{
+    const std::uint64_t number = ++flow->streamNumber;
+    flow->lastPart = clock().now();
+    watchSilence(flow, engine, number);
+    return guard<StreamPart>([this, flow, engine, number](const StreamPart &part) { takePart(flow, engine, number, part); });
+}
+
+void SimNode::takePart(const FlowPointer &flow, const EngineId &engine, std::uint64_t number, const StreamPart &part)
+{
+    if (number != flow->streamNumber || flow->end) {
+        return;
+    }
+    flow->lastPart = clock().now();
+    const std::int64_t next = flow->base + flow->assembler.next();
+    switch (part.kind) {
+    case StreamPart::Kind::Opened:
+        advance(flow, StreamOpened{absl::Milliseconds(1), part.attempt, part.promptTokens, part.maxTokens});
+        break;
+    case StreamPart::Kind::Token:
+        if (part.offset > next) {
+            breakStream(flow, engine, StreamFault::Silent);
+        } else if (flow->assembler.accept(part.offset - flow->base, part.token)) {
+            send(flow, CallerPart{CallerPart::Kind::Token, next, part.token});
+            advance(flow, StreamAdvanced{next + 1});
+        }
+        break;
+    case StreamPart::Kind::Done:
+        ++flow->streamNumber;
+        if (part.offset == next) {
+            advance(flow, StreamFinished{});
+        } else {
+            advance(flow, StreamBroke{StreamFault::Silent, FailureVerdict::ReconnectAndResume});
+        }
+        break;
+    case StreamPart::Kind::Broken:
+        breakStream(flow, engine, StreamFault::Silent);
+        break;
+    case StreamPart::Kind::Refused:
+        breakStream(flow, engine, StreamFault::Refused);
+        break;
+    case StreamPart::Kind::NotConnected:
+        breakStream(flow, engine, StreamFault::NotConnected);
+        break;
+    }
+}
+
+void SimNode::watchSilence(const FlowPointer &flow, const EngineId &engine, std::uint64_t number)
+{
+    after(silenceCheck, [this, flow, engine, number] {
+        if (number != flow->streamNumber || flow->end) {
+            return;
+        }
+        if (clock().now() - flow->lastPart > silenceLimit) {
+            breakStream(flow, engine, StreamFault::Silent);
+        } else {
+            watchSilence(flow, engine, number);
+        }
+    });
+}
+
+void SimNode::breakStream(const FlowPointer &flow, const EngineId &engine, StreamFault fault)
+{
+    ++flow->streamNumber;
+    const FailureVerdict verdict = fault == StreamFault::NotConnected ? m_state->outliers.newConnectionFailed(engine, clock().now())
+                                                                      : m_state->outliers.connectionWentSilent(engine);
+    advance(flow, StreamBroke{fault, verdict});
+}
+
+void SimNode::send(const FlowPointer &flow, const CallerPart &part)
+{
+    m_world.toCaller(flow->sink, part);
+}
+
+}
--- /dev/null
+++ b/tests/randomrun/simworld.cpp
@@ -0,0 +1,570 @@
+#include "randomrun/simworld.h"
+
+#include "state/invariant.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot::Sim {
+
+namespace {
+
+constexpr std::size_t prefillEngines = 3;
+constexpr std::size_t decodeEngines_ = 4;
+constexpr std::int64_t slots = 6;
+constexpr std::int64_t pieces = 400;
+
+constexpr absl::Duration callerInterval = absl::Milliseconds(70);
+constexpr absl::Duration faultInterval = absl::Milliseconds(700);
+constexpr absl::Duration editInterval = absl::Milliseconds(1500);
+constexpr int mostFaultsAtOnce = 2;
+
+constexpr double tapPart = 0.3;
+constexpr double cancelPart = 0.1;
+constexpr double hangUpPart = 0.15;
+
+/// After the last step everything is repaired; then all calls have to end within the first, and all memory to be free after the second.
+constexpr absl::Duration endLimit = absl::Seconds(60);
+constexpr absl::Duration orphanLimit = absl::Seconds(5);
+
+constexpr absl::Duration vmListLag = absl::Seconds(1);
+
+}
+
+SimWorld::SimWorld(const RunPlan &plan)
+    : m_plan(plan)
+    , m_clock(plan.seed)
+    , m_store(m_clock)
+    , m_started(m_clock.now())
+{
+    for (std::size_t i = 0; i < prefillEngines; ++i) {
+        m_prefill.push_back(std::make_unique<SimEngine>(m_clock, EngineId(absl::StrCat("p", i)), slots, pieces));
+    }
+    for (std::size_t i = 0; i < decodeEngines_; ++i) {
+        m_decode.push_back(std::make_unique<SimEngine>(m_clock, EngineId(absl::StrCat("d", i)), slots, pieces));
+    }
+    for (std::size_t i = 0; i < plan.nodes; ++i) {
+        m_nodes.push_back(std::make_unique<SimNode>(*this, NodeId(absl::StrCat("node-", i)), i));
+    }
+    Invariants::setHandler([this](std::string_view name, const std::string &values) {
+        ++m_violations;
+        tell(absl::StrCat("VIOLATION ", std::string(name), ": ", values));
+    });
+}
+
+SimWorld::~SimWorld()
+{
+    Invariants::setHandler({});
+}
+
+RunReport SimWorld::run()
+{
+    for (const auto &node : m_nodes) {
+        node->boot();
+    }
+    scheduleCaller();
+    scheduleFault();
+    scheduleEdit();
+    while (m_clock.steps() < m_plan.steps && m_clock.step()) { }
+    settle();
+    return judge();
+}
+
+void SimWorld::settle()
+{
+    m_stopping = true;
+    const absl::Time until = m_clock.now() + endLimit;
+    while (m_clock.now() < until && (!allEnded() || m_faultsNow > 0) && m_clock.step()) { }
+    const absl::Time freeUntil = m_clock.now() + orphanLimit;
+    while (m_clock.now() < freeUntil && m_clock.step()) { }
+}
+
+std::string SimWorld::seconds() const
+{
+    return absl::StrFormat("%.3f", absl::ToDoubleSeconds(m_clock.now() - m_started));
+}
+
+std::vector<Vm> SimWorld::vms() const
+{
+    std::vector<Vm> vms;
+    for (std::size_t i = 0; i < m_plan.nodes; ++i) {
+        const std::string name = absl::StrCat("node-", i);
+        vms.emplace_back(VmFields{name, name, false});
+    }
+    return vms;
+}
+
+SchedulerSettings SimWorld::schedulerSettings() const
+{
+    SchedulerSettings settings;
+    settings.prefillPool = Pool::Builder().set(&PoolFields::role, PoolRole::Prefill).build();
+    settings.decodePool
+        = Pool::Builder().set(&PoolFields::role, PoolRole::Decode).set(&PoolFields::slots, slots).set(&PoolFields::pieces, pieces).build();
+    for (const auto &it : m_prefill) {
+        settings.prefillEndpoints.push_back(Endpoint::Builder().set(&EndpointFields::name, it->id().text()).build());
+    }
+    for (const auto &it : m_decode) {
+        settings.decodeEndpoints.push_back(Endpoint::Builder().set(&EndpointFields::name, it->id().text()).build());
+    }
+    const Rank rank = Rank::Builder().set(&RankFields::floorShare, 0.2).build();
+    settings.ranks = {rank.with(&RankFields::name, RankName("urgent")),
+                      rank.with(&RankFields::name, RankName("other")).with(&RankFields::priority, 1)};
+    return settings;
+}
+
+SimEngine &SimWorld::engine(const EngineId &id)
+{
+    for (SimEngine *it : engines()) {
+        if (it->id() == id) {
+            return *it;
+        }
+    }
+    return *m_decode.front();
+}
+
+std::vector<SimEngine *> SimWorld::engines()
+{
+    std::vector<SimEngine *> found;
+    for (const auto &it : m_prefill) {
+        found.push_back(it.get());
+    }
+    for (const auto &it : m_decode) {
+        found.push_back(it.get());
+    }
+    return found;
+}
+
+std::vector<SimEngine *> SimWorld::decodeEngines()
+{
+    std::vector<SimEngine *> found;
+    for (const auto &it : m_decode) {
+        found.push_back(it.get());
+    }
+    return found;
+}
+
+std::vector<EngineId> SimWorld::leavingEngines() const
+{
+    std::vector<EngineId> found;
+    for (const auto &[engine, since] : m_leaving) {
+        if (m_clock.now() - since >= vmListLag) {
+            found.push_back(engine);
+        }
+    }
+    return found;
+}
+
+void SimWorld::send(const SimNode &from, const NodeId &to, const std::string &bytes)
+{
+    for (const auto &node : m_nodes) {
+        if (node->id() != to || isCut(from.index(), node->index()) || m_clock.chance(m_loss)) {
+            continue;
+        }
+        const int copies = m_clock.chance(m_duplicates) ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            const absl::Duration way = m_clock.between(absl::Milliseconds(0.4), absl::Milliseconds(1.5)) + m_clock.uniform() * m_extraDelay;
+            node->after(way, [node = node.get(), bytes] { node->receive(bytes); });
+        }
+    }
+}
+
+void SimWorld::toCaller(const CallerSink &sink, const CallerPart &part)
+{
+    if (sink) {
+        // One connection keeps its order.
+        m_clock.after(absl::Milliseconds(1), [sink, part] { sink(part); });
+    }
+}
+
+SimNode *SimWorld::addressFor()
+{
+    return m_nodes[m_clock.below(m_nodes.size())].get();
+}
+
+void SimWorld::askGeneration(SimNode &from, const NodeId &peer)
+{
+    for (const auto &node : m_nodes) {
+        if (node->id() != peer || isCut(from.index(), node->index())) {
+            continue;
+        }
+        auto answer = from.guard<Generation>([&from](const Generation &generation) { from.offerGeneration(generation); });
+        node->after(absl::Milliseconds(1), [this, node = node.get(), answer] {
+            const Generation generation = node->generationInForce();
+            if (generation->number > 0) {
+                m_clock.after(m_clock.between(absl::Milliseconds(1), absl::Milliseconds(400)),
+                              [answer, generation] { answer(generation); });
+            }
+        });
+    }
+}
+
+void SimWorld::askWord(SimNode &from, const NodeId &peer, const RequestId &attempt, std::function<void(CreatorWord)> done)
+{
+    auto answered = std::make_shared<bool>(false);
+    const auto once = [answered, done = std::move(done)](CreatorWord word) {
+        if (!*answered) {
+            *answered = true;
+            done(word);
+        }
+    };
+    m_clock.after(absl::Milliseconds(500), [once] { once(CreatorWord::Unknown); });
+    for (const auto &node : m_nodes) {
+        if (node->id() == peer && !isCut(from.index(), node->index())) {
+            node->after(absl::Milliseconds(1), [this, node = node.get(), attempt, once] {
+                const CreatorWord word = node->wordOf(attempt);
+                m_clock.after(absl::Milliseconds(1), [once, word] { once(word); });
+            });
+        }
+    }
+}
+
+void SimWorld::callService(const IdempotencyKey &key, std::function<void(ServiceEnd)> done)
+{
+    if (m_serviceDown) {
+        m_clock.after(absl::Milliseconds(1), [done = std::move(done)] { done(ServiceEnd::NotSent); });
+        return;
+    }
+    m_clock.after(absl::Milliseconds(2), [this, key, done = std::move(done)] {
+        const int runs = ++m_runs[key];
+        APRICOT_INVARIANT(runs == 1, "runs-at-most-once", absl::StrCat(key.text(), " ran ", runs, " times"));
+        const bool lost = m_serviceLosesReplies && m_clock.chance(0.4);
+        m_clock.after(lost ? absl::Seconds(1) : absl::Milliseconds(3),
+                      [done, lost] { done(lost ? ServiceEnd::Lost : ServiceEnd::Answered); });
+    });
+}
+
+void SimWorld::bury(std::shared_ptr<void> remains)
+{
+    m_graveyard.push_back(std::move(remains));
+}
+
+void SimWorld::scheduleCaller()
+{
+    m_clock.after(callerInterval * m_clock.uniform() * 2, [this] {
+        if (m_stopping) {
+            return;
+        }
+        const std::string name = absl::StrCat("r", m_callers.size() + m_tappers.size());
+        if (m_clock.chance(tapPart)) {
+            auto tapper = std::make_shared<SimTapper>(*this, IdempotencyKey(name), 1 + static_cast<int>(m_clock.below(3)));
+            m_tappers.push_back(tapper);
+            tapper->start();
+        } else {
+            const SimRequest request{RequestId(name), RankName(m_clock.chance(0.5) ? "urgent" : "other"),
+                                     50 + static_cast<std::int64_t>(m_clock.below(1500)), 200};
+            const double kind = m_clock.uniform();
+            auto caller = std::make_shared<SimCaller>(*this, request, kind<cancelPart, kind> 1 - hangUpPart);
+            m_callers.push_back(caller);
+            caller->start();
+        }
+        scheduleCaller();
+    });
+}
+
+void SimWorld::scheduleFault()
+{
+    m_clock.after(faultInterval * m_clock.uniform() * 2, [this] {
+        if (m_stopping) {
+            return;
+        }
+        if (m_faultsNow < mostFaultsAtOnce) {
+            causeFault();
+        }
+        scheduleFault();
+    });
+}
+
+void SimWorld::causeFault()
+{
+    auto [name, repair] = drawFault();
+    if (!repair) {
+        return;
+    }
+    ++m_faults[name];
+    ++m_faultsNow;
+    tell("fault " + name);
+    m_clock.after(m_clock.between(absl::Milliseconds(300), absl::Seconds(5)), [this, name = name, repair = std::move(repair)] {
+        tell("end of " + name);
+        repair();
+        --m_faultsNow;
+    });
+}
+
+std::pair<std::string, SimWorld::Repair> SimWorld::drawFault()
+{
+    switch (m_clock.below(15)) {
+    case 0:
+        return {"crashNode", crashNode()};
+    case 1:
+        return {"pauseNode", pauseNode()};
+    case 2:
+        return {"partition", partition()};
+    case 3:
+        m_loss = 0.3;
+        return {"loss", [this] {
+                    m_loss = 0;
+                }};
+    case 4:
+        m_duplicates = 0.5;
+        return {"duplicates", [this] {
+                    m_duplicates = 0;
+                }};
+    case 5:
+        m_extraDelay = absl::Milliseconds(300);
+        return {"delay", [this] {
+                    m_extraDelay = absl::ZeroDuration();
+                }};
+    case 6:
+        m_store.setOutage(true);
+        return {"storeOutage", [this] {
+                    m_store.setOutage(false);
+                }};
+    case 7:
+        m_store.setSlow(true);
+        return {"storeSlow", [this] {
+                    m_store.setSlow(false);
+                }};
+    case 8:
+        m_store.setLosing(true);
+        return {"storeLosesReplies", [this] {
+                    m_store.setLosing(false);
+                }};
+    case 9:
+        return {"killEngine", killEngine()};
+    case 10:
+        engines()[m_clock.below(engines().size())]->silenceConnections();
+        return {"silentConnections", [] {
+                }};
+    case 11:
+        m_decode[m_clock.below(m_decode.size())]->stallTransfers(m_clock.now() + absl::Seconds(1));
+        return {"stalledTransfer", [] {
+                }};
+    case 12:
+        return {"engineLeaves", engineLeaves()};
+    case 13:
+        return {"drainNode", drainNode()};
+    default:
+        m_serviceLosesReplies = true;
+        m_serviceDown = m_clock.chance(0.3);
+        return {"serviceFails", [this] {
+                    m_serviceLosesReplies = false;
+                    m_serviceDown = false;
+                }};
+    }
+}
+
+SimNode *SimWorld::someNode(bool alive)
+{
+    SimNode *node = m_nodes[m_clock.below(m_nodes.size())].get();
+    return node->isAlive() == alive && !node->isPaused() ? node : nullptr;
+}
+
+SimWorld::Repair SimWorld::crashNode()
+{
+    SimNode *node = someNode(true);
+    if (node == nullptr) {
+        return {};
+    }
+    node->crash();
+    return [node] {
+        node->boot();
+    };
+}
+
+SimWorld::Repair SimWorld::pauseNode()
+{
+    SimNode *node = someNode(true);
+    if (node == nullptr) {
+        return {};
+    }
+    node->pause();
+    return [node] {
+        if (node->isAlive()) {
+            node->resume();
+        }
+    };
+}
+
+SimWorld::Repair SimWorld::partition()
+{
+    const std::size_t cut = 1 + m_clock.below(m_nodes.size() - 1);
+    for (std::size_t a = 0; a < cut; ++a) {
+        for (std::size_t b = cut; b < m_nodes.size(); ++b) {
+            m_cuts.emplace(a, b);
+        }
+    }
+    return [this] {
+        m_cuts.clear();
+    };
+}
+
+SimWorld::Repair SimWorld::drainNode()
+{
+    SimNode *node = someNode(true);
+    if (node == nullptr) {
+        return {};
+    }
+    node->drain();
+    const std::uint64_t epoch = node->epoch();
+    // The process ends when its last call has ended; a new one takes its place.
+    auto replace = std::make_shared<Repair>();
+    *replace = [this, node, epoch, replace] {
+        if (!node->isAlive() || node->epoch() != epoch) {
+            return;
+        }
+        if (node->isPaused() || !node->isIdle()) {
+            m_clock.after(absl::Milliseconds(500), *replace);
+            return;
+        }
+        node->crash();
+        node->boot();
+    };
+    return [this, replace] {
+        m_clock.after(absl::Seconds(3), *replace);
+    };
+}
+
+SimWorld::Repair SimWorld::killEngine()
+{
+    SimEngine *engine = engines()[m_clock.below(engines().size())];
+    if (!engine->isAlive()) {
+        return {};
+    }
+    engine->kill();
+    return [engine] {
+        engine->restart();
+    };
+}
+
+SimWorld::Repair SimWorld::engineLeaves()
+{
+    if (!m_leaving.empty()) {
+        return {};
+    }
+    SimEngine *engine = engines()[m_clock.below(engines().size())];
+    engine->setLeaving(m_clock.now());
+    m_leaving[engine->id()] = m_clock.now();
+    return [] {
+    };
+}
+
+void SimWorld::scheduleEdit()
+{
+    m_clock.after(editInterval * m_clock.uniform() * 2, [this] {
+        if (!m_stopping) {
+            m_wantedConfig = absl::StrCat("config-", ++m_edits);
+            scheduleEdit();
+        }
+    });
+}
+
+bool SimWorld::isCut(std::size_t a, std::size_t b) const
+{
+    return m_cuts.contains({std::min(a, b), std::max(a, b)});
+}
+
+bool SimWorld::allEnded() const
+{
+    const bool callers
+        = std::all_of(m_callers.begin(), m_callers.end(), [](const auto &it) { return it->outcome() != CallerOutcome::Open; });
+    const bool tappers = std::all_of(m_tappers.begin(), m_tappers.end(), [](const auto &it) {
+        return std::find(it->outcomes().begin(), it->outcomes().end(), CallerOutcome::Open) == it->outcomes().end();
+    });
+    return callers && tappers;
+}
+
+RunReport SimWorld::judge()
+{
+    RunReport report;
+    report.steps = m_clock.steps();
+    report.faults = m_faults;
+    judgeCalls(&report);
+    judgeRecords(&report);
+    for (SimEngine *engine : engines()) {
+        report.orphanPieces += engine->piecesInUse();
+    }
+    APRICOT_INVARIANT(report.orphanPieces == 0, "no-orphan-pieces", absl::StrCat(report.orphanPieces));
+    for (const auto &node : m_nodes) {
+        const bool current = !node->isAlive() || node->generationInForce()->hash == m_wantedConfig;
+        APRICOT_INVARIANT(
+            current, "configuration-in-force-everywhere",
+            absl::StrCat(node->id().text(), " has ", node->generation(), " ", node->generationInForce()->hash, " wanted ", m_wantedConfig));
+    }
+    report.violations = m_violations;
+    report.story = m_story;
+    if (m_violations > 0) {
+        for (const auto &caller : m_callers) {
+            report.story.insert(report.story.end(), caller->story().begin(), caller->story().end());
+        }
+        std::stable_sort(report.story.begin(), report.story.end(),
+                         [](const std::string &a, const std::string &b) { return std::stod(a) < std::stod(b); });
+    }
+    return report;
+}
+
+void SimWorld::judgeCalls(RunReport *report) const
+{
+    const auto count = [&](CallerOutcome outcome, const std::string &name) {
+        ++report->requests;
+        report->answered += outcome == CallerOutcome::Answered ? 1 : 0;
+        report->notRun += outcome == CallerOutcome::NotRun ? 1 : 0;
+        report->mayHaveRun += outcome == CallerOutcome::MayHaveRun ? 1 : 0;
+        APRICOT_INVARIANT(outcome != CallerOutcome::Open, "every-call-ends", name);
+    };
+    for (const auto &caller : m_callers) {
+        count(caller->outcome(), caller->request().id.text());
+        report->resumed += caller->resumes();
+    }
+    for (const auto &tapper : m_tappers) {
+        bool onlyNotRun = true;
+        for (const CallerOutcome outcome : tapper->outcomes()) {
+            count(outcome, tapper->key().text());
+            onlyNotRun = onlyNotRun && outcome == CallerOutcome::NotRun;
+        }
+        const auto runs = m_runs.find(tapper->key());
+        const int ran = runs == m_runs.end() ? 0 : runs->second;
+        report->duplicateRuns += std::max(0, ran - 1);
+        const bool isFalse = onlyNotRun && ran > 0;
+        report->falseNotRun += isFalse ? 1 : 0;
+        APRICOT_INVARIANT(!isFalse, "not-run-is-true", tapper->key().text());
+    }
+}
+
+void SimWorld::judgeRecords(RunReport * /*report*/)
+{
+    for (const auto &[name, page] : m_store.pages()) {
+        for (const auto &[key, record] : page->records) {
+            if (record->state != RunState::Dispatching) {
+                continue;
+            }
+            // Only a creator that crashed may leave its record open.
+            for (const auto &node : m_nodes) {
+                const bool remembers
+                    = node->isAlive() && node->id() == record->node && node->wordOf(record->creator) != CreatorWord::Unknown;
+                APRICOT_INVARIANT(!remembers, "run-record-settled", absl::StrCat(key.text(), " by ", record->creator.text()));
+            }
+        }
+    }
+}
+
+void SimWorld::tell(const std::string &text)
+{
+    m_story.push_back(absl::StrCat(seconds(), " ", text));
+}
+
+std::string reportLine(const RunPlan &plan, const RunReport &report)
+{
+    std::string faults;
+    for (const auto &[name, n] : report.faults) {
+        absl::StrAppend(&faults, faults.empty() ? "" : ",", "\"", name, "\":", n);
+    }
+    return absl::StrCat("{\"seed\":", plan.seed, ",\"steps\":", report.steps, ",\"requests\":", report.requests,
+                        ",\"answered\":", report.answered, ",\"notRun\":", report.notRun, ",\"mayHaveRun\":", report.mayHaveRun,
+                        ",\"resumed\":", report.resumed, ",\"violations\":", report.violations, ",\"duplicateRuns\":", report.duplicateRuns,
+                        ",\"falseNotRun\":", report.falseNotRun, ",\"orphanPieces\":", report.orphanPieces, ",\"faults\":{", faults, "}}");
+}
+
+}
--- /dev/null
+++ b/tests/standins/relaystandin.cpp
@@ -0,0 +1,57 @@
+#include "standins/relaystandin.h"
+
+#include "protocol/jsonreader.h"
+
+#include <utility>
+
+namespace Apricot {
+
+RelayStandIn::RelayStandIn(const std::string &listen, std::string target)
+    : m_socket(listen)
+    , m_target(std::move(target))
+    , m_thread("relay", [this] { run(); })
+{
+}
+
+RelayStandIn::~RelayStandIn()
+{
+    m_stopping = true;
+    m_thread.join();
+}
+
+HttpResponse RelayStandIn::handle(const HttpRequest &request)
+{
+    const Json json = Json::parse(request.body, nullptr, false);
+    HttpResponse response;
+    if (json.is_discarded()) {
+        response.status = 400;
+        return response;
+    }
+    if (jsonFlag(json, "silence")) {
+        const MutexLock lock(m_mutex);
+        for (auto &[sender, silent] : m_silent) {
+            silent = true;
+        }
+    }
+    return response;
+}
+
+void RelayStandIn::run()
+{
+    while (!m_stopping) {
+        const std::optional<Datagram> datagram = m_socket.receive(absl::Milliseconds(200));
+        if (!datagram) {
+            continue;
+        }
+        bool silent = false;
+        {
+            const MutexLock lock(m_mutex);
+            silent = m_silent.try_emplace(datagram->from, false).first->second;
+        }
+        if (!silent) {
+            m_socket.send(m_target, datagram->bytes);
+        }
+    }
+}
+
+}
