apricotladderd: Keep a node whose path went silent on its new socket

Change: PeerPaths moves a silent node to a socket with a new port and keeps it there; owners' messages take the same path as heartbeats. The lease's holder goes on renewing when better candidates join.

--- a/packages/apricotladderd/cellservice.cpp
+++ b/packages/apricotladderd/cellservice.cpp
@@ -19,9 +19,6 @@
 constexpr absl::Duration vmPollInterval = absl::Seconds(1);
 constexpr absl::Duration vmPollLimit = absl::Milliseconds(800);
 
-/// A path that stays silent gets yet another socket after this long.
-constexpr absl::Duration otherSocketAge = absl::Seconds(2);
-
 Member selfOf(const NodeSettings &settings)
 {
     return Member::Builder()
@@ -34,11 +31,6 @@
         .build();
 }
 
-std::string hostOf(const std::string &address)
-{
-    return address.substr(0, address.rfind(':'));
-}
-
 }
 
 CellService::CellService(const NodeSettings &settings, DatagramSeal seal, Journal &journal, NodeMetrics &metrics)
@@ -47,6 +39,7 @@
     , m_journal(journal)
     , m_metrics(metrics)
     , m_membership(selfOf(settings))
+    , m_paths(settings->datagramListenAddress.empty() ? settings->peerAddress : settings->datagramListenAddress, settings->peerAddress)
 {
 }
 
@@ -58,14 +51,11 @@
 std::string CellService::start(Handlers handlers)
 {
     m_handlers = std::move(handlers);
-    const std::string &listen = m_settings->datagramListenAddress;
-    m_socket = std::make_unique<UdpSocket>(listen.empty() ? m_settings->peerAddress : listen);
     m_tcp = std::make_unique<TcpServer>(m_settings->peerAddress, [this](const std::string &request) { return answerQuery(request); });
-    if (!m_socket->isOpen() || !m_tcp->isOpen()) {
+    if (!m_paths.isOpen() || !m_tcp->isOpen()) {
         return absl::StrCat("peerAddress: cannot listen on ", m_settings->peerAddress, "; choose a free port of this VM");
     }
     m_receiver = Thread("peer-udp", [this] { receiveLoop(); });
-    m_otherReceiver = Thread("peer-udp-other", [this] { rebindLoop(); });
     m_vmPoll = std::make_unique<PeriodicTask>("vm-list", vmPollInterval, [this] { pollVmList(); });
     m_heartbeats = std::make_unique<PeriodicTask>("heartbeats", MembershipTimes::heartbeatInterval, [this] { heartbeat(); });
     return {};
@@ -77,7 +67,6 @@
     m_heartbeats.reset();
     m_vmPoll.reset();
     m_receiver.join();
-    m_otherReceiver.join();
     m_tcp.reset();
 }
 
@@ -90,7 +79,7 @@
     const std::string bytes = m_seal.seal(encodePeerMessage(message));
     m_metrics.countPeerBytes("out", bytes.size());
     const std::string &address = (*member)->datagramAddress.empty() ? (*member)->peerAddress : (*member)->datagramAddress;
-    m_socket->send(address, bytes);
+    m_paths.send(to, address, bytes);
 }
 
 Result<PeerReply> CellService::query(const Member &node, const PeerQuery &query, absl::Duration limit)
@@ -148,48 +137,13 @@
     return std::find(m_leavingVms.begin(), m_leavingVms.end(), name) != m_leavingVms.end();
 }
 
-void CellService::receive(UdpSocket &socket)
-{
-    if (const std::optional<Datagram> datagram = socket.receive(receiveWait)) {
-        handle(*datagram);
-    }
-}
-
 void CellService::receiveLoop()
 {
     while (!m_stopping) {
-        receive(*m_socket);
-    }
-}
-
-void CellService::rebindLoop()
-{
-    while (!m_stopping) {
-        std::shared_ptr<UdpSocket> socket;
-        {
-            const MutexLock lock(m_mutex);
-            socket = m_otherSocket;
-        }
-        if (socket) {
-            receive(*socket);
-        } else {
-            absl::SleepFor(receiveWait);
-        }
-    }
-}
-
-std::shared_ptr<UdpSocket> CellService::otherSocket()
-{
-    const absl::Time now = absl::Now();
-    const MutexLock lock(m_mutex);
-    if (!m_otherSocket || now - m_otherSince > otherSocketAge) {
-        auto socket = std::make_shared<UdpSocket>(hostOf(m_settings->peerAddress) + ":0");
-        if (socket->isOpen()) {
-            m_otherSocket = std::move(socket);
+        for (const Datagram &datagram : m_paths.receive(receiveWait)) {
+            handle(datagram);
         }
-        m_otherSince = now;
     }
-    return m_otherSocket;
 }
 
 void CellService::heartbeat()
@@ -208,16 +162,14 @@
     }
     m_metrics.setMembers(static_cast<double>(alive));
     message.stamp = m_journal.stamp();
-    const std::string bytes = m_seal.seal(encodePeerMessage(message));
     for (const HeartbeatTarget &target : targets) {
-        m_metrics.countPeerBytes("out", bytes.size());
-        m_socket->send(target.address, bytes);
-        const std::shared_ptr<UdpSocket> other = target.silent ? otherSocket() : nullptr;
-        if (other) {
-            HeartbeatMessage again = message;
-            again.sender = again.sender.with(&MemberFields::datagramAddress, other->localAddress());
-            other->send(target.address, m_seal.seal(encodePeerMessage(again)));
+        if (target.silent) {
+            m_paths.renew(target.node, now);
         }
+        message.sender = message.sender.with(&MemberFields::datagramAddress, m_paths.addressFor(target.node));
+        const std::string bytes = m_seal.seal(encodePeerMessage(message));
+        m_metrics.countPeerBytes("out", bytes.size());
+        m_paths.send(target.node, target.address, bytes);
     }
 }
 
--- a/packages/apricotladderd/cellservice.h
+++ b/packages/apricotladderd/cellservice.h
@@ -2,6 +2,7 @@
 
 #include "apricotladderd/journal.h"
 #include "apricotladderd/nodemetrics.h"
+#include "apricotladderd/peerpaths.h"
 #include "coordination/membership.h"
 #include "protocol/datagramseal.h"
 #include "protocol/peermessage.h"
@@ -10,7 +11,6 @@
 #include "transport/periodictask.h"
 #include "transport/tcpserver.h"
 #include "transport/thread.h"
-#include "transport/udpsocket.h"
 
 #include <atomic>
 #include <functional>
@@ -71,14 +71,11 @@
     bool isLeavingVm(const std::string &name) const;
 
 private:
-    void receive(UdpSocket &socket);
     void receiveLoop();
-    void rebindLoop();
     void heartbeat();
     void pollVmList();
     void handle(const Datagram &datagram);
     std::string answerQuery(const std::string &sealed);
-    std::shared_ptr<UdpSocket> otherSocket();
 
     NodeSettings m_settings;
     DatagramSeal m_seal;
@@ -88,13 +85,10 @@
     mutable Mutex m_mutex;
     Membership m_membership ABSL_GUARDED_BY(m_mutex);
     std::vector<std::string> m_leavingVms ABSL_GUARDED_BY(m_mutex);
-    std::shared_ptr<UdpSocket> m_otherSocket ABSL_GUARDED_BY(m_mutex);
-    absl::Time m_otherSince ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
-    std::unique_ptr<UdpSocket> m_socket;
+    PeerPaths m_paths;
     std::unique_ptr<TcpServer> m_tcp;
     std::atomic<bool> m_stopping{false};
     Thread m_receiver;
-    Thread m_otherReceiver;
     std::unique_ptr<PeriodicTask> m_heartbeats;
     std::unique_ptr<PeriodicTask> m_vmPoll;
 };
--- a/packages/apricotladderd/publisherservice.cpp
+++ b/packages/apricotladderd/publisherservice.cpp
@@ -56,7 +56,9 @@
 
 void PublisherService::run()
 {
-    if (isCandidate()) {
+    // The holder goes on although nodes with a better claim have joined; only a leaving one lets the lease lapse.
+    const bool leaving = (*m_cell.find(m_cell.self()))->leaving;
+    if (isCandidate() || (m_holds && !leaving)) {
         keepLease();
     }
     const bool holds = m_lease.holds(absl::Now());
--- a/packages/coordination/membership.cpp
+++ b/packages/coordination/membership.cpp
@@ -141,7 +141,7 @@
     std::vector<HeartbeatTarget> found;
     for (const auto &[name, address] : m_vmAddresses) {
         if (name != m_self->id.text() && !m_peers.contains(NodeId(name))) {
-            found.push_back(HeartbeatTarget{address, false});
+            found.push_back(HeartbeatTarget{NodeId(), address, false});
         }
     }
     for (const auto &[id, peer] : m_peers) {
@@ -149,7 +149,7 @@
         // A silent node is sent to where it listens by its settings, as a rebound port may be gone with its process.
         const std::string &address
             = silent || peer.member->datagramAddress.empty() ? peer.member->peerAddress : peer.member->datagramAddress;
-        found.push_back(HeartbeatTarget{address, silent});
+        found.push_back(HeartbeatTarget{id, address, silent});
     }
     return found;
 }
--- a/packages/coordination/membership.h
+++ b/packages/coordination/membership.h
@@ -26,6 +26,7 @@
 /// One address that gets a heartbeat.
 struct HeartbeatTarget
 {
+    NodeId node; ///< empty for an address of the VM list that was never heard
     std::string address; ///< "IP:port"
     bool silent = false; ///< the node was heard before and no longer is: the path may be at fault, use another socket
 
--- a/packages/transport/udpsocket.cpp
+++ b/packages/transport/udpsocket.cpp
@@ -6,6 +6,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace Apricot {
 
@@ -64,4 +65,25 @@
     return Datagram{std::string(buf.data(), static_cast<std::size_t>(n)), socketAddressText(from)};
 }
 
+std::vector<Datagram> UdpSocket::receiveAny(const std::vector<std::shared_ptr<UdpSocket>> &sockets, absl::Duration limit)
+{
+    std::vector<pollfd> waits;
+    for (const std::shared_ptr<UdpSocket> &socket : sockets) {
+        waits.push_back(pollfd{socket->m_socket, POLLIN, 0});
+    }
+    std::vector<Datagram> found;
+    if (poll(waits.data(), waits.size(), static_cast<int>(absl::ToInt64Milliseconds(limit))) <= 0) {
+        return found;
+    }
+    for (std::size_t i = 0; i < waits.size(); ++i) {
+        if ((waits[i].revents & POLLIN) == 0) {
+            continue;
+        }
+        if (std::optional<Datagram> datagram = sockets[i]->receive(absl::ZeroDuration())) {
+            found.push_back(std::move(*datagram));
+        }
+    }
+    return found;
+}
+
 }
--- a/packages/transport/udpsocket.h
+++ b/packages/transport/udpsocket.h
@@ -2,9 +2,11 @@
 
 #include <absl/time/time.h>
 
+#include <memory>
 #include <netinet/in.h>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Apricot {
 
@@ -46,6 +48,9 @@
     /// Waits at most \a limit for a datagram.
     std::optional<Datagram> receive(absl::Duration limit) const;
 
+    /// Waits at most \a limit for datagrams on any of the sockets; returns those that are there, one per socket at most.
+    static std::vector<Datagram> receiveAny(const std::vector<std::shared_ptr<UdpSocket>> &sockets, absl::Duration limit);
+
 private:
     int m_socket = -1;
 };
