--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -194,6 +194,7 @@
 std::vector<std::string> scenarioNames()
 {
     std::vector<std::string> names;
+    names.reserve(scenarios.size());
     for (const auto &it : scenarios) {
         names.emplace_back(it.first);
     }
--- a/packages/apricotladderd/node.cpp
+++ b/packages/apricotladderd/node.cpp
@@ -32,6 +32,7 @@
     , m_sync(m_cell, m_config, m_store, m_journal)
     , m_publisher(m_cell, m_store, m_journal, m_metrics)
     , m_poller(m_host, m_config, m_cell, m_journal)
+    , m_fleet(m_cell, m_config, m_store, m_publisher, m_journal)
     , m_frontEnd(NodeContext{m_settings, m_journal, m_metrics, m_config, m_cell, m_owners, m_runs, m_retries}, m_flows,
                  FrontEnd::Hooks{[this] { return statusJson(); },
                                  [this] {
@@ -73,6 +74,7 @@
     m_sync.start([this] { m_host.configChanged(); });
     m_publisher.start();
     m_poller.start();
+    m_fleet.start();
     m_housekeeping = std::make_unique<PeriodicTask>("housekeeping", housekeepingInterval, [this] { housekeeping(); });
     if (std::string problem = m_frontEnd.start(); !problem.empty()) {
         return problem;
@@ -99,6 +101,7 @@
 {
     m_frontEnd.stop();
     m_housekeeping.reset();
+    m_fleet.stop();
     m_poller.stop();
     m_publisher.stop();
     m_sync.stop();
--- a/packages/apricotladderd/node.h
+++ b/packages/apricotladderd/node.h
@@ -2,6 +2,7 @@
 
 #include "apricotladderd/configsync.h"
 #include "apricotladderd/enginepoller.h"
+#include "apricotladderd/fleetservice.h"
 #include "apricotladderd/frontend.h"
 #include "apricotladderd/nodecontext.h"
 #include "apricotladderd/publisherservice.h"
@@ -54,6 +55,7 @@
     ConfigSync m_sync;
     PublisherService m_publisher;
     EnginePoller m_poller;
+    FleetService m_fleet;
     FrontEnd m_frontEnd;
     std::atomic<bool> m_drainWanted{false};
     std::unique_ptr<PeriodicTask> m_housekeeping;
--- a/packages/apricotladderd/publisherservice.cpp
+++ b/packages/apricotladderd/publisherservice.cpp
@@ -69,6 +69,7 @@
         m_lastStatus.clear();
     }
     m_holds = holds;
+    m_leaseUntilMicros = holds ? absl::ToUnixMicros(m_lease.until()) : 0;
     m_metrics.setLeaseHeld(holds);
     if (holds) {
         publishIfChanged();
--- a/packages/apricotladderd/publisherservice.h
+++ b/packages/apricotladderd/publisherservice.h
@@ -33,6 +33,12 @@
         return m_holds;
     }
 
+    /// When this node stops being the holder unless it renews; in the past if it is not.
+    absl::Time leaseUntil() const
+    {
+        return absl::FromUnixMicros(m_leaseUntilMicros);
+    }
+
 private:
     void run();
     bool isCandidate() const;
@@ -50,6 +56,7 @@
     NodeMetrics &m_metrics;
     LeaseKeeper m_lease;
     std::atomic<bool> m_holds{false};
+    std::atomic<std::int64_t> m_leaseUntilMicros{0};
     std::uint64_t m_seenVersion = 0;
     bool m_settled = false; ///< the set of m_seenVersion is published, or found invalid, and its status is written
     bool m_valid = true;
--- a/packages/coordination/configvalidator.cpp
+++ b/packages/coordination/configvalidator.cpp
@@ -348,6 +348,8 @@
     reader.read("maxPromptTokens", &fields.maxPromptTokens);
     reader.read("maxOutputTokens", &fields.maxOutputTokens);
     reader.read("callTimeoutMs", &fields.callTimeoutMs);
+    reader.read("modelVersion", &fields.modelVersion);
+    reader.read("autoRoles", &fields.autoRoles);
     return Service(std::move(fields));
 }
 
--- a/packages/coordination/leasekeeper.h
+++ b/packages/coordination/leasekeeper.h
@@ -37,6 +37,12 @@
     /// Whether this node may act as the holder at \a now.
     bool holds(absl::Time now) const;
 
+    /// When this node stops being the holder unless it renews.
+    absl::Time until() const
+    {
+        return m_until;
+    }
+
     /// Fencing number of what the holder does; 0 if this node never held the lease.
     std::uint64_t fence() const
     {
--- /dev/null
+++ b/packages/coordination/tests/fleet/testfleet.cpp
@@ -0,0 +1,146 @@
+#include "coordination/orderkeeper.h"
+#include "coordination/rolebalancer.h"
+#include "coordination/rolechange.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cmath>
+
+using namespace Apricot;
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(10'000);
+
+WantedRole wanted(std::uint64_t fence)
+{
+    return WantedRole::Builder()
+        .set(&WantedRoleFields::endpoint, "e")
+        .set(&WantedRoleFields::role, PoolRole::Decode)
+        .set(&WantedRoleFields::fence, fence)
+        .build();
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(Fleet)
+
+BOOST_AUTO_TEST_CASE(aNeedHasToLast)
+{
+    RoleBalancer balancer;
+    const PoolUse idle{3, 0.2};
+    const PoolUse full{3, 0.95};
+    BOOST_TEST(!balancer.observe(idle, full, false, start).has_value());
+    BOOST_TEST(!balancer.observe(idle, idle, false, start + absl::Seconds(20)).has_value());
+    BOOST_TEST(!balancer.observe(idle, full, false, start + absl::Seconds(21)).has_value());
+    const auto proposal = balancer.observe(idle, full, false, start + absl::Seconds(51));
+    BOOST_REQUIRE(proposal.has_value());
+    BOOST_TEST((*proposal == RoleProposal{PoolRole::Prefill, PoolRole::Decode}));
+    BOOST_TEST(!balancer.observe(idle, full, false, start + absl::Seconds(52)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(theLastEngineOfARoleStays)
+{
+    RoleBalancer balancer;
+    for (int i = 0; i < 200; ++i) {
+        BOOST_TEST(!balancer.observe(PoolUse{1, 0.0}, PoolUse{5, 1.0}, false, start + absl::Seconds(i)).has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(whatIsSeenDuringAChangeDoesNotCount)
+{
+    RoleBalancer balancer;
+    for (int i = 0; i < 100; ++i) {
+        BOOST_TEST(!balancer.observe(PoolUse{3, 0.1}, PoolUse{3, 1.0}, true, start + absl::Seconds(i)).has_value());
+    }
+    BOOST_TEST(!balancer.observe(PoolUse{3, 0.1}, PoolUse{3, 1.0}, false, start + absl::Seconds(130)).has_value());
+    BOOST_TEST(!balancer.observe(PoolUse{3, 0.1}, PoolUse{3, 1.0}, false, start + absl::Seconds(160)).has_value());
+    BOOST_TEST(balancer.observe(PoolUse{3, 0.1}, PoolUse{3, 1.0}, false, start + absl::Seconds(191)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(swingsOfTheLoadDoNotSwingTheRoles)
+{
+    RoleBalancer balancer;
+    int proposals = 0;
+    for (int i = 0; i < 3600; ++i) {
+        const double swing = 0.5 + 0.5 * std::sin(i / 5.0);
+        proposals += balancer.observe(PoolUse{3, swing}, PoolUse{3, 1 - swing}, false, start + absl::Seconds(i)).has_value() ? 1 : 0;
+    }
+    BOOST_TEST(proposals == 0);
+}
+
+BOOST_AUTO_TEST_CASE(theIntentIsWrittenBeforeAnOrderIsSent)
+{
+    OrderKeeper keeper;
+    keeper.leaseTaken(start);
+    const absl::Time now = start + absl::Seconds(5);
+    BOOST_TEST((keeper.decide(wanted(0), {}, now + absl::Seconds(3), now) == OrderStep::WriteIntent));
+    BOOST_TEST((keeper.decide(wanted(7), {}, now + absl::Seconds(3), now) == OrderStep::Send));
+    BOOST_TEST((keeper.decide(wanted(7), {}, now + absl::Seconds(3), now) == OrderStep::Wait));
+    BOOST_TEST((keeper.decide(wanted(7), {}, now + absl::Seconds(9), now + OrderKeeper::repeatAfter) == OrderStep::Send));
+    BOOST_TEST((keeper.decide(wanted(7), ReportedRole{"decode", "", "", 7}, now + absl::Seconds(3), now) == OrderStep::InForce));
+}
+
+BOOST_AUTO_TEST_CASE(aNewHolderWaitsOutTheOrdersOfTheEarlierOne)
+{
+    OrderKeeper keeper;
+    keeper.leaseTaken(start);
+    BOOST_TEST((keeper.decide(wanted(7), {}, start + absl::Seconds(3), start + absl::Milliseconds(400)) == OrderStep::Wait));
+    BOOST_TEST((keeper.decide(wanted(7), {}, start + absl::Seconds(3), start + absl::Milliseconds(600)) == OrderStep::Send));
+    BOOST_TEST((keeper.decide(wanted(7), {}, start + absl::Seconds(3), start + absl::Milliseconds(2800)) == OrderStep::Wait));
+}
+
+BOOST_AUTO_TEST_CASE(anEngineThatIgnoresFencingIsSetRightAgain)
+{
+    OrderKeeper keeper;
+    keeper.leaseTaken(start);
+    absl::Time now = start + absl::Seconds(5);
+    BOOST_TEST((keeper.decide(wanted(7), ReportedRole{"decode", "", "", 7}, now + absl::Seconds(3), now) == OrderStep::InForce));
+    // A late order of an earlier holder came through.
+    BOOST_TEST((keeper.decide(wanted(7), ReportedRole{"prefill", "", "", 3}, now + absl::Seconds(3), now) == OrderStep::Send));
+}
+
+BOOST_AUTO_TEST_CASE(loadsShareTheWeightStoresRate)
+{
+    OrderKeeper keeper;
+    keeper.leaseTaken(start);
+    int sent = 0;
+    for (int i = 0; i < 100; ++i) {
+        const absl::Time now = start + absl::Seconds(1) + absl::Milliseconds(100 * i);
+        const WantedRole each = wanted(7).with(&WantedRoleFields::endpoint, std::to_string(i));
+        sent += keeper.decide(each, {}, now + absl::Seconds(3), now) == OrderStep::Send ? 1 : 0;
+    }
+    BOOST_TEST(sent == 5);
+}
+
+BOOST_AUTO_TEST_CASE(aRoleChangesOnlyOnAnEmptyEngine)
+{
+    RoleChange change
+        = RoleChange::Builder().set(&RoleChangeFields::endpoint, "e").set(&RoleChangeFields::toPool, PoolName("decode")).build();
+    RoleChangeView view;
+    view.endpoint = Endpoint::Builder().set(&EndpointFields::name, "e").set(&EndpointFields::pool, PoolName("prefill")).build();
+    view.engineIsEmpty = true;
+    view.inForceEverywhere = true;
+    BOOST_TEST((stepRoleChange(change, view).step == RoleChangeStep::WriteDrain));
+    view.endpoint = view.endpoint.with(&EndpointFields::drain, true);
+    view.engineIsEmpty = false;
+    BOOST_TEST((stepRoleChange(change, view).step == RoleChangeStep::Nothing));
+    view.engineIsEmpty = true;
+    view.inForceEverywhere = false;
+    BOOST_TEST((stepRoleChange(change, view).step == RoleChangeStep::Nothing));
+    view.inForceEverywhere = true;
+    RoleChangeDecision next = stepRoleChange(change, view);
+    BOOST_TEST((next.step == RoleChangeStep::WritePool));
+    view.endpoint = view.endpoint.with(&EndpointFields::pool, PoolName("decode"));
+    next = stepRoleChange(next.change, view);
+    BOOST_TEST((next.step == RoleChangeStep::SendOrders));
+    BOOST_TEST((stepRoleChange(next.change, view).step == RoleChangeStep::SendOrders));
+    view.roleInForce = true;
+    next = stepRoleChange(next.change, view);
+    BOOST_TEST((next.step == RoleChangeStep::WriteOpen));
+    view.endpoint = view.endpoint.with(&EndpointFields::drain, false);
+    next = stepRoleChange(next.change, view);
+    BOOST_TEST((next.change->phase == RoleChangePhase::Done));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/protocol/enginejson.cpp
+++ b/packages/protocol/enginejson.cpp
@@ -122,6 +122,18 @@
     return CancelOrder{RequestId(jsonText(parsed, "requestId")), static_cast<std::uint64_t>(jsonInteger(parsed, "attempt", 1))};
 }
 
+std::string encodeEngineOrder(const EngineOrder &order)
+{
+    return jsonDump(Json{{"role", order.role}, {"model", order.model}, {"modelVersion", order.modelVersion}, {"fence", order.fence}});
+}
+
+Result<EngineOrder> decodeEngineOrder(const std::string &json)
+{
+    BOOST_LEAF_AUTO(parsed, parseJsonObject(json, "engine order"));
+    return EngineOrder{jsonText(parsed, "role"), jsonText(parsed, "model"), jsonText(parsed, "modelVersion"),
+                       static_cast<std::uint64_t>(jsonInteger(parsed, "fence"))};
+}
+
 std::string encodeEngineReport(const EngineReported &report)
 {
     Json held = Json::array();
--- a/packages/protocol/enginejson.h
+++ b/packages/protocol/enginejson.h
@@ -82,6 +82,19 @@
 Result<StreamLine> decodeStreamLine(const std::string &json);
 std::string encodeCancel(const CancelOrder &order);
 Result<CancelOrder> decodeCancel(const std::string &json);
+/// Body of POST /v1/orders at an engine, and of the answer to GET: the order that it follows.
+struct EngineOrder
+{
+    std::string role; ///< "prefill" or "decode"
+    std::string model;
+    std::string modelVersion;
+    std::uint64_t fence = 0;
+
+    friend bool operator==(const EngineOrder &, const EngineOrder &) = default;
+};
+
+std::string encodeEngineOrder(const EngineOrder &order);
+Result<EngineOrder> decodeEngineOrder(const std::string &json);
 std::string encodeEngineReport(const EngineReported &report);
 Result<EngineReported> decodeEngineReport(const std::string &json, const EngineId &engine);
 
--- a/packages/state/configobjects.h
+++ b/packages/state/configobjects.h
@@ -48,6 +48,8 @@
     std::int64_t maxPromptTokens = 20000;
     std::int64_t maxOutputTokens = 400;
     std::int64_t callTimeoutMs = 2000; ///< plain calls
+    std::string modelVersion; ///< that engines are ordered to load
+    bool autoRoles = false; ///< engines change between prefill and decode by measured need
 
     friend auto operator<=>(const ServiceFields &, const ServiceFields &) = default;
 };
--- /dev/null
+++ b/scripts/check_docs.py
@@ -0,0 +1,51 @@
+#!/usr/bin/env python3
+"""Checks that settings, object fields, error kinds and metrics stand in the documents, and the other way round."""
+import pathlib
+import re
+import sys
+
+ROOT = pathlib.Path(sys.argv[1] if len(sys.argv) > 1 else ".")
+
+
+def read(path):
+    return (ROOT / path).read_text()
+
+
+def section(text, heading):
+    """Text below a heading of level two, up to the next one."""
+    match = re.search(rf"^## {re.escape(heading)}$(.*?)(?=^## |\Z)", text, re.M | re.S)
+    return match[1] if match else ""
+
+
+def first_cells(text):
+    """Names in backticks in the first cell of each table row."""
+    return set(re.findall(r"^\| `([^`]+)`", text, re.M))
+
+
+def compare(what, code, documents):
+    faults = [f"{what} {name}: in the code, not in the documents" for name in sorted(code - documents)]
+    faults += [f"{what} {name}: in the documents, not in the code" for name in sorted(documents - code)]
+    return faults
+
+
+def main():
+    operations = read("docs/OPERATIONS.md")
+    settings = set(re.findall(r'^\s*\{"(\w+)",\s*"(?:text|whole number|flag|list of texts)"', read("packages/protocol/settingsjson.cpp"), re.M))
+    fields = {f"{kind}.{field}" for kind, field in re.findall(r'\{"(\w+)",\s*"(\w+)",\s*(?:Boolean|Integer|Number|Text|TextList)', read("packages/coordination/objectschema.cpp"))}
+    kinds = set(re.findall(r'\{ErrorKind::\w+,\s*"(\w+)"', read("packages/state/errorkind.cpp")))
+    metrics = set(re.findall(r'"(apricotladder_\w+)"', read("packages/apricotladderd/nodemetrics.cpp")))
+    commands = set(re.findall(r'\{"(\w+)",\s*"[^"]*",\s*"[A-Z]', read("packages/apricotladder/main.cpp")))
+    faults = compare("setting", settings, first_cells(section(operations, "Settings")))
+    faults += compare("field", fields, first_cells(section(operations, "Objects")))
+    faults += compare("error kind", kinds, first_cells(section(read("docs/CALLERS.md"), "Errors")))
+    faults += compare("metric", metrics, first_cells(section(operations, "Metrics")))
+    faults += compare("command", commands, first_cells(section(operations, "Commands")))
+    for name, found in (("settings", settings), ("fields", fields), ("error kinds", kinds), ("metrics", metrics), ("commands", commands)):
+        if not found:
+            faults.append(f"no {name} found in the code: the pattern of this script no longer fits")
+    print("\n".join(faults) if faults else f"documents: {len(settings)} settings, {len(fields)} fields, {len(kinds)} error kinds, {len(metrics)} metrics, {len(commands)} commands agree")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -1,7 +1,7 @@
 # Functions that start and stop a deployment on loopback: the stand-in platform, the stand-in endpoints of an example
 # set, and nodes. To be sourced; all processes are known by id and ended by id.
 
-bin=build/bin
+bin=${bin:-build/bin}
 work=${work:-$(mktemp -d)}
 platform=127.0.0.1:21000
 key=000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f
@@ -39,14 +39,14 @@
 start_node() {
   local listen=
   if [ -n "${use_relays:-}" ]; then
-    listen="--datagramListenAddress 127.0.0.1:$((21060 + $1))"
-    start_process "relay-$1" "$bin/standin_relay" "127.0.0.1:$((21040 + $1))" "127.0.0.1:$((21060 + $1))" "127.0.0.1:$((21070 + $1))"
+    listen="--datagramListenAddress 127.0.0.1:$((21360 + $1))"
+    start_process "relay-$1" "$bin/standin_relay" "127.0.0.1:$((21300 + $1))" "127.0.0.1:$((21360 + $1))" "127.0.0.1:$((21420 + $1))"
   fi
   start_process "node-$1" "$bin/apricotladderd" --node "node-$1" --dataCentre "$(data_centre "$2" "$1")" \
-    --peerAddress "127.0.0.1:$((21040 + $1))" --callerAddress "127.0.0.1:$((21010 + $1))" \
+    --peerAddress "127.0.0.1:$((21300 + $1))" --callerAddress "127.0.0.1:$((21010 + $1))" \
     --storeUrl "http://$platform" --vmListUrl "http://$platform/vms" --peerKeys "$key" $listen ${node_flags:-}
   curl -s -o /dev/null -X PUT "http://$platform/vms" \
-    -d "{\"name\":\"node-$1\",\"address\":\"127.0.0.1:$((21040 + $1))\",\"leaving\":false}"
+    -d "{\"name\":\"node-$1\",\"address\":\"127.0.0.1:$((21300 + $1))\",\"leaving\":false}"
 }
 
 # endpoints_of DIR: name, role and address of each endpoint, one a line.
--- a/scripts/fault_run.sh
+++ b/scripts/fault_run.sh
@@ -69,7 +69,7 @@
     store-slow) control "$platform" '{"slowMs":700}'; sleep 6; control "$platform" '{"slowMs":0}' ;;
     store-loses-replies) control "$platform" '{"loseReplies":60}' ;;
     silent-engine-connections) each_decode_engine '{"silenceOpenConnections":true}' ;;
-    silent-node-paths) local i; for i in $(seq 1 "$nodes"); do control "127.0.0.1:$((21070 + i))" '{"silence":true}'; done ;;
+    silent-node-paths) local i; for i in $(seq 1 "$nodes"); do control "127.0.0.1:$((21420 + i))" '{"silence":true}'; done ;;
     kill-prefill-engine) stop_process summarizer-p1 KILL ;;
     kill-decode-engine) stop_process summarizer-d1 KILL ;;
     kill-in-transfer) control "$(address_of summarizer-d2)" '{"stallTransfersMs":1500}'; sleep 0.5; stop_process summarizer-d2 KILL ;;
--- a/tests/fuzz/fuzzcompletion.cpp
+++ b/tests/fuzz/fuzzcompletion.cpp
@@ -12,7 +12,9 @@
         ConfigSetFields set;
         set.ranks = {{RankName("r"), Rank::Builder().set(&RankFields::name, RankName("r")).build()}};
         const Service model = Service::Builder().set(&ServiceFields::name, ServiceName("m")).build();
-        const Service plain = model.with(&ServiceFields::name, ServiceName("p")).with(&ServiceFields::type, ServiceType::Plain).with(&ServiceFields::operations, {"o"});
+        const Service plain = model.with(&ServiceFields::name, ServiceName("p"))
+                                  .with(&ServiceFields::type, ServiceType::Plain)
+                                  .with(&ServiceFields::operations, {"o"});
         set.services = {{ServiceName("m"), model}, {ServiceName("p"), plain}};
         return ConfigSet(set);
     }();
--- a/tests/standins/enginestandin.cpp
+++ b/tests/standins/enginestandin.cpp
@@ -103,9 +103,11 @@
         result.handle = absl::StrCat("kv-", m_nextHandle++);
         m_busyUntil = std::max(m_busyUntil, absl::Now()) + absl::Milliseconds(result.tookMs);
         ready = m_busyUntil;
+        ++m_prefilling;
     }
     absl::SleepFor(ready - absl::Now());
     const MutexLock lock(m_mutex);
+    --m_prefilling;
     m_results[result.handle] = Prefilled{order.prompt, order.produced, absl::Now() + absl::Milliseconds(m_traits.resultLifetimeMs)};
     if (prefix != 0) {
         std::erase(m_cache, prefix);
@@ -275,7 +277,7 @@
     }
     sweep(now);
     EngineReported report;
-    report.running = running();
+    report.running = running() + m_prefilling;
     report.piecesInUse = piecesInUse(now);
     for (const auto &[id, stream] : m_streams) {
         if (stream->holdsMemory) {
--- a/tests/standins/enginestandin.h
+++ b/tests/standins/enginestandin.h
@@ -104,6 +104,7 @@
     std::map<RequestId, std::shared_ptr<Stream>> m_streams ABSL_GUARDED_BY(m_mutex);
     std::deque<std::uint64_t> m_cache ABSL_GUARDED_BY(m_mutex);
     std::uint64_t m_nextHandle ABSL_GUARDED_BY(m_mutex) = 1;
+    std::int64_t m_prefilling ABSL_GUARDED_BY(m_mutex) = 0;
     std::int64_t m_importing ABSL_GUARDED_BY(m_mutex) = 0;
     std::uint64_t m_highestFence ABSL_GUARDED_BY(m_mutex) = 0;
     std::string m_wanted ABSL_GUARDED_BY(m_mutex); ///< last order accepted
