coordination: Pass a suspect owner over at once

Cause: fault kill-owner: one call in 420 was refused and recoveryMs was 1302, as a slice waited for its owner's death. Change: suspect nodes own no slices; two owners for a moment cost some overcommitment only.

--- a/packages/coordination/membership.cpp
+++ b/packages/coordination/membership.cpp
@@ -124,7 +124,7 @@
 {
     std::vector<NodeId> found;
     for (const Member &member : members()) {
-        if (member->state != MemberState::Dead && !member->leaving) {
+        if (member->state == MemberState::Alive && !member->leaving) {
             found.push_back(member->id);
         }
     }
--- a/packages/coordination/membership.h
+++ b/packages/coordination/membership.h
@@ -64,7 +64,8 @@
     /// All nodes that are known, this one included, in order of name.
     std::vector<Member> members() const;
 
-    /// Nodes that may own slices: not dead, not leaving.
+    /// Nodes that may own slices: alive and not leaving. A suspect one is passed over at once: if it lives, two owners for a
+    /// moment cost some overcommitment, while waiting for its death would cost callers their first token.
     std::vector<NodeId> owners() const;
 
     /// Claims to send with the next heartbeat.
--- a/tests/randomrun/simcaller.h
+++ b/tests/randomrun/simcaller.h
@@ -51,6 +51,7 @@
 
 private:
     void tryNext();
+    void closeConnection();
     void take(std::uint64_t connection, const CallerPart &part);
     void takeToken(const CallerPart &part);
     void takeFailure(ErrorKind kind);
