coordination: Take rates and orphans out of the scheduler

Change: EngineRates and OrphanWatch are classes of their own; the stand-ins share one JSON answer. Conclusion: the scheduler is left with events and flights.

--- /dev/null
+++ b/packages/coordination/enginerates.cpp
@@ -0,0 +1,73 @@
+#include "coordination/enginerates.h"
+
+#include <algorithm>
+
+namespace Apricot {
+
+namespace {
+
+/// First estimates, before anything was learnt.
+constexpr double firstOutputTokens = 200;
+constexpr double firstPrefillMs = 80;
+
+/// Rates are kept for this long.
+constexpr absl::Duration refreshAfter = absl::Milliseconds(10);
+
+}
+
+EngineRates::EngineRates()
+    : m_meanOutput(firstOutputTokens)
+    , m_meanPrefillMs(firstPrefillMs)
+{
+}
+
+void EngineRates::learnOutput(std::int64_t tokens)
+{
+    m_meanOutput.learn(static_cast<double>(tokens));
+}
+
+void EngineRates::learnPrefill(absl::Duration took)
+{
+    m_meanPrefillMs.learn(absl::ToDoubleMilliseconds(took));
+}
+
+double EngineRates::meanOutput(std::int64_t maxTokens) const
+{
+    return std::min(m_meanOutput.estimate(), static_cast<double>(maxTokens));
+}
+
+double EngineRates::capacityPerSecond(const EngineTable &engines, absl::Time now) const
+{
+    refresh(engines, now);
+    return m_capacityPerSecond;
+}
+
+double EngineRates::releasesPerMs(const EngineTable &engines, absl::Time now) const
+{
+    refresh(engines, now);
+    return m_releasesPerMs;
+}
+
+void EngineRates::refresh(const EngineTable &engines, absl::Time now) const
+{
+    if (now >= m_refreshed && now - m_refreshed < refreshAfter) {
+        return;
+    }
+    m_refreshed = now;
+    m_releasesPerMs = 0;
+    double decodePerMs = 0;
+    for (std::size_t i = 0; i < engines.decode().size(); ++i) {
+        const DecodeEngine &engine = engines.decode()[i];
+        if (engine.usable()) {
+            m_releasesPerMs += static_cast<double>(engine.running) / (m_meanOutput.estimate() * engines.gapMs(i, engine.running));
+            decodePerMs += static_cast<double>(engine.slots) / (m_meanOutput.estimate() * engines.gapMs(i, engine.slots));
+        }
+    }
+    double prefillPerMs = 0;
+    for (const PrefillEngine &engine : engines.prefill()) {
+        prefillPerMs += engine.usable() ? 1.0 / m_meanPrefillMs.estimate() : 0.0;
+    }
+    m_capacityPerSecond = 1000.0 * std::min(decodePerMs, prefillPerMs);
+}
+
+}
--- a/packages/coordination/slicescheduler.cpp
+++ b/packages/coordination/slicescheduler.cpp
@@ -20,15 +20,6 @@
 /// A reservation is made for this many times the mean answer.
 constexpr double reservedOutputFactor = 1.15;
 
-/// Estimates of the engines' rates are kept for this long.
-constexpr absl::Duration ratesRefresh = absl::Milliseconds(10);
-
-/// First estimate of an answer, tokens.
-constexpr double firstOutputTokens = 200;
-
-/// First estimate of a prefill, ms.
-constexpr double firstPrefillMs = 80;
-
 /// Part of an engine's memory that is left for answers that grow beyond their reservation.
 constexpr double growthPart = 0.02;
 
@@ -53,8 +44,6 @@
     , m_engines(m_settings.prefillPool, m_settings.decodePool)
     , m_queue(m_settings.ranks, m_settings.policy)
     , m_sizes(m_queue.rankCount())
-    , m_meanOutput(firstOutputTokens)
-    , m_meanPrefillMs(firstPrefillMs)
 {
     for (const Endpoint &endpoint : m_settings.prefillEndpoints) {
         m_engines.addPrefill(EngineId(endpoint->name), endpoint->dataCentre);
@@ -211,7 +200,7 @@
     const auto uncached = static_cast<double>(std::max<std::int64_t>(flight->work->promptTokens - event.cachedTokens, 1));
     engine.msPerThousand.learn(absl::ToDoubleMilliseconds(event.took) / uncached * 1000.0);
     engine.cache.touch(flight->work->prefixHash);
-    m_meanPrefillMs.learn(absl::ToDoubleMilliseconds(event.took));
+    m_rates.learnPrefill(event.took);
     settlePrefill(*flight, now);
     flight->stage = Stage::ResultWaiting;
     flight->renewed = now;
@@ -296,7 +285,7 @@
     } else if (flight.prefill) {
         ++m_engines.prefill()[*flight.prefill].depth;
     }
-    m_unknown.erase(event.work->id);
+    m_orphans.forget(event.work->id);
     m_flights.emplace(event.work->id, std::move(flight));
 }
 
@@ -331,7 +320,7 @@
     if (flightOf(event.id, event.attempt) == nullptr) {
         return;
     }
-    m_meanOutput.learn(static_cast<double>(event.tokens));
+    m_rates.learnOutput(event.tokens);
     release(event.id, false, now);
 }
 
@@ -405,16 +394,11 @@
         engine.reportedRunning = event.running;
         engine.reportedPieces = event.piecesInUse;
     }
-    for (const RequestId &id : event.held) {
-        if (m_flights.contains(id)) {
-            m_unknown.erase(id);
-            continue;
-        }
-        const absl::Time since = m_unknown.try_emplace(id, now).first->second;
-        if (now - since >= SchedulerTimes::orphanGrace && !hasSeededBug(SeededBug::ForgetOrphan)) {
-            m_actions.emplace_back(CancelOnEngine{id, anyAttempt, event.engine});
-            m_unknown.erase(id);
-        }
+    const auto isKnown = [this](const RequestId &id) {
+        return m_flights.contains(id);
+    };
+    for (const RequestId &id : m_orphans.look(event.held, isKnown, now)) {
+        m_actions.emplace_back(CancelOnEngine{id, anyAttempt, event.engine});
     }
 }
 
@@ -432,7 +416,7 @@
             release(id, true, now);
         }
     }
-    absl::erase_if(m_unknown, [&](const auto &it) { return now - it.second > 2 * SchedulerTimes::orphanGrace; });
+    m_orphans.forgetOld(now);
     refuseOverdue(now);
 }
 
@@ -548,7 +532,7 @@
     m_queue.anyCandidate(rank, capacityPerSecond(now), now, candidatesTried, [&](const FairQueue::Entry &entry) {
         const Work &work = entry.work;
         NoPlacement reason = NoPlacement::NoPrefillEngine;
-        placement = finder.find(work, piecesNeeded(work), meanOutput(work->maxTokens), slots, now, &reason);
+        placement = finder.find(work, piecesNeeded(work), m_rates.meanOutput(work->maxTokens), slots, now, &reason);
         if (!placement) {
             *poolFull = reason != NoPlacement::NoMemory;
             return *poolFull;
@@ -596,7 +580,7 @@
     APRICOT_INVARIANT(mayOverfill() || decode.reserved <= decode.pieces, "reservations-within-memory",
                       absl::StrCat(decode.id.text(), " reserved=", decode.reserved, " of ", decode.pieces));
     const double slotMs = m_engines.gapMs(placement.decode, decode.slots) / static_cast<double>(std::max<std::int64_t>(decode.slots, 1));
-    m_queue.noteStart(rank, entry, placement.prefillMs + meanOutput(work->maxTokens) * slotMs, now);
+    m_queue.noteStart(rank, entry, placement.prefillMs + m_rates.meanOutput(work->maxTokens) * slotMs, now);
     repeatOrder(flight);
     m_flights.insert_or_assign(id, std::move(flight));
 }
@@ -725,47 +709,18 @@
 
 SlotForecast SliceScheduler::slotForecast(absl::Time now) const
 {
-    refreshRates(now);
-    return SlotForecast{static_cast<double>(m_engines.openSlots(isCareful(now))), m_releasesPerMs};
+    return SlotForecast{static_cast<double>(m_engines.openSlots(isCareful(now))), m_rates.releasesPerMs(m_engines, now)};
 }
 
 std::int64_t SliceScheduler::piecesNeeded(const Work &work) const
 {
-    const auto output = static_cast<std::int64_t>(meanOutput(work->maxTokens) * reservedOutputFactor);
+    const auto output = static_cast<std::int64_t>(m_rates.meanOutput(work->maxTokens) * reservedOutputFactor);
     return m_engines.piecesFor(work->promptTokens + std::min(output, work->maxTokens));
 }
 
-double SliceScheduler::meanOutput(std::int64_t maxTokens) const
-{
-    return std::min(m_meanOutput.estimate(), static_cast<double>(maxTokens));
-}
-
 double SliceScheduler::capacityPerSecond(absl::Time now) const
 {
-    refreshRates(now);
-    return m_capacityPerSecond;
-}
-
-void SliceScheduler::refreshRates(absl::Time now) const
-{
-    if (now >= m_ratesAt && now - m_ratesAt < ratesRefresh) {
-        return;
-    }
-    m_ratesAt = now;
-    m_releasesPerMs = 0;
-    double decodePerMs = 0;
-    for (std::size_t i = 0; i < m_engines.decode().size(); ++i) {
-        const DecodeEngine &engine = m_engines.decode()[i];
-        if (engine.usable()) {
-            m_releasesPerMs += static_cast<double>(engine.running) / (m_meanOutput.estimate() * m_engines.gapMs(i, engine.running));
-            decodePerMs += static_cast<double>(engine.slots) / (m_meanOutput.estimate() * m_engines.gapMs(i, engine.slots));
-        }
-    }
-    double prefillPerMs = 0;
-    for (const PrefillEngine &engine : m_engines.prefill()) {
-        prefillPerMs += engine.usable() ? 1.0 / m_meanPrefillMs.estimate() : 0.0;
-    }
-    m_capacityPerSecond = 1000.0 * std::min(decodePerMs, prefillPerMs);
+    return m_rates.capacityPerSecond(m_engines, now);
 }
 
 absl::Time SliceScheduler::latestStart(const Work &work, std::size_t rank) const
--- a/packages/coordination/slicescheduler.h
+++ b/packages/coordination/slicescheduler.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "coordination/admissionqueue.h"
+#include "coordination/enginerates.h"
 #include "coordination/enginetable.h"
+#include "coordination/orphanwatch.h"
 #include "coordination/placement.h"
 #include "coordination/schedulersettings.h"
 #include "coordination/sizequantile.h"
@@ -132,9 +134,7 @@
     PlacementRules rulesFor(std::size_t rank, absl::Time now) const;
     SlotForecast slotForecast(absl::Time now) const;
     std::int64_t piecesNeeded(const Work &work) const;
-    double meanOutput(std::int64_t maxTokens) const;
     double capacityPerSecond(absl::Time now) const;
-    void refreshRates(absl::Time now) const;
     absl::Time latestStart(const Work &work, std::size_t rank) const;
 
     SchedulerSettings m_settings;
@@ -144,12 +144,8 @@
     absl::flat_hash_map<RequestId, Flight> m_flights;
     std::int64_t m_adopted = 0; ///< flights that an earlier owner reserved
     std::set<std::pair<absl::Time, RequestId>> m_results; ///< flights whose result waits for a slot, by deadline of the first token
-    absl::flat_hash_map<RequestId, absl::Time> m_unknown; ///< held by engines, known to nobody, since when
-    SpeedModel m_meanOutput;
-    SpeedModel m_meanPrefillMs;
-    mutable double m_capacityPerSecond = 0; ///< estimates of m_ratesAt
-    mutable double m_releasesPerMs = 0;
-    mutable absl::Time m_ratesAt = absl::InfinitePast();
+    OrphanWatch m_orphans;
+    EngineRates m_rates;
     Actions m_actions;
 };
 
--- a/tests/standins/objectapistandin.cpp
+++ b/tests/standins/objectapistandin.cpp
@@ -1,6 +1,6 @@
 #include "standins/objectapistandin.h"
 
-#include "protocol/jsonreader.h"
+#include "standins/jsonanswer.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -17,18 +17,9 @@
 constexpr absl::Duration hangTime = absl::Seconds(5);
 const std::string objectsPath = "/objects/";
 
-HttpResponse answer(int status, const Json &json)
-{
-    HttpResponse response;
-    response.status = status;
-    response.headers["Content-Type"] = "application/json";
-    response.body = jsonDump(json);
-    return response;
-}
-
 HttpResponse problem(int status, const std::string &text)
 {
-    return answer(status, Json{{"error", text}});
+    return jsonAnswer(status, Json{{"error", text}});
 }
 
 std::uint64_t numberOf(const std::string &text)
@@ -108,14 +99,14 @@
     if (it == m_objects.end() || it->second.removed) {
         return problem(404, "no such object");
     }
-    return answer(200, objectJson(it->second.object));
+    return jsonAnswer(200, objectJson(it->second.object));
 }
 
 HttpResponse ObjectApiStandIn::list(const std::string &kinds)
 {
     const MutexLock lock(m_mutex);
     bool any = false;
-    HttpResponse response = answer(200, Json::object());
+    HttpResponse response = jsonAnswer(200, Json::object());
     response.body = listBody(kinds, 0, &any);
     return response;
 }
@@ -126,7 +117,7 @@
     const absl::Time until = absl::Now() + absl::Milliseconds(numberOf(request.parameter("waitMs")));
     const MutexLock lock(m_mutex);
     bool any = false;
-    HttpResponse response = answer(200, Json::object());
+    HttpResponse response = jsonAnswer(200, Json::object());
     response.body = listBody(request.parameter("kinds"), after, &any);
     while (!any && absl::Now() < until) {
         m_changed.waitFor(m_mutex, until - absl::Now());
@@ -191,13 +182,13 @@
     m_faults.hang = jsonFlag(json, "hang", m_faults.hang);
     m_faults.slowMs = jsonInteger(json, "slowMs", m_faults.slowMs);
     m_faults.loseReplies = jsonInteger(json, "loseReplies", m_faults.loseReplies);
-    return answer(200, Json{{"done", true}});
+    return jsonAnswer(200, Json{{"done", true}});
 }
 
 HttpResponse ObjectApiStandIn::stats()
 {
     const MutexLock lock(m_mutex);
-    return answer(200, Json(m_counts));
+    return jsonAnswer(200, Json(m_counts));
 }
 
 HttpResponse ObjectApiStandIn::answerWrite(std::uint64_t version)
@@ -206,7 +197,7 @@
         --m_faults.loseReplies;
         return HttpResponse{0, {}, {}, {}, {}};
     }
-    return answer(200, Json{{"version", version}});
+    return jsonAnswer(200, Json{{"version", version}});
 }
 
 std::string ObjectApiStandIn::listBody(const std::string &kinds, std::uint64_t after, bool *any) const
--- a/tests/standins/servicestandin.cpp
+++ b/tests/standins/servicestandin.cpp
@@ -1,6 +1,6 @@
 #include "standins/servicestandin.h"
 
-#include "protocol/jsonreader.h"
+#include "standins/jsonanswer.h"
 
 #include <absl/strings/match.h>
 #include <absl/time/clock.h>
@@ -13,15 +13,6 @@
 
 const std::string operationsPath = "/v1/operations/";
 
-HttpResponse answer(int status, const Json &json)
-{
-    HttpResponse response;
-    response.status = status;
-    response.headers["Content-Type"] = "application/json";
-    response.body = jsonDump(json);
-    return response;
-}
-
 }
 
 HttpResponse ServiceStandIn::handle(const HttpRequest &request)
@@ -31,12 +22,12 @@
     }
     if (request.path == "/runs") {
         const MutexLock lock(m_mutex);
-        return answer(200, Json(m_runs));
+        return jsonAnswer(200, Json(m_runs));
     }
     if (absl::StartsWith(request.path, operationsPath)) {
         return run(request, request.path.substr(operationsPath.size()));
     }
-    return answer(404, Json{{"error", "no such path"}});
+    return jsonAnswer(404, Json{{"error", "no such path"}});
 }
 
 HttpResponse ServiceStandIn::run(const HttpRequest &request, const std::string &operation)
@@ -56,19 +47,19 @@
     if (lose) {
         return HttpResponse{0, {}, {}, {}, {}};
     }
-    return answer(200, Json{{"operation", operation}, {"done", true}, {"run", runs}});
+    return jsonAnswer(200, Json{{"operation", operation}, {"done", true}, {"run", runs}});
 }
 
 HttpResponse ServiceStandIn::control(const HttpRequest &request)
 {
     const Json json = Json::parse(request.body, nullptr, false);
     if (json.is_discarded()) {
-        return answer(400, Json{{"error", "no JSON"}});
+        return jsonAnswer(400, Json{{"error", "no JSON"}});
     }
     const MutexLock lock(m_mutex);
     m_delayMs = jsonInteger(json, "delayMs", m_delayMs);
     m_loseReplies = jsonInteger(json, "loseReplies", m_loseReplies);
-    return answer(200, Json{{"done", true}});
+    return jsonAnswer(200, Json{{"done", true}});
 }
 
 }
