tests: Run the threaded tests under ThreadSanitizer with glibc's tzset left out

Cause: TSan named one race, in glibc's tzset under glog, whose lock it does not see. Conclusion: no race of ours is known.

--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -7,7 +7,9 @@
 for preset in ${1:-asan tsan clang}; do
   cmake --preset "$preset" >/dev/null
   cmake --build --preset "$preset" --parallel "$(nproc)"
-  if [ "$preset" != clang ]; then
-    ctest --test-dir "build-$preset" --output-on-failure --parallel "$(nproc)"
-  fi
+  case $preset in
+    asan) ctest --test-dir build-asan --output-on-failure --parallel "$(nproc)" ;;
+    # The programs in virtual time have one thread: there is nothing for ThreadSanitizer to find.
+    tsan) TSAN_OPTIONS="suppressions=$PWD/tests/tsan.supp" ctest --test-dir build-tsan --output-on-failure --parallel "$(nproc)" -E 'policy_bars|exploration|random_run|properties' ;;
+  esac
 done
