coordination: Bound run record pages by bytes

Cause: reading the code: a page counted its records, not its bytes; long answers would have passed the store's megabyte, and a refused write would have been tried for ever, holding up every key of that page. A node whose time to drain was over took its parts apart under calls in progress. Change: pages take no new keys from 500 KB on, answers over 4 KB are recorded as a note, a node with calls left at the end of its drain leaves without taking parts down. Conclusion: a page cannot grow past what the store holds.

--- a/packages/apricotladderd/main.cpp
+++ b/packages/apricotladderd/main.cpp
@@ -7,6 +7,7 @@
 #include <glog/logging.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <map>
@@ -76,7 +77,10 @@
         return fail(problem);
     }
     waitForEnd(node);
-    node.drain();
+    if (!node.drain()) {
+        // Calls that are still in progress use the node's parts: these must not be taken apart under them.
+        std::_Exit(EXIT_SUCCESS);
+    }
     node.stop();
     return 0;
 }
--- a/packages/apricotladderd/node.cpp
+++ b/packages/apricotladderd/node.cpp
@@ -83,7 +83,7 @@
     return {};
 }
 
-void Node::drain()
+bool Node::drain()
 {
     const absl::Time until = absl::Now() + absl::Seconds(m_settings->drainSeconds);
     m_journal.info(RequestId(), "node.leaving", "no address of this node is handed out any more");
@@ -95,6 +95,7 @@
     m_frontEnd.stopAccepting();
     m_journal.info(RequestId(), "node.left",
                    idle ? "every call in progress has ended" : "the time to drain is over; calls in progress are cut off");
+    return idle;
 }
 
 void Node::stop()
--- a/packages/apricotladderd/node.h
+++ b/packages/apricotladderd/node.h
@@ -25,8 +25,8 @@
     std::string start();
 
     /// Leaves: hands no address of this node out, takes calls until the answers that it gave have expired, and returns
-    /// when the last call in progress has ended, at the latest after the time of the settings.
-    void drain();
+    /// when the last call in progress has ended, at the latest after the time of the settings. Returns whether all ended.
+    bool drain();
 
     void stop();
 
--- a/packages/coordination/runpagecommitter.cpp
+++ b/packages/coordination/runpagecommitter.cpp
@@ -9,6 +9,22 @@
 
 namespace {
 
+/// Bytes of a record in the store, about.
+std::size_t bytesOf(const RunRecord &record)
+{
+    constexpr std::size_t fixedBytes = 120;
+    return fixedBytes + record->key.text().size() + record->creator.text().size() + record->node.text().size() + record->body.size();
+}
+
+std::size_t bytesOf(const std::map<IdempotencyKey, RunRecord> &records)
+{
+    std::size_t bytes = 0;
+    for (const auto &[key, record] : records) {
+        bytes += bytesOf(record);
+    }
+    return bytes;
+}
+
 void dropOld(std::map<IdempotencyKey, RunRecord> *records, absl::Time now)
 {
     const std::int64_t oldestMs = absl::ToUnixMillis(now - RunPageCommitter::retention);
@@ -52,13 +68,15 @@
     }
     std::map<IdempotencyKey, RunRecord> records = (*m_page)->records;
     dropOld(&records, now);
+    std::size_t bytes = bytesOf(records);
     std::map<std::uint64_t, Change> kept;
     for (auto &[ticket, change] : m_pending) {
         const RunPage current = m_page->with(&RunPageFields::records, records);
-        const bool full = records.size() >= mostRecords && !records.contains(change.next->key);
+        const bool full = bytes >= fullAtBytes && !records.contains(change.next->key);
         if (full) {
             kept.emplace(ticket, std::move(change));
         } else if (holds(change, current)) {
+            bytes += bytesOf(change.next);
             records.insert_or_assign(change.next->key, change.next);
             m_writing.emplace(ticket, std::move(change));
         } else {
--- a/packages/coordination/runpagecommitter.h
+++ b/packages/coordination/runpagecommitter.h
@@ -42,8 +42,8 @@
     /// Records are dropped when they are older than this and no longer dispatching.
     static constexpr absl::Duration retention = absl::Hours(24);
 
-    /// Most records of one page, so that the object stays under the store's limit of a megabyte.
-    static constexpr std::size_t mostRecords = 2000;
+    /// A page of this many bytes takes no new keys. The rest of the store's megabyte is for the answers of calls under way.
+    static constexpr std::size_t fullAtBytes = 500 * 1024;
 
     /// Writes \a next if the record under its key is \a expected.
     void change(std::uint64_t ticket, std::optional<RunRecord> expected, RunRecord next);
--- a/packages/coordination/runtap.cpp
+++ b/packages/coordination/runtap.cpp
@@ -112,8 +112,10 @@
     if (tap->phase != TapPhase::Dispatching) {
         return {tap, {}};
     }
+    const bool fits = event.body.size() <= mostRecordedBody;
+    const std::string recorded = fits ? event.body : R"({"note":"the call ran; its answer was too long to be kept for later taps"})";
     const RunRecord done
-        = ownRecord(tap, RunState::Done).with(&RunRecordFields::status, event.status).with(&RunRecordFields::body, event.body);
+        = ownRecord(tap, RunState::Done).with(&RunRecordFields::status, event.status).with(&RunRecordFields::body, recorded);
     return end(tap, {AnswerRecorded{event.status, event.body}, SettleRecord{tap->createExpected, done}});
 }
 
--- a/packages/coordination/runtap.h
+++ b/packages/coordination/runtap.h
@@ -7,6 +7,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -152,6 +153,9 @@
 
 using TapAction = std::variant<ReadRecord, WriteRecord, SettleRecord, AskCreator, DispatchCall, AnswerRecorded, AnswerError>;
 
+/// Longest answer that is recorded for later taps, bytes; of a longer one they get the status and a note.
+inline constexpr std::size_t mostRecordedBody = 4096;
+
 /// The tap after an event, and what to do.
 struct TapStep
 {
--- a/packages/coordination/tests/runpages/testrunpages.cpp
+++ b/packages/coordination/tests/runpages/testrunpages.cpp
@@ -130,8 +130,8 @@
 {
     RunPageCommitter committer;
     std::vector<RunRecord> records;
-    for (std::size_t i = 0; i < RunPageCommitter::mostRecords; ++i) {
-        records.push_back(record(absl::StrCat("k", i), "other", RunState::Done));
+    for (int i = 0; i < 130; ++i) {
+        records.push_back(record(absl::StrCat("k", i), "other", RunState::Done).with(&RunRecordFields::body, std::string(4096, 'x')));
     }
     committer.onRead(page(4, records));
     committer.change(1, std::nullopt, record("one-more", "me"));
@@ -139,6 +139,8 @@
     BOOST_TEST(!committer.wanted(now, &reports).has_value());
     BOOST_TEST(committer.hasWork());
     BOOST_TEST(reports.empty());
+    committer.settle(2, std::nullopt, record("k1", "other", RunState::Done));
+    BOOST_TEST(committer.wanted(now, &reports).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/coordination/tests/runtap/testruntap.cpp
+++ b/packages/coordination/tests/runtap/testruntap.cpp
@@ -53,6 +53,17 @@
     BOOST_TEST((find<SettleRecord>(step)->next->state == RunState::Done));
 }
 
+BOOST_AUTO_TEST_CASE(aLongAnswerIsGivenWholeAndRecordedAsANote)
+{
+    const std::string body(mostRecordedBody + 1, 'x');
+    TapStep step = stepTap(start().tap, RecordRead{}, now);
+    step = stepTap(step.tap, RecordWritten{}, now);
+    step = stepTap(step.tap, CallAnswered{200, body}, now);
+    BOOST_TEST((find<AnswerRecorded>(step)->body == body));
+    BOOST_TEST(find<SettleRecord>(step)->next->body.size() < 200U);
+    BOOST_TEST(find<SettleRecord>(step)->next->status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(theSecondTapGetsTheRecordedOutcome)
 {
     const RunRecord done = record("other", RunState::Done).with(&RunRecordFields::status, 200).with(&RunRecordFields::body, "sent");
