--- a/tests/randomrun/simworld.cpp
+++ b/tests/randomrun/simworld.cpp
@@ -423,7 +423,9 @@
     }
     node->drain();
     const std::uint64_t epoch = node->epoch();
-    return [this, node, epoch] { m_clock.after(absl::Seconds(3), [this, node, epoch] { replaceWhenIdle(node, epoch); }); };
+    return [this, node, epoch] {
+        m_clock.after(absl::Seconds(3), [this, node, epoch] { replaceWhenIdle(node, epoch); });
+    };
 }
 
 void SimWorld::replaceWhenIdle(SimNode *node, std::uint64_t epoch)
