protocol, transport: Mend what clang-tidy found

Cause: clang-tidy named a chain of string additions and a vector filled without a reservation. Change: absl::StrCat, reserve. Conclusion: no change of behaviour.

--- a/packages/protocol/objectjson.cpp
+++ b/packages/protocol/objectjson.cpp
@@ -121,7 +121,7 @@
     for (const auto &[key, value] : spec.items()) {
         FieldValue field;
         if (!readField(value, &field)) {
-            return fail(ErrorKind::BadRequest, label + ": field \"" + key + "\" is no text, number, flag or list of texts");
+            return fail(ErrorKind::BadRequest, absl::StrCat(label, ": field \"", key, "\" is no text, number, flag or list of texts"));
         }
         fields.fields.emplace(key, std::move(field));
     }
--- a/packages/transport/udpsocket.cpp
+++ b/packages/transport/udpsocket.cpp
@@ -68,6 +68,7 @@
 std::vector<Datagram> UdpSocket::receiveAny(const std::vector<std::shared_ptr<UdpSocket>> &sockets, absl::Duration limit)
 {
     std::vector<pollfd> waits;
+    waits.reserve(sockets.size());
     for (const std::shared_ptr<UdpSocket> &socket : sockets) {
         waits.push_back(pollfd{socket->m_socket, POLLIN, 0});
     }
