apricotladderd: Report run page outcomes where clang sees the lock

Cause: the clang preset (-Wthread-safety -Werror) failed: two calls under the lane's lock stood in lambdas, which the analysis cannot follow, and Boost.LEAF's statement expressions were taken for errors. Conclusion: no change of behaviour.

--- a/packages/apricotladderd/runstore.cpp
+++ b/packages/apricotladderd/runstore.cpp
@@ -230,11 +230,12 @@
     {
         const MutexLock lock(lane.mutex);
         RunPageCommitter &committer = lane.pages[name].committer;
+        std::vector<ChangeReport> reports;
         std::visit(Overloaded{
-                       [&](const StoreWritten &it) { report(lane, committer.onWritten(it.version)); },
+                       [&](const StoreWritten &it) { reports = committer.onWritten(it.version); },
                        [&](const StoreConflicted &) { committer.onConflict(); },
                        [&](const StoreReplyLost &) {
-                           report(lane, committer.onLost());
+                           reports = committer.onLost();
                            failed = true;
                        },
                        [&](const StoreNotDone &) {
@@ -243,6 +244,7 @@
                        },
                    },
                    end);
+        report(lane, reports);
         lane.changed.signalAll();
     }
     if (failed) {
