apricotladder: Compare specs by the function that exists

Cause: reading the change again: applycommand.cpp had a copy of protocol's sameJson(). Change: the copy is gone and sameJson() is called. Conclusion: no change of behaviour.

--- a/packages/apricotladder/applycommand.cpp
+++ b/packages/apricotladder/applycommand.cpp
@@ -1,7 +1,7 @@
 #include "apricotladder/commands.h"
 #include "apricotladder/configdirectory.h"
 #include "apricotladder/storeaccess.h"
-#include "protocol/jsonreader.h"
+#include "protocol/fleetjson.h"
 
 #include <iostream>
 
@@ -12,11 +12,6 @@
 /// How often a write whose reply was lost is settled by reading back.
 constexpr int mostReadBacks = 5;
 
-bool sameSpec(const std::string &a, const std::string &b)
-{
-    return Json::parse(a, nullptr, false) == Json::parse(b, nullptr, false);
-}
-
 /// Writes one object; returns an exit code and says what happened.
 int applyObject(const StoreAccess &store, const StoredObject &object)
 {
@@ -28,7 +23,7 @@
             return ExitUnreachable;
         }
         const auto &current = std::get<std::optional<StoredObject>>(read);
-        if (current && sameSpec(current->spec, object.spec)) {
+        if (current && sameJson(current->spec, object.spec)) {
             std::cout << label << (i == 0 ? ": unchanged\n" : ": written\n");
             return ExitOk;
         }
