entry: Count answers with their likely length

Cause: the most an answer may hold (8,970 tokens) was reserved, so decode engines stood half empty while calls waited.

Conclusion: the estimate is kept whole.

--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -36,6 +36,9 @@
 constexpr double silencePauses = 3;
 constexpr absl::Duration leastSilence = absl::Milliseconds(900);
 
+/// Part of an answer's likely length that it holds in memory on average over its run.
+constexpr double answerMemoryPart = 1.0;
+
 /// Bytes that a caller may be behind before its engine is no longer read.
 constexpr std::size_t mostUnsent = 256 * 1024;
 
@@ -45,12 +48,20 @@
 /// A freed handle is of no further interest after this long.
 constexpr absl::Duration freeHandleTimeout = absl::Milliseconds(500);
 
+/// Memory that an answer is counted with: it grows from nothing to its length while others beside it end.
+std::int64_t expectedAnswerMemory(const RoutedCall &call)
+{
+    const std::int64_t most = call->mostOutputTokens;
+    const std::int64_t likely = call->likelyOutputTokens > 0 ? std::min(call->likelyOutputTokens, most) : most / 2;
+    return static_cast<std::int64_t>(answerMemoryPart * static_cast<double>(likely));
+}
+
 ModelDemand demandOf(const CallFacts &facts, const DataCentreName &nearTo, const std::vector<EngineId> &avoided)
 {
     ModelDemand demand;
     demand.nearTo = nearTo;
     demand.promptTokens = facts.call->promptTokens;
-    demand.memoryTokens = facts.call->promptTokens + facts.call->mostOutputTokens;
+    demand.memoryTokens = facts.call->promptTokens + expectedAnswerMemory(facts.call);
     demand.rank = facts.route->rank;
     demand.target = facts.route->target;
     demand.avoided = avoided;
@@ -589,6 +600,11 @@
                     {{"route", m_facts.route->name},
                      {"version", static_cast<std::int64_t>(m_facts.desiredVersion)},
                      {"rank", m_facts.route->rank},
+                     {"promptTokens", m_facts.call->promptTokens},
+                     {"mostOutputTokens", m_facts.call->mostOutputTokens},
+                     {"timeLeftMs", absl::ToDoubleMilliseconds(m_facts.call->timeLeft.value_or(absl::ZeroDuration()))},
+                     {"likelyOutputTokens", m_facts.call->likelyOutputTokens},
+                     {"events", m_events.lastId()},
                      {"decode", m_placement ? m_placement->decode->id.text() : std::string()},
                      {"prefill", m_placement && m_placement->prefill ? (*m_placement->prefill)->id.text() : std::string()},
                      {"outcome", std::string(outcome)},
--- a/packages/state/routedcall.h
+++ b/packages/state/routedcall.h
@@ -19,6 +19,7 @@
     std::optional<absl::Duration> timeLeft; ///< what the caller is willing to wait, from arrival
     std::int64_t promptTokens = 0; ///< model services only
     std::int64_t mostOutputTokens = 0; ///< model services only
+    std::int64_t likelyOutputTokens = 0; ///< the caller's estimate, right at the median and often far off; 0: none
     std::string lastEvent; ///< event after which a stream is to go on; empty: from its start
 
     friend auto operator<=>(const RoutedCallFields &, const RoutedCallFields &) = default;
