--- a/packages/apricotladderd/entry/callerconnection.cpp
+++ b/packages/apricotladderd/entry/callerconnection.cpp
@@ -8,6 +8,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Apricot {
@@ -25,6 +26,19 @@
     return ParseLimits{static_cast<std::size_t>(limits->headerBytes), static_cast<std::uint64_t>(limits->bodyBytes)};
 }
 
+/// Callers give about the same time to each call of a route; one that has far less left has been refused before.
+constexpr double lateTimeLeft = 0.8;
+
+bool isLateRepeat(EntryContext &context, const Route &route, const RoutedCall &call)
+{
+    const absl::Duration left = call->timeLeft.value_or(absl::InfiniteDuration());
+    const absl::Duration usual = context.longestTimeLeft.update(route->name, [&](absl::Duration &longest) {
+        longest = std::max(longest, call->timeLeft.value_or(absl::ZeroDuration()));
+        return longest;
+    });
+    return left < usual * lateTimeLeft && usual - left > route->target;
+}
+
 /// Seconds as a header value.
 std::string secondsText(absl::Duration duration)
 {
@@ -158,6 +172,7 @@
         return;
     }
     CallFacts facts{call, *route, chooseService(*route, m_loop.random()), table->desired()->version, m_loop.events().now()};
+    facts.isLate = isLateRepeat(context, *route, call);
     context.withRepeats(facts.service, [&](RepeatShare &share) { share.noteRequest(facts.arrival); });
     if ((*route)->shape == AnswerShape::Stream) {
         const auto stream = std::make_shared<StreamCall>(m_loop, shared_from_this(), std::move(facts), head, std::move(body));
--- a/packages/apricotladderd/entry/callfacts.h
+++ b/packages/apricotladderd/entry/callfacts.h
@@ -18,6 +18,7 @@
     ServiceName service;
     std::uint64_t desiredVersion = 0;
     absl::Time arrival;
+    bool isLate = false; ///< the caller has spent so much of its time already that the target has passed
 
     /// When the caller must have its final answer.
     absl::Time deadline() const
--- a/packages/apricotladderd/entry/entrycontext.h
+++ b/packages/apricotladderd/entry/entrycontext.h
@@ -90,6 +90,7 @@
     RouteKeeper routes;
     EngineBoard board;
     ShardedMap<ServiceName, std::optional<RepeatShare>, 8> repeats;
+    ShardedMap<std::string, absl::Duration, 8> longestTimeLeft; ///< that callers of a route gave lately
     std::atomic<std::size_t> knownNodes{1};
     std::atomic<LeavePhase> phase{LeavePhase::Serving};
     std::function<void()> loadsChanged; ///< tells the peers soon; any thread may call it
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -17,17 +17,20 @@
 
 constexpr absl::Duration connectTimeout = absl::Milliseconds(200);
 
-/// Callers give a stream up before its first event after a multiple of its target; a call that is placed later than this
-/// part of that would be read in vain.
-constexpr double patienceInTargets = 3;
-constexpr absl::Duration mostPatience = absl::Milliseconds(2400);
+/// How long a call waits for room, in targets. Beyond that its first event would miss the target: it is told to come back
+/// when the burst is over, and then waits longer, as nothing is left to miss but the whole answer.
+constexpr double patienceInTargets = 0.65;
+constexpr double patienceOfLateInTargets = 3;
+
+/// Callers give a stream up after a silence of two seconds or more.
+constexpr absl::Duration mostPatience = absl::Milliseconds(2200);
 
 /// How long a stream that broke off may wait for room at another engine: callers leave after two seconds of silence.
 constexpr absl::Duration patienceForResumption = absl::Milliseconds(900);
 
 /// When to come back after a refusal: at once after bad luck with an engine, later when there is no room.
 constexpr absl::Duration comeBackSoon = absl::Milliseconds(50);
-constexpr absl::Duration comeBackLater = absl::Seconds(3);
+constexpr absl::Duration comeBackLater = absl::Seconds(4);
 
 /// A prefill that takes this part of the target is given up for the decode engine's own reading.
 constexpr double slowPrefillPart = 0.75;
@@ -64,6 +67,8 @@
     demand.memoryTokens = facts.call->promptTokens + expectedAnswerMemory(facts.call);
     demand.rank = facts.route->rank;
     demand.target = facts.route->target;
+    demand.longestPause = facts.route->longestPause;
+    demand.isLate = facts.isLate;
     demand.avoided = avoided;
     return demand;
 }
@@ -87,7 +92,8 @@
     }
     const absl::Duration left = m_facts.deadline() - m_loop.events().now();
     m_deadlineTimer = m_loop.events().after(left, [self = shared_from_this()] { self->timeIsUp(); });
-    askForRoom(std::min(m_facts.route->target * patienceInTargets, mostPatience));
+    const double targets = m_facts.isLate ? patienceOfLateInTargets : patienceInTargets;
+    askForRoom(std::min(m_facts.route->target * targets, mostPatience));
 }
 
 void StreamCall::askForRoom(absl::Duration patience)
@@ -600,6 +606,7 @@
                     {{"route", m_facts.route->name},
                      {"version", static_cast<std::int64_t>(m_facts.desiredVersion)},
                      {"rank", m_facts.route->rank},
+                     {"late", m_facts.isLate},
                      {"promptTokens", m_facts.call->promptTokens},
                      {"mostOutputTokens", m_facts.call->mostOutputTokens},
                      {"timeLeftMs", absl::ToDoubleMilliseconds(m_facts.call->timeLeft.value_or(absl::ZeroDuration()))},
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -38,8 +38,21 @@
 /// still be overtaken by an urgent one.
 constexpr double longestReadShare = 0.55;
 
-/// Part of the pool's memory that only urgent calls may take.
-constexpr double urgentReserve = 0.12;
+/// Part of the pool's memory that only the most urgent calls may take, and part that late calls leave to all others.
+constexpr double urgentReserve = 0.05;
+constexpr double lateReserve = 0.1;
+
+/// Part of what is placed that every rank gets, however many more urgent calls wait.
+constexpr double rankFloor = 0.08;
+
+/// Time constant of what was placed lately.
+constexpr absl::Duration placedMemory = absl::Seconds(5);
+
+/// Part of the target after which a waiting call counts as late: reading the prompt takes the rest.
+constexpr double lateAfter = 0.65;
+
+/// Part of the longest pause that reading a prompt may take from the streams beside it.
+constexpr double longestReadPause = 0.55;
 
 /// Requests that a decode engine is given: all but one of its slots.
 constexpr std::int64_t spareSlots = 1;
@@ -164,9 +177,36 @@
     return whole > 0 ? free / whole : 0;
 }
 
+bool ServicePool::isBelowFloor(std::int64_t rank, absl::Time now) const
+{
+    double whole = 0;
+    double own = 0;
+    for (const auto &[placedRank, placed] : m_placedByRank) {
+        whole += placed.sum(now);
+        own += placedRank == rank ? placed.sum(now) : 0;
+    }
+    return own <= rankFloor * whole;
+}
+
 bool ServicePool::mayTakeReserve(const ModelDemand &demand, absl::Time now) const
 {
-    return demand.rank == 0 || freeShare(now) > urgentReserve;
+    if (demand.isLate) {
+        return freeShare(now) > lateReserve;
+    }
+    return demand.rank == 0 || isBelowFloor(demand.rank, now) || freeShare(now) > urgentReserve;
+}
+
+bool ServicePool::mayReadThere(const Candidate &decode, const ModelDemand &demand, double readMs) const
+{
+    // One prompt at a time, and only if the streams beside it can bear the pause.
+    const bool isFree = decode.load.requests == 0;
+    return isFree || (decode.load.prefillTokens == 0 && readMs <= longestReadPause * absl::ToDoubleMilliseconds(demand.longestPause));
+}
+
+void ServicePool::notePlaced(const ModelDemand &demand, absl::Time now)
+{
+    const auto [it, isNew] = m_placedByRank.try_emplace(demand.rank, placedMemory);
+    it->second.add(static_cast<double>(demand.memoryTokens), now);
 }
 
 std::vector<ServicePool::Candidate> ServicePool::decodeCandidates(const ModelDemand &demand, absl::Time now) const
@@ -223,7 +263,7 @@
         }
         const auto tokens = static_cast<double>(decode.load.prefillTokens + demand.promptTokens);
         const double readMs = absl::ToDoubleMilliseconds(decode.engine->health.cost(now) * tokens);
-        if (readMs <= longestReadMs) {
+        if (readMs <= longestReadMs && mayReadThere(decode, demand, readMs)) {
             const double harmMs = readThereBaseMs + readTherePerStreamMs * static_cast<double>(decode.load.requests);
             consider(decode.cost + readMs + harmMs, decode.engine->entry, std::nullopt);
         }
@@ -236,6 +276,7 @@
         for (const EngineLoad &load : best->loads) {
             add(load);
         }
+        notePlaced(demand, now);
     }
     return best;
 }
@@ -255,8 +296,9 @@
     using Order = std::tuple<bool, std::int64_t, absl::Time, WaiterId>;
     std::vector<Order> order;
     for (const auto &[id, waiter] : m_waiters) {
-        const bool isLate = now - waiter.since > waiter.demand.target;
-        order.emplace_back(isLate, waiter.demand.rank, waiter.since, id);
+        const bool isLate = waiter.demand.isLate || now - waiter.since > waiter.demand.target * lateAfter;
+        const std::int64_t rank = isBelowFloor(waiter.demand.rank, now) ? 0 : waiter.demand.rank;
+        order.emplace_back(isLate, rank, waiter.since, id);
     }
     std::sort(order.begin(), order.end());
     std::vector<Grant> grants;
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/decayingrate.h"
 #include "coordination/enginehealth.h"
 #include "state/desiredstate.h"
 #include "state/engineentry.h"
@@ -25,6 +26,8 @@
     std::int64_t memoryTokens = 0; ///< prompt and answer
     std::int64_t rank = 0; ///< 0 is the most urgent
     absl::Duration target; ///< to the first event
+    absl::Duration longestPause = absl::InfiniteDuration(); ///< between the events of a stream
+    bool isLate = false; ///< its target has passed already: it only takes room that nobody else wants
     std::vector<EngineId> avoided; ///< engines that failed this call
 
     friend bool operator==(const ModelDemand &, const ModelDemand &) = default;
@@ -147,13 +150,17 @@
     std::vector<Candidate> prefillCandidates(const ModelDemand &demand, absl::Time now) const;
     double failurePenalty(const Engine &engine, absl::Time now) const;
     double freeShare(absl::Time now) const;
+    bool isBelowFloor(std::int64_t rank, absl::Time now) const;
     bool mayTakeReserve(const ModelDemand &demand, absl::Time now) const;
+    bool mayReadThere(const Candidate &decode, const ModelDemand &demand, double readMs) const;
+    void notePlaced(const ModelDemand &demand, absl::Time now);
 
     std::optional<ModelServing> m_model;
     std::map<EngineId, Engine> m_engines;
     std::map<EngineId, EngineLoad> m_own;
     std::map<NodeId, PeerLoads> m_peers;
     std::map<WaiterId, Waiter> m_waiters;
+    std::map<std::int64_t, DecayingRate> m_placedByRank; ///< tokens of memory given to each rank lately
 };
 
 }
