--- a/packages/apricotladderd/entry/celllink.cpp
+++ b/packages/apricotladderd/entry/celllink.cpp
@@ -145,7 +145,7 @@
     heartbeat.sender = m_membership.self();
     heartbeat.claims = m_membership.claims();
     heartbeat.enginesRevision = m_hooks.enginesRevision();
-    heartbeat.loads = m_context.board.ownLoads();
+    heartbeat.loads = m_context.board.ownLoads(m_loop.now());
     const std::string bytes = encodeCellHeartbeat(heartbeat);
     for (const std::string &address : targets()) {
         m_socket->send(address, bytes);
--- a/packages/apricotladderd/entry/entryloop.cpp
+++ b/packages/apricotladderd/entry/entryloop.cpp
@@ -48,8 +48,8 @@
         const auto it = m_waiters.find(grant.waiter);
         if (it == m_waiters.end()) {
             // The call gave up while the grant was on its way.
-            for (const EngineLoad &load : grant.placement.loads) {
-                m_context.board.release(grant.placement.decode->service, load, m_events.now());
+            for (const EngineShare &share : grant.placement.shares) {
+                m_context.board.release(grant.placement.decode->service, share, m_events.now());
             }
             return;
         }
--- a/packages/apricotladderd/entry/plaincall.cpp
+++ b/packages/apricotladderd/entry/plaincall.cpp
@@ -207,7 +207,7 @@
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
     context.board.withPool(m_facts.service, [&](ServicePool &pool) {
-        pool.release(EngineLoad{m_engine->id, 1, 0, 0});
+        pool.release(EngineShare{m_engine->id, 1, 0, std::nullopt});
         if (!result) {
             return;
         }
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -28,9 +28,13 @@
 /// How long a stream that broke off may wait for room at another engine: callers leave after two seconds of silence.
 constexpr absl::Duration patienceForResumption = absl::Milliseconds(900);
 
+/// An expected wait below this is no reason to refuse a call at once: it rests on few calls.
+constexpr absl::Duration leastHopelessWait = absl::Milliseconds(1500);
+
 /// When to come back after a refusal: at once after bad luck with an engine, later when there is no room.
 constexpr absl::Duration comeBackSoon = absl::Milliseconds(50);
-constexpr absl::Duration comeBackLater = absl::Seconds(4);
+constexpr absl::Duration comeBackLater = absl::Milliseconds(2500);
+constexpr absl::Duration comeBackSpread = absl::Milliseconds(1800);
 
 /// A prefill that takes this part of the target is given up for the decode engine's own reading.
 constexpr double slowPrefillPart = 0.75;
@@ -39,9 +43,6 @@
 constexpr double silencePauses = 3;
 constexpr absl::Duration leastSilence = absl::Milliseconds(900);
 
-/// Part of an answer's likely length that it holds in memory on average over its run.
-constexpr double answerMemoryPart = 1.0;
-
 /// Bytes that a caller may be behind before its engine is no longer read.
 constexpr std::size_t mostUnsent = 256 * 1024;
 
@@ -51,24 +52,17 @@
 /// A freed handle is of no further interest after this long.
 constexpr absl::Duration freeHandleTimeout = absl::Milliseconds(500);
 
-/// Memory that an answer is counted with: it grows from nothing to its length while others beside it end.
-std::int64_t expectedAnswerMemory(const RoutedCall &call)
-{
-    const std::int64_t most = call->mostOutputTokens;
-    const std::int64_t likely = call->likelyOutputTokens > 0 ? std::min(call->likelyOutputTokens, most) : most / 2;
-    return static_cast<std::int64_t>(answerMemoryPart * static_cast<double>(likely));
-}
-
-ModelDemand demandOf(const CallFacts &facts, const DataCentreName &nearTo, const std::vector<EngineId> &avoided)
+ModelDemand demandOf(const CallFacts &facts, const DataCentreName &nearTo, const std::vector<EngineId> &avoided, absl::Duration patience)
 {
     ModelDemand demand;
     demand.nearTo = nearTo;
     demand.promptTokens = facts.call->promptTokens;
-    demand.memoryTokens = facts.call->promptTokens + expectedAnswerMemory(facts.call);
+    demand.hintedTokens = facts.call->likelyOutputTokens;
+    demand.mostTokens = facts.call->mostOutputTokens;
     demand.rank = facts.route->rank;
     demand.target = facts.route->target;
     demand.longestPause = facts.route->longestPause;
-    demand.isLate = facts.isLate;
+    demand.patience = patience;
     demand.avoided = avoided;
     return demand;
 }
@@ -100,7 +94,7 @@
 {
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
-    const ModelDemand demand = demandOf(m_facts, context.settings->dataCentre, m_avoided);
+    const ModelDemand demand = demandOf(m_facts, context.settings->dataCentre, m_avoided, patience);
     const std::optional<ModelPlacement> placement = context.board.withPool(m_facts.service, [&](ServicePool &pool) {
         return pool.waiterCount() == 0 ? pool.placeModel(demand, now) : std::nullopt;
     });
@@ -108,6 +102,12 @@
         roomFound(*placement);
         return;
     }
+    const absl::Duration expected
+        = context.board.withPool(m_facts.service, [&](ServicePool &pool) { return pool.expectedWait(demand, now); });
+    if (!m_streamBegun && expected > std::max(patience, leastHopelessWait)) {
+        noRoom();
+        return;
+    }
     const std::shared_ptr<StreamCall> self = shared_from_this();
     m_waiter = m_loop.addWaiter([self](const ModelPlacement &it) { self->roomFound(it); });
     m_waitTimer = m_loop.events().after(patience, [self] { self->noRoom(); });
@@ -121,7 +121,7 @@
     m_waiter = 0;
     m_placement = placement;
     m_placedAt = m_loop.events().now();
-    m_held = placement.loads;
+    m_held = placement.shares;
     m_loop.context().loadsChanged();
     if (placement.prefill && !m_streamBegun) {
         startPrefill();
@@ -137,7 +137,8 @@
         breakOff("no engine to resume at");
         return;
     }
-    refuse(m_wasSent ? ErrorKind::AnswerIncomplete : ErrorKind::NoCapacity, comeBackLater);
+    // Spread, so that those who were refused in a burst do not come back as one.
+    refuse(m_wasSent ? ErrorKind::AnswerIncomplete : ErrorKind::NoCapacity, comeBackLater + comeBackSpread * m_loop.random());
 }
 
 EngineTerms StreamCall::termsFor(const EngineEntry &engine) const
@@ -233,7 +234,7 @@
         refuse(ErrorKind::NoCapacity, comeBackSoon);
         return;
     }
-    hold(EngineLoad{m_placement->decode->id, 0, 0, m_facts.call->promptTokens});
+    hold(EngineShare{m_placement->decode->id, 0, m_facts.call->promptTokens, std::nullopt});
     startDecode();
 }
 
@@ -252,6 +253,7 @@
     }
     m_stageSince = m_loop.events().now();
     m_wasSent = false;
+    m_tokensNoted = false;
     m_answerHead = {};
     m_answerBody.clear();
     m_isStream = false;
@@ -317,23 +319,35 @@
         m_loop.context().metrics.observeFirstAnswer("stream", absl::ToDoubleSeconds(now - m_facts.arrival));
         m_caller->beginStream(callerAnswer(m_answerHead), events);
     }
-    // From its first event on the engine has read the prompt.
-    for (EngineLoad &load : m_held) {
-        if (load.prefillTokens > 0) {
-            m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) {
-                pool.noteCost(load.engine, static_cast<double>(load.prefillTokens), now - m_stageSince, now);
-                pool.release(EngineLoad{load.engine, 0, 0, load.prefillTokens});
-            });
-            load.prefillTokens = 0;
-            m_loop.context().loadsChanged();
-        }
-    }
+    noteFirstTokens(now);
     if (m_caller->unsentBytes() > mostUnsent) {
         m_exchange->setReading(false);
         m_caller->setDrained([self = shared_from_this()] { self->m_exchange->setReading(true); });
     }
 }
 
+void StreamCall::noteFirstTokens(absl::Time now)
+{
+    if (m_tokensNoted) {
+        return;
+    }
+    m_tokensNoted = true;
+    // From its first event on the engine has read the prompt.
+    m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) {
+        for (EngineShare &share : m_held) {
+            if (share.run) {
+                pool.noteRunStarted(share.engine, share.run->id, now);
+            }
+            if (share.prefillTokens > 0) {
+                pool.noteCost(share.engine, static_cast<double>(share.prefillTokens), now - m_stageSince, now);
+                pool.release(EngineShare{share.engine, 0, share.prefillTokens, std::nullopt});
+                share.prefillTokens = 0;
+            }
+        }
+    });
+    m_loop.context().loadsChanged();
+}
+
 void StreamCall::armSilence()
 {
     if (!m_facts.route->resumable || m_silenceTimer != 0) {
@@ -381,6 +395,10 @@
     const EngineId engine = m_placement->decode->id;
     if (end == ExchangeEnd::Complete) {
         note(engine, EngineResult::Good);
+        const absl::Time now = m_loop.events().now();
+        m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) {
+            pool.noteRunEnded(m_events.count() * pool.tokensPerEvent(), now - m_firstPiece);
+        });
         letGoAll();
         if (!m_streamBegun) {
             // A stream without any event is a whole answer with an empty body.
@@ -428,7 +446,7 @@
 
 void StreamCall::decodeAtSameEngine()
 {
-    hold(EngineLoad{m_placement->decode->id, 0, 0, m_facts.call->promptTokens});
+    hold(EngineShare{m_placement->decode->id, 0, m_facts.call->promptTokens, std::nullopt});
     startDecode();
 }
 
@@ -520,10 +538,10 @@
     m_caller->breakOff();
 }
 
-void StreamCall::hold(const EngineLoad &load)
+void StreamCall::hold(const EngineShare &share)
 {
-    m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) { pool.add(load); });
-    m_held.push_back(load);
+    m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) { pool.add(share, m_loop.events().now()); });
+    m_held.push_back(share);
 }
 
 void StreamCall::letGo(const EngineId &engine)
@@ -546,8 +564,8 @@
         return;
     }
     const absl::Time now = m_loop.events().now();
-    for (const EngineLoad &load : std::exchange(m_held, {})) {
-        m_loop.context().board.release(m_facts.service, load, now);
+    for (const EngineShare &share : std::exchange(m_held, {})) {
+        m_loop.context().board.release(m_facts.service, share, now);
     }
     m_loop.context().loadsChanged();
 }
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -55,6 +55,7 @@
     void decodeBody(const std::string &part);
     void decodeEnded(ExchangeEnd end);
     void passOn(const std::string &events);
+    void noteFirstTokens(absl::Time now);
     void silent();
     void armSilence();
     void streamEnded(ExchangeEnd end);
@@ -65,7 +66,7 @@
     void timeIsUp();
     void refuse(ErrorKind kind, std::optional<absl::Duration> comeBack);
     void breakOff(const char *why);
-    void hold(const EngineLoad &load);
+    void hold(const EngineShare &share);
     void letGo(const EngineId &engine);
     void letGoAll();
     void freeHandle(const char *why);
@@ -84,7 +85,7 @@
     WaiterId m_waiter = 0;
     TimerId m_waitTimer = 0;
     std::optional<ModelPlacement> m_placement;
-    std::vector<EngineLoad> m_held;
+    std::vector<EngineShare> m_held;
     std::vector<EngineId> m_avoided;
     std::shared_ptr<HttpExchange> m_exchange;
     TimerId m_prefillTimer = 0;
@@ -98,6 +99,7 @@
     HttpResponseHead m_answerHead;
     std::string m_answerBody; ///< of an answer that is no stream
     bool m_isStream = false;
+    bool m_tokensNoted = false; ///< the pool knows that the present engine makes tokens
     bool m_streamBegun = false; ///< the caller has the head and the first event
     std::size_t m_resumptions = 0;
     SseEvents m_events;
--- a/packages/coordination/engineboard.cpp
+++ b/packages/coordination/engineboard.cpp
@@ -49,10 +49,10 @@
     return found;
 }
 
-void EngineBoard::release(const ServiceName &service, const EngineLoad &load, absl::Time now)
+void EngineBoard::release(const ServiceName &service, const EngineShare &share, absl::Time now)
 {
     tellGrants(m_pools.update(service, [&](ServicePool &pool) {
-        pool.release(load);
+        pool.release(share);
         return pool.grantRoom(now);
     }));
 }
@@ -80,11 +80,11 @@
     }
 }
 
-std::vector<EngineLoad> EngineBoard::ownLoads() const
+std::vector<EngineLoad> EngineBoard::ownLoads(absl::Time now) const
 {
     std::vector<EngineLoad> loads;
     m_pools.forEach([&](const ServiceName &, const ServicePool &pool) {
-        const std::vector<EngineLoad> found = pool.ownLoads();
+        const std::vector<EngineLoad> found = pool.ownLoads(now);
         loads.insert(loads.end(), found.begin(), found.end());
     });
     return loads;
--- a/packages/coordination/engineboard.h
+++ b/packages/coordination/engineboard.h
@@ -42,8 +42,8 @@
         return m_pools.update(service, std::forward<Function>(function));
     }
 
-    /// Releases a load and gives the room to calls that wait.
-    void release(const ServiceName &service, const EngineLoad &load, absl::Time now);
+    /// Releases a share and gives the room to calls that wait.
+    void release(const ServiceName &service, const EngineShare &share, absl::Time now);
 
     /// Gives room to calls that wait for \a service.
     void grantRoom(const ServiceName &service, absl::Time now);
@@ -52,7 +52,7 @@
     void setPeerLoads(const NodeId &node, const std::vector<EngineLoad> &loads, absl::Time now);
 
     /// What this node has placed on all engines.
-    std::vector<EngineLoad> ownLoads() const;
+    std::vector<EngineLoad> ownLoads(absl::Time now) const;
 
 private:
     void tellGrants(const std::vector<Grant> &grants) const;
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -1,5 +1,7 @@
 #include "coordination/servicepool.h"
 
+#include "coordination/memoryforecast.h"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -38,9 +40,8 @@
 /// still be overtaken by an urgent one.
 constexpr double longestReadShare = 0.55;
 
-/// Part of the pool's memory that only the most urgent calls may take, and part that late calls leave to all others.
+/// Part of the pool's memory that only the most urgent calls may take.
 constexpr double urgentReserve = 0.05;
-constexpr double lateReserve = 0.1;
 
 /// Part of what is placed that every rank gets, however many more urgent calls wait.
 constexpr double rankFloor = 0.08;
@@ -48,17 +49,23 @@
 /// Time constant of what was placed lately.
 constexpr absl::Duration placedMemory = absl::Seconds(5);
 
-/// Part of the target after which a waiting call counts as late: reading the prompt takes the rest.
-constexpr double lateAfter = 0.65;
-
 /// Part of the longest pause that reading a prompt may take from the streams beside it.
 constexpr double longestReadPause = 0.55;
 
+/// Cost of an engine that has no room.
+constexpr double noRoomCost = 1e12;
+
 /// Requests that a decode engine is given: all but one of its slots.
 constexpr std::int64_t spareSlots = 1;
 
-/// Memory is handed out in blocks and grows a little beyond what callers say.
-constexpr double usableMemoryPart = 0.97;
+/// Part of an engine's memory that is given away: forecasts are off, and a run that is preempted is read again.
+constexpr double usableMemoryPart = 0.88;
+
+/// Weight of the newest run in what is known of all runs.
+constexpr double newestRunWeight = 0.05;
+
+/// Mean answer before any has ended, as a part of the longest one.
+constexpr double firstMeanPart = 0.5;
 
 bool isAvoided(const std::vector<EngineId> &avoided, const EngineId &engine)
 {
@@ -158,7 +165,7 @@
         it.cost = (callMs * (1 + ahead) + wayMs) * failurePenalty(*it.engine, now);
     }
     const EngineEntry chosen = cheapest(found)->engine->entry;
-    add(EngineLoad{chosen->id, 1, 0, 0});
+    add(EngineShare{chosen->id, 1, 0, std::nullopt}, now);
     return chosen;
 }
 
@@ -169,10 +176,10 @@
     }
     double free = 0;
     double whole = 0;
-    const auto capacity = static_cast<double>((*m_model)->memoryTokens);
+    const double capacity = usableMemory();
     for (const Candidate &it : candidates(EngineStage::Decode, {}, now)) {
         whole += capacity;
-        free += std::max(0.0, capacity - static_cast<double>(it.load.memoryTokens));
+        free += std::max(0.0, capacity - static_cast<double>(peakWith(it.load, nullptr)));
     }
     return whole > 0 ? free / whole : 0;
 }
@@ -190,9 +197,6 @@
 
 bool ServicePool::mayTakeReserve(const ModelDemand &demand, absl::Time now) const
 {
-    if (demand.isLate) {
-        return freeShare(now) > lateReserve;
-    }
     return demand.rank == 0 || isBelowFloor(demand.rank, now) || freeShare(now) > urgentReserve;
 }
 
@@ -206,21 +210,19 @@
 void ServicePool::notePlaced(const ModelDemand &demand, absl::Time now)
 {
     const auto [it, isNew] = m_placedByRank.try_emplace(demand.rank, placedMemory);
-    it->second.add(static_cast<double>(demand.memoryTokens), now);
+    it->second.add(1, now);
 }
 
 std::vector<ServicePool::Candidate> ServicePool::decodeCandidates(const ModelDemand &demand, absl::Time now) const
 {
     std::vector<Candidate> found = candidates(EngineStage::Decode, demand.avoided, now);
-    const double capacity = usableMemoryPart * static_cast<double>((*m_model)->memoryTokens);
-    std::erase_if(found, [&](const Candidate &it) {
-        const bool slotIsFree = it.load.requests + spareSlots < it.engine->entry->slots;
-        return !slotIsFree || static_cast<double>(it.load.memoryTokens + demand.memoryTokens) > capacity;
-    });
+    const EngineRun added{0, demand.promptTokens, likelyTokens(demand), 0};
     for (Candidate &it : found) {
-        const double used = static_cast<double>(it.load.memoryTokens + demand.memoryTokens) / capacity;
-        it.cost = fullnessPenaltyMs * used * failurePenalty(*it.engine, now);
+        const bool slotIsFree = it.load.requests + spareSlots < it.engine->entry->slots;
+        const double used = static_cast<double>(peakWith(it.load, &added)) / usableMemory();
+        it.cost = slotIsFree && used <= 1 ? fullnessPenaltyMs * used * failurePenalty(*it.engine, now) : noRoomCost;
     }
+    std::erase_if(found, [](const Candidate &it) { return it.cost >= noRoomCost; });
     return found;
 }
 
@@ -238,7 +240,7 @@
 {
     if (!m_model) {
         const std::optional<EngineEntry> plain = placePlain(demand.nearTo, demand.avoided, now);
-        return plain ? std::optional(ModelPlacement{*plain, std::nullopt, {EngineLoad{(*plain)->id, 1, 0, 0}}}) : std::nullopt;
+        return plain ? std::optional(ModelPlacement{*plain, std::nullopt, {EngineShare{(*plain)->id, 1, 0, std::nullopt}}}) : std::nullopt;
     }
     if (!mayTakeReserve(demand, now)) {
         return std::nullopt;
@@ -269,12 +271,13 @@
         }
     }
     if (best) {
-        best->loads.push_back(EngineLoad{best->decode->id, 1, demand.memoryTokens, best->prefill ? 0 : demand.promptTokens});
+        const EngineRun run{++m_lastRun, demand.promptTokens, likelyTokens(demand), 0};
+        best->shares.push_back(EngineShare{best->decode->id, 1, best->prefill ? 0 : demand.promptTokens, run});
         if (best->prefill) {
-            best->loads.push_back(EngineLoad{(*best->prefill)->id, 1, 0, demand.promptTokens});
+            best->shares.push_back(EngineShare{(*best->prefill)->id, 1, demand.promptTokens, std::nullopt});
         }
-        for (const EngineLoad &load : best->loads) {
-            add(load);
+        for (const EngineShare &share : best->shares) {
+            add(share, now);
         }
         notePlaced(demand, now);
     }
@@ -293,16 +296,15 @@
 
 std::vector<Grant> ServicePool::grantRoom(absl::Time now)
 {
-    using Order = std::tuple<bool, std::int64_t, absl::Time, WaiterId>;
+    using Order = std::tuple<std::int64_t, absl::Time, WaiterId>;
     std::vector<Order> order;
     for (const auto &[id, waiter] : m_waiters) {
-        const bool isLate = waiter.demand.isLate || now - waiter.since > waiter.demand.target * lateAfter;
         const std::int64_t rank = isBelowFloor(waiter.demand.rank, now) ? 0 : waiter.demand.rank;
-        order.emplace_back(isLate, rank, waiter.since, id);
+        order.emplace_back(rank, waiter.since + waiter.demand.patience, id);
     }
     std::sort(order.begin(), order.end());
     std::vector<Grant> grants;
-    for (const auto &[isLate, rank, since, id] : order) {
+    for (const auto &[rank, patienceEnds, id] : order) {
         const std::optional<ModelPlacement> placement = placeModel(m_waiters.at(id).demand, now);
         if (!placement) {
             break; // A smaller call behind must not keep a large one waiting for ever.
@@ -313,21 +315,47 @@
     return grants;
 }
 
-void ServicePool::release(const EngineLoad &load)
+void ServicePool::release(const EngineShare &share)
 {
-    const auto it = m_own.find(load.engine);
+    const auto it = m_own.find(share.engine);
     if (it == m_own.end()) {
         return;
     }
-    EngineLoad &own = it->second;
-    own.requests = std::max<std::int64_t>(0, own.requests - load.requests);
-    own.memoryTokens = std::max<std::int64_t>(0, own.memoryTokens - load.memoryTokens);
-    own.prefillTokens = std::max<std::int64_t>(0, own.prefillTokens - load.prefillTokens);
-    if (own.requests == 0 && own.memoryTokens == 0 && own.prefillTokens == 0) {
+    OwnLoad &own = it->second;
+    own.requests = std::max<std::int64_t>(0, own.requests - share.requests);
+    own.prefillTokens = std::max<std::int64_t>(0, own.prefillTokens - share.prefillTokens);
+    if (share.run) {
+        own.runs.erase(share.run->id);
+    }
+    if (own.requests == 0 && own.prefillTokens == 0 && own.runs.empty()) {
         m_own.erase(it);
     }
 }
 
+void ServicePool::noteRunStarted(const EngineId &engine, std::uint64_t run, absl::Time now)
+{
+    const auto own = m_own.find(engine);
+    if (own == m_own.end()) {
+        return;
+    }
+    const auto it = own->second.runs.find(run);
+    if (it != own->second.runs.end()) {
+        it->second.started = now;
+    }
+}
+
+void ServicePool::noteRunEnded(std::int64_t tokens, absl::Duration duration)
+{
+    const double seconds = absl::ToDoubleSeconds(duration);
+    if (tokens <= 0 || seconds <= 0) {
+        return;
+    }
+    const auto made = static_cast<double>(tokens);
+    m_meanTokens = m_meanTokens == 0 ? made : m_meanTokens + newestRunWeight * (made - m_meanTokens);
+    const double pace = made / seconds;
+    m_tokensPerSecond = m_tokensPerSecond == 0 ? pace : m_tokensPerSecond + newestRunWeight * (pace - m_tokensPerSecond);
+}
+
 void ServicePool::noteResult(const EngineId &engine, EngineResult result, absl::Time now)
 {
     const auto it = m_engines.find(engine);
@@ -355,11 +383,16 @@
     std::erase_if(m_peers, [&](const auto &entry) { return now - entry.second.heard > peerLoadLife; });
 }
 
-std::vector<EngineLoad> ServicePool::ownLoads() const
+std::vector<EngineLoad> ServicePool::ownLoads(absl::Time now) const
 {
     std::vector<EngineLoad> loads;
-    for (const auto &[id, load] : m_own) {
-        loads.push_back(load);
+    for (const auto &[id, own] : m_own) {
+        EngineLoad load{id, own.requests, own.prefillTokens, {}};
+        for (const auto &[runId, it] : own.runs) {
+            load.runs.push_back(it.run);
+            load.runs.back().madeTokens += tokensMadeIn(now - it.started);
+        }
+        loads.push_back(std::move(load));
     }
     return loads;
 }
@@ -370,13 +403,14 @@
     return it != m_engines.end() && it->second.entry->condition == EngineCondition::Ready && it->second.entry->bornMs == engine->bornMs;
 }
 
-void ServicePool::add(const EngineLoad &load)
+void ServicePool::add(const EngineShare &share, absl::Time now)
 {
-    EngineLoad &own = m_own[load.engine];
-    own.engine = load.engine;
-    own.requests += load.requests;
-    own.memoryTokens += load.memoryTokens;
-    own.prefillTokens += load.prefillTokens;
+    OwnLoad &own = m_own[share.engine];
+    own.requests += share.requests;
+    own.prefillTokens += share.prefillTokens;
+    if (share.run) {
+        own.runs.insert_or_assign(share.run->id, OwnRun{*share.run, share.run->madeTokens > 0 ? now : absl::InfiniteFuture()});
+    }
 }
 
 bool ServicePool::hasOther(const std::vector<EngineId> &avoided) const
@@ -386,22 +420,69 @@
     });
 }
 
+std::int64_t ServicePool::tokensMadeIn(absl::Duration duration) const
+{
+    return static_cast<std::int64_t>(m_tokensPerSecond * std::max(0.0, absl::ToDoubleSeconds(duration)));
+}
+
+std::int64_t ServicePool::likelyTokens(const ModelDemand &demand) const
+{
+    const double mean = m_meanTokens > 0 ? m_meanTokens : firstMeanPart * static_cast<double>(demand.mostTokens);
+    return likelyAnswerTokens(demand.hintedTokens, mean, demand.mostTokens);
+}
+
+double ServicePool::usableMemory() const
+{
+    return m_model ? std::max(1.0, usableMemoryPart * static_cast<double>((*m_model)->memoryTokens)) : 1.0;
+}
+
+std::int64_t ServicePool::peakWith(const EngineLoad &load, const EngineRun *added) const
+{
+    std::vector<MemoryUse> uses;
+    for (const EngineRun &run : load.runs) {
+        uses.push_back(MemoryUse{run.promptTokens + run.madeTokens, remainingTokens(run.likelyTokens, run.madeTokens)});
+    }
+    if (added != nullptr) {
+        uses.push_back(MemoryUse{added->promptTokens, added->likelyTokens});
+    }
+    return peakMemory(std::move(uses));
+}
+
+absl::Duration ServicePool::expectedWait(const ModelDemand &demand, absl::Time now) const
+{
+    double ahead = 1;
+    for (const auto &[id, waiter] : m_waiters) {
+        ahead += waiter.demand.rank <= demand.rank && waiter.since + waiter.demand.patience <= now + demand.patience ? 1 : 0;
+    }
+    double pace = 0;
+    for (const auto &[rank, placed] : m_placedByRank) {
+        pace += placed.perSecond(now);
+    }
+    return pace > 0 ? absl::Seconds(ahead / pace) : absl::ZeroDuration();
+}
+
 EngineLoad ServicePool::totalLoad(const EngineId &engine, absl::Time now) const
 {
     EngineLoad total;
     total.engine = engine;
-    const auto add = [&](const EngineLoad &load) {
-        total.requests += load.requests;
-        total.memoryTokens += load.memoryTokens;
-        total.prefillTokens += load.prefillTokens;
-    };
     if (const auto own = m_own.find(engine); own != m_own.end()) {
-        add(own->second);
+        total.requests += own->second.requests;
+        total.prefillTokens += own->second.prefillTokens;
+        for (const auto &[id, it] : own->second.runs) {
+            total.runs.push_back(it.run);
+            total.runs.back().madeTokens += tokensMadeIn(now - it.started);
+        }
     }
     for (const auto &[node, peer] : m_peers) {
         const auto it = peer.loads.find(engine);
-        if (it != peer.loads.end() && now - peer.heard <= peerLoadLife) {
-            add(it->second);
+        if (it == peer.loads.end() || now - peer.heard > peerLoadLife) {
+            continue;
+        }
+        total.requests += it->second.requests;
+        total.prefillTokens += it->second.prefillTokens;
+        for (const EngineRun &run : it->second.runs) {
+            total.runs.push_back(run);
+            total.runs.back().madeTokens += run.madeTokens > 0 ? tokensMadeIn(now - peer.heard) : 0;
         }
     }
     return total;
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -23,22 +23,34 @@
 {
     DataCentreName nearTo; ///< data centre of the node that asks
     std::int64_t promptTokens = 0;
-    std::int64_t memoryTokens = 0; ///< prompt and answer
+    std::int64_t hintedTokens = 0; ///< the caller's estimate of the answer; 0: none
+    std::int64_t mostTokens = 0; ///< of the answer
     std::int64_t rank = 0; ///< 0 is the most urgent
     absl::Duration target; ///< to the first event
     absl::Duration longestPause = absl::InfiniteDuration(); ///< between the events of a stream
-    bool isLate = false; ///< its target has passed already: it only takes room that nobody else wants
+    absl::Duration patience; ///< how long it may wait for room
     std::vector<EngineId> avoided; ///< engines that failed this call
 
     friend bool operator==(const ModelDemand &, const ModelDemand &) = default;
 };
 
+/// A part of what a node has placed on an engine.
+struct EngineShare
+{
+    EngineId engine;
+    std::int64_t requests = 0;
+    std::int64_t prefillTokens = 0; ///< prompt tokens to be read there
+    std::optional<EngineRun> run; ///< what takes memory there
+
+    friend bool operator==(const EngineShare &, const EngineShare &) = default;
+};
+
 /// Where a model call runs: the decode engine, and the prefill engine unless the decode engine reads the prompt itself.
 struct ModelPlacement
 {
     EngineEntry decode;
     std::optional<EngineEntry> prefill;
-    std::vector<EngineLoad> loads; ///< what was reserved for it
+    std::vector<EngineShare> shares; ///< what was reserved for it
 
     friend bool operator==(const ModelPlacement &, const ModelPlacement &) = default;
 };
@@ -73,21 +85,30 @@
     /// Engines for a model call; reserves their room. Nothing if there is none at present.
     std::optional<ModelPlacement> placeModel(const ModelDemand &demand, absl::Time now);
 
+    /// How long a new call of \a demand would wait for room here, by the pace at which calls got theirs lately.
+    absl::Duration expectedWait(const ModelDemand &demand, absl::Time now) const;
+
     /// Adds a call to those that wait for room.
     void wait(WaiterId waiter, ModelDemand demand, absl::Time now);
     void stopWaiting(WaiterId waiter);
 
-    /// Gives room that has become free to waiting calls, the most urgent first.
+    /// Gives room that has become free to waiting calls: by rank, and inside a rank to the one whose patience ends first.
     std::vector<Grant> grantRoom(absl::Time now);
 
     /// Whether \a engine is still there in the same life, and takes work.
     bool isReady(const EngineEntry &engine) const;
 
-    /// Counts a load beyond what place...() has counted.
-    void add(const EngineLoad &load);
+    /// Counts a share beyond what place...() has counted.
+    void add(const EngineShare &share, absl::Time now);
 
     /// Takes back a part of what place...() and add() have counted.
-    void release(const EngineLoad &load);
+    void release(const EngineShare &share);
+
+    /// Takes in that a run has made its first tokens.
+    void noteRunStarted(const EngineId &engine, std::uint64_t run, absl::Time now);
+
+    /// Takes in that a run that made \a tokens in \a duration has ended.
+    void noteRunEnded(std::int64_t tokens, absl::Duration duration);
 
     /// Takes in how a try at an engine ended.
     void noteResult(const EngineId &engine, EngineResult result, absl::Time now);
@@ -99,11 +120,17 @@
     void setPeerLoads(const NodeId &node, const std::vector<EngineLoad> &loads, absl::Time now);
 
     /// What this node has placed.
-    std::vector<EngineLoad> ownLoads() const;
+    std::vector<EngineLoad> ownLoads(absl::Time now) const;
 
     /// Whether an engine other than those in \a avoided could take a call.
     bool hasOther(const std::vector<EngineId> &avoided) const;
 
+    /// Tokens of an answer for each event of its stream.
+    std::int64_t tokensPerEvent() const
+    {
+        return m_model ? (*m_model)->tokensPerEvent : 1;
+    }
+
     std::size_t engineCount() const
     {
         return m_engines.size();
@@ -130,6 +157,19 @@
         absl::Time since;
     };
 
+    struct OwnRun
+    {
+        EngineRun run;
+        absl::Time started = absl::InfiniteFuture(); ///< first tokens
+    };
+
+    struct OwnLoad
+    {
+        std::int64_t requests = 0;
+        std::int64_t prefillTokens = 0;
+        std::map<std::uint64_t, OwnRun> runs;
+    };
+
     struct PeerLoads
     {
         absl::flat_hash_map<EngineId, EngineLoad> loads;
@@ -149,6 +189,10 @@
     std::vector<Candidate> decodeCandidates(const ModelDemand &demand, absl::Time now) const;
     std::vector<Candidate> prefillCandidates(const ModelDemand &demand, absl::Time now) const;
     double failurePenalty(const Engine &engine, absl::Time now) const;
+    double usableMemory() const;
+    std::int64_t peakWith(const EngineLoad &load, const EngineRun *added) const;
+    std::int64_t likelyTokens(const ModelDemand &demand) const;
+    std::int64_t tokensMadeIn(absl::Duration duration) const;
     double freeShare(absl::Time now) const;
     bool isBelowFloor(std::int64_t rank, absl::Time now) const;
     bool mayTakeReserve(const ModelDemand &demand, absl::Time now) const;
@@ -157,10 +201,13 @@
 
     std::optional<ModelServing> m_model;
     std::map<EngineId, Engine> m_engines;
-    std::map<EngineId, EngineLoad> m_own;
+    std::map<EngineId, OwnLoad> m_own;
     std::map<NodeId, PeerLoads> m_peers;
     std::map<WaiterId, Waiter> m_waiters;
-    std::map<std::int64_t, DecayingRate> m_placedByRank; ///< tokens of memory given to each rank lately
+    std::map<std::int64_t, DecayingRate> m_placedByRank; ///< calls of each rank that got room lately
+    std::uint64_t m_lastRun = 0;
+    double m_tokensPerSecond = 0; ///< of one run; 0: not known yet
+    double m_meanTokens = 0; ///< of an answer; 0: not known yet
 };
 
 }
--- a/packages/protocol/cellmessage.cpp
+++ b/packages/protocol/cellmessage.cpp
@@ -44,10 +44,16 @@
 
 }
 
+template<class Archive>
+void serialize(Archive &archive, EngineRun &it)
+{
+    archive(it.id, it.promptTokens, it.likelyTokens, it.madeTokens);
+}
+
 template<class Archive>
 void serialize(Archive &archive, EngineLoad &it)
 {
-    archive(it.engine, it.requests, it.memoryTokens, it.prefillTokens);
+    archive(it.engine, it.requests, it.prefillTokens, it.runs);
 }
 
 template<class Archive>
@@ -78,7 +84,7 @@
 template<class Archive>
 void serialize(Archive &archive, ModelServingFields &it)
 {
-    archive(it.slots, it.memoryTokens);
+    archive(it.slots, it.memoryTokens, it.tokensPerEvent);
     archiveDuration(archive, it.handleLife);
 }
 
--- a/packages/protocol/sseevents.cpp
+++ b/packages/protocol/sseevents.cpp
@@ -32,13 +32,17 @@
     const std::size_t end = endOfWholeEvents(m_pending);
     std::string whole = m_pending.substr(0, end);
     m_pending.erase(0, end);
-    noteIds(whole);
+    noteEvents(whole);
     return whole;
 }
 
-void SseEvents::noteIds(std::string_view events)
+void SseEvents::noteEvents(std::string_view events)
 {
+    bool hasLines = false;
     for (const absl::string_view line : absl::StrSplit(abslView(events), '\n')) {
+        const bool isBlank = line.empty() || line == "\r";
+        m_count += isBlank && hasLines ? 1 : 0;
+        hasLines = !isBlank;
         if (absl::StartsWith(line, "id:")) {
             m_lastId = std::string(absl::StripAsciiWhitespace(line.substr(3)));
         }
--- a/packages/protocol/sseevents.h
+++ b/packages/protocol/sseevents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,12 @@
         return m_lastId;
     }
 
+    /// Whole events so far.
+    std::int64_t count() const
+    {
+        return m_count;
+    }
+
     /// Bytes of an event that is not whole.
     std::size_t pendingBytes() const
     {
@@ -34,10 +41,11 @@
     }
 
 private:
-    void noteIds(std::string_view events);
+    void noteEvents(std::string_view events);
 
     std::string m_pending;
     std::string m_lastId;
+    std::int64_t m_count = 0;
 };
 
 }
--- a/packages/state/desiredstate.h
+++ b/packages/state/desiredstate.h
@@ -52,6 +52,7 @@
 {
     std::int64_t slots = 1; ///< requests that one engine runs at once
     std::int64_t memoryTokens = 0; ///< KV memory of one engine, tokens
+    std::int64_t tokensPerEvent = 1; ///< of a stream
     absl::Duration handleLife; ///< how long the result of a prefill is kept
 
     friend auto operator<=>(const ModelServingFields &, const ModelServingFields &) = default;
--- a/packages/state/engineentry.h
+++ b/packages/state/engineentry.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Apricot {
 
@@ -31,13 +32,24 @@
 /// What an engine says of itself in the platform's store.
 using EngineEntry = Immutable<EngineEntryFields>;
 
+/// One request that a decode engine runs or will run.
+struct EngineRun
+{
+    std::uint64_t id = 0; ///< unique at the node that placed it
+    std::int64_t promptTokens = 0;
+    std::int64_t likelyTokens = 0; ///< expected length of its answer
+    std::int64_t madeTokens = 0; ///< of its answer, up to now
+
+    friend auto operator<=>(const EngineRun &, const EngineRun &) = default;
+};
+
 /// What one node has placed on one engine.
 struct EngineLoad
 {
     EngineId engine;
     std::int64_t requests = 0; ///< under way
-    std::int64_t memoryTokens = 0; ///< KV memory promised to them
     std::int64_t prefillTokens = 0; ///< prompt tokens still to be read
+    std::vector<EngineRun> runs; ///< what takes KV memory there
 
     friend auto operator<=>(const EngineLoad &, const EngineLoad &) = default;
 };
