--- a/packages/apricotladderd/entry/callerconnection.cpp
+++ b/packages/apricotladderd/entry/callerconnection.cpp
@@ -3,8 +3,8 @@
 #include "apricotladderd/entry/plaincall.h"
 #include "apricotladderd/entry/streamcall.h"
 #include "platform/callheaders.h"
-#include "state/overloaded.h"
 #include "state/abslview.h"
+#include "state/overloaded.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -87,8 +87,12 @@
 {
     const std::shared_ptr<CallerConnection> self = shared_from_this();
     TcpConnection::Callbacks callbacks;
-    callbacks.data = [self](std::string_view bytes) { self->take(bytes); };
-    callbacks.ended = [self](TcpEnd) { self->ended(); };
+    callbacks.data = [self](std::string_view bytes) {
+        self->take(bytes);
+    };
+    callbacks.ended = [self](TcpEnd) {
+        self->ended();
+    };
     callbacks.drained = [self] {
         if (const std::function<void()> drained = self->m_drained) {
             drained();
@@ -255,7 +259,11 @@
     const std::shared_ptr<CallerConnection> self = shared_from_this();
     const Call call = std::exchange(m_call, std::monostate());
     m_closed = true;
-    std::visit(Overloaded{[](const std::monostate &) {}, [](const auto &it) { it->callerGone(); }}, call);
+    std::visit(Overloaded{[](const std::monostate &) {},
+                          [](const auto &it) {
+                              it->callerGone();
+                          }},
+               call);
     close();
 }
 
--- a/packages/apricotladderd/entry/celllink.cpp
+++ b/packages/apricotladderd/entry/celllink.cpp
@@ -186,8 +186,8 @@
     }
     m_membership.heartbeat(heartbeat.sender, heartbeat.claims, now);
     m_context.board.setPeerLoads(heartbeat.sender->id, heartbeat.loads, now);
-    const bool isNewer = heartbeat.sender->generation > m_membership.self()->generation
-        || heartbeat.enginesRevision > m_hooks.enginesRevision();
+    const bool isNewer
+        = heartbeat.sender->generation > m_membership.self()->generation || heartbeat.enginesRevision > m_hooks.enginesRevision();
     if (isNewer) {
         m_hooks.behind(heartbeat.sender);
     }
--- a/packages/apricotladderd/entry/connectionpool.cpp
+++ b/packages/apricotladderd/entry/connectionpool.cpp
@@ -21,8 +21,12 @@
     }
     TcpConnection *const raw = connection.get();
     TcpConnection::Callbacks callbacks;
-    callbacks.data = [this, key, raw](std::string_view) { drop(key, raw); };
-    callbacks.ended = [this, key, raw](TcpEnd) { drop(key, raw); };
+    callbacks.data = [this, key, raw](std::string_view) {
+        drop(key, raw);
+    };
+    callbacks.ended = [this, key, raw](TcpEnd) {
+        drop(key, raw);
+    };
     connection->setCallbacks(std::move(callbacks));
     idle.push_back(Idle{connection, now, until});
 }
--- a/packages/apricotladderd/entry/entrymain.cpp
+++ b/packages/apricotladderd/entry/entrymain.cpp
@@ -32,8 +32,8 @@
 cxxopts::Options makeOptions()
 {
     cxxopts::Options options("apricotladderd entry", "A node between callers and the engines of a platform.");
-    options.add_options()("c,config", "Settings file (JSON); default: the one that the platform names", cxxopts::value<std::string>())(
-        "check-settings", "Check the settings and end")("h,help", "Show this help");
+    options.add_options()("c,config", "Settings file (JSON); default: the one that the platform names",
+                          cxxopts::value<std::string>())("check-settings", "Check the settings and end")("h,help", "Show this help");
     for (const SettingSpec &spec : entrySettingSpecs()) {
         options.add_options("settings (each overrides the key of the file)")(spec.key, spec.text, cxxopts::value<std::string>(), spec.type);
     }
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -75,8 +75,12 @@
     }
     const auto incarnation = static_cast<std::uint64_t>(absl::ToUnixMillis(absl::Now()));
     CellLink::Hooks hooks;
-    hooks.enginesRevision = [this] { return enginesRevision(); };
-    hooks.behind = [this](const Member &peer) { learnFrom(peer); };
+    hooks.enginesRevision = [this] {
+        return enginesRevision();
+    };
+    hooks.behind = [this](const Member &peer) {
+        learnFrom(peer);
+    };
     m_cell = std::make_unique<CellLink>(m_control, m_context, incarnation, std::move(hooks));
     m_context.loadsChanged = [this] {
         m_control.post([this] { m_cell->tellSoon(); });
@@ -109,11 +113,13 @@
     if (!serve(settings->peerAddress, [this](const HttpRequestHead &it) { return answerPeer(it); }) || !m_cell->start()) {
         return cannotListen("peerAddress", settings->peerAddress);
     }
-    if (!settings->metricsAddress.empty() && !serve(settings->metricsAddress, [this](const HttpRequestHead &) { return answerMetrics(); })) {
+    if (!settings->metricsAddress.empty()
+        && !serve(settings->metricsAddress, [this](const HttpRequestHead &) { return answerMetrics(); })) {
         return cannotListen("metricsAddress", settings->metricsAddress);
     }
-    m_context.log.add(LogLevel::Info, "start", RequestId(),
-                      {{"dataCentre", settings->dataCentre.text()}, {"callers", settings->callerAddress}, {"store", settings->storeAddress}});
+    m_context.log.add(
+        LogLevel::Info, "start", RequestId(),
+        {{"dataCentre", settings->dataCentre.text()}, {"callers", settings->callerAddress}, {"store", settings->storeAddress}});
     return {};
 }
 
@@ -141,18 +147,23 @@
 void EntryNode::watchDesiredState()
 {
     StoreWatch::Callbacks callbacks;
-    callbacks.changed = [this](const StoredObject &object) { takeDesiredState(object); };
-    callbacks.removed = [](const std::string &) {};
-    callbacks.listed = [](const std::set<std::string> &, bool) {};
-    m_desiredWatch
-        = std::make_unique<StoreWatch>(m_control, m_controlPool, m_context, std::string(Wire::configKind), std::move(callbacks));
+    callbacks.changed = [this](const StoredObject &object) {
+        takeDesiredState(object);
+    };
+    callbacks.removed = [](const std::string &) {
+    };
+    callbacks.listed = [](const std::set<std::string> &, bool) {
+    };
+    m_desiredWatch = std::make_unique<StoreWatch>(m_control, m_controlPool, m_context, std::string(Wire::configKind), std::move(callbacks));
     m_desiredWatch->start();
 }
 
 void EntryNode::watchEngines()
 {
     StoreWatch::Callbacks callbacks;
-    callbacks.changed = [this](const StoredObject &object) { takeEngine(object); };
+    callbacks.changed = [this](const StoredObject &object) {
+        takeEngine(object);
+    };
     callbacks.removed = [this](const std::string &name) {
         if (m_control.now() - m_regained < lapseWindow) {
             removeLater(EngineId(name));
@@ -160,9 +171,10 @@
             engineGone(EngineId(name), "removed from the store");
         }
     };
-    callbacks.listed = [this](const std::set<std::string> &names, bool afterOutage) { enginesListed(names, afterOutage); };
-    m_engineWatch
-        = std::make_unique<StoreWatch>(m_control, m_controlPool, m_context, std::string(Wire::enginesKind), std::move(callbacks));
+    callbacks.listed = [this](const std::set<std::string> &names, bool afterOutage) {
+        enginesListed(names, afterOutage);
+    };
+    m_engineWatch = std::make_unique<StoreWatch>(m_control, m_controlPool, m_context, std::string(Wire::enginesKind), std::move(callbacks));
     m_engineWatch->start();
 }
 
@@ -282,14 +294,17 @@
     request.key = address;
     request.bytes = encodeHttpRequest(head, body);
     HttpExchange::Callbacks callbacks;
-    callbacks.head = [answer](const HttpResponseHead &it) { answer->status = it.status; };
-    callbacks.body = [answer](const std::string &part) { answer->body += part; };
+    callbacks.head = [answer](const HttpResponseHead &it) {
+        answer->status = it.status;
+    };
+    callbacks.body = [answer](const std::string &part) {
+        answer->body += part;
+    };
     callbacks.ended = [this, answer, answered](ExchangeEnd end) {
         m_control.cancel(answer->timeout);
         answered(end == ExchangeEnd::Complete ? answer->status : 0, answer->body);
     };
-    const std::shared_ptr<HttpExchange> exchange
-        = HttpExchange::start(m_control, m_controlPool, std::move(request), std::move(callbacks));
+    const std::shared_ptr<HttpExchange> exchange = HttpExchange::start(m_control, m_controlPool, std::move(request), std::move(callbacks));
     answer->timeout = m_control.after(controlCallTimeout, [exchange, answered] {
         exchange->cancel();
         answered(0, {});
@@ -475,9 +490,9 @@
 
 void EntryNode::finish()
 {
-    m_context.log.add(LogLevel::Info, "stopped", RequestId(),
-                      {{"callers", static_cast<std::int64_t>(callerCount())},
-                       {"ms", absl::ToDoubleMilliseconds(m_control.now() - m_leaveBegan)}});
+    m_context.log.add(
+        LogLevel::Info, "stopped", RequestId(),
+        {{"callers", static_cast<std::int64_t>(callerCount())}, {"ms", absl::ToDoubleMilliseconds(m_control.now() - m_leaveBegan)}});
     m_control.stop();
 }
 
--- a/packages/apricotladderd/entry/httpexchange.cpp
+++ b/packages/apricotladderd/entry/httpexchange.cpp
@@ -1,7 +1,7 @@
 #include "apricotladderd/entry/httpexchange.h"
 
-#include "transport/socketaddress.h"
 #include "state/abslview.h"
+#include "transport/socketaddress.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
@@ -61,8 +61,12 @@
             callbacks->sent();
         }
     };
-    callbacks.data = [self](std::string_view bytes) { self->take(bytes); };
-    callbacks.ended = [self](TcpEnd how) { self->connectionEnded(how); };
+    callbacks.data = [self](std::string_view bytes) {
+        self->take(bytes);
+    };
+    callbacks.ended = [self](TcpEnd how) {
+        self->connectionEnded(how);
+    };
     return callbacks;
 }
 
@@ -176,8 +180,7 @@
     }
     // An answer that came before the whole request was sent leaves a connection whose next bytes belong to that request.
     const bool isClean = m_mayKeep && !hasRest && m_connection->unsentBytes() == 0 && m_parser.head().keepAlive;
-    const absl::Duration keepFor
-        = std::min(m_request.keepFor, statedIdleTimeout(m_parser.head().headers) - keepAliveMargin);
+    const absl::Duration keepFor = std::min(m_request.keepFor, statedIdleTimeout(m_parser.head().headers) - keepAliveMargin);
     if (isClean && keepFor > absl::ZeroDuration()) {
         m_pool.give(m_request.key, std::exchange(m_connection, nullptr), m_loop.now(), m_loop.now() + keepFor);
     }
--- a/packages/apricotladderd/entry/localserver.cpp
+++ b/packages/apricotladderd/entry/localserver.cpp
@@ -32,8 +32,12 @@
     {
         const std::shared_ptr<Connection> self = shared_from_this();
         TcpConnection::Callbacks callbacks;
-        callbacks.data = [self](std::string_view bytes) { self->take(bytes); };
-        callbacks.ended = [self](TcpEnd) { self->forget(); };
+        callbacks.data = [self](std::string_view bytes) {
+            self->take(bytes);
+        };
+        callbacks.ended = [self](TcpEnd) {
+            self->forget();
+        };
         m_tcp->setCallbacks(std::move(callbacks));
         armTimer();
     }
--- a/packages/apricotladderd/entry/plaincall.cpp
+++ b/packages/apricotladderd/entry/plaincall.cpp
@@ -91,9 +91,15 @@
         self->m_wasSent = true;
         ++self->m_arrivals;
     };
-    callbacks.head = [self](const HttpResponseHead &head) { self->m_answerHead = head; };
-    callbacks.body = [self](const std::string &part) { self->m_answerBody += part; };
-    callbacks.ended = [self](ExchangeEnd end) { self->exchangeEnded(end); };
+    callbacks.head = [self](const HttpResponseHead &head) {
+        self->m_answerHead = head;
+    };
+    callbacks.body = [self](const std::string &part) {
+        self->m_answerBody += part;
+    };
+    callbacks.ended = [self](ExchangeEnd end) {
+        self->exchangeEnded(end);
+    };
     m_exchange = HttpExchange::start(m_loop.events(), m_loop.engines(), std::move(request), std::move(callbacks));
     if (mayRepeat && !m_over) {
         const absl::Duration limit = std::max(m_facts.route->target * overdueTargets, leastOverdue);
@@ -155,8 +161,7 @@
     facts.arrivals = m_arrivals;
     facts.mostAttempts = m_facts.route->mostAttempts;
     facts.hasAlternative = context.board.withPool(m_facts.service, [&](ServicePool &pool) { return pool.hasOther(m_avoided); });
-    facts.budgetAllows
-        = context.withRepeats(m_facts.service, [&](RepeatShare &share) { return share.allows(context.nodeCount(), now); });
+    facts.budgetAllows = context.withRepeats(m_facts.service, [&](RepeatShare &share) { return share.allows(context.nodeCount(), now); });
     facts.timeAllows = m_facts.deadline() - now > leastTimeForTry;
     facts.mayHaveRun = m_mayHaveRun;
     return facts;
--- a/packages/apricotladderd/entry/storewatch.cpp
+++ b/packages/apricotladderd/entry/storewatch.cpp
@@ -78,8 +78,12 @@
     request.mostIdle = takesKept ? absl::Seconds(2) : absl::ZeroDuration();
     request.keepFor = absl::Seconds(5);
     HttpExchange::Callbacks callbacks;
-    callbacks.head = [answer](const HttpResponseHead &it) { answer->status = it.status; };
-    callbacks.body = [answer](const std::string &part) { answer->body += part; };
+    callbacks.head = [answer](const HttpResponseHead &it) {
+        answer->status = it.status;
+    };
+    callbacks.body = [answer](const std::string &part) {
+        answer->body += part;
+    };
     callbacks.ended = [this, what, answer, answered = std::move(answered)](ExchangeEnd end) {
         m_loop.cancel(std::exchange(m_timeout, 0));
         if (end != ExchangeEnd::Complete) {
@@ -205,8 +209,9 @@
     m_wasOut = true;
     if (m_inTouch) {
         m_inTouch = false;
-        m_context.log.add(LogLevel::Warning, "store.lost", RequestId(),
-                          {{"kind", m_kind}, {"call", std::string(what)}, {"why", why}, {"revision", static_cast<std::int64_t>(m_revision)}});
+        m_context.log.add(
+            LogLevel::Warning, "store.lost", RequestId(),
+            {{"kind", m_kind}, {"call", std::string(what)}, {"why", why}, {"revision", static_cast<std::int64_t>(m_revision)}});
     }
     m_retry = m_loop.after(m_backoff, [this] {
         m_retry = 0;
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -95,9 +95,8 @@
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
     const ModelDemand demand = demandOf(m_facts, context.settings->dataCentre, m_avoided, patience);
-    const std::optional<ModelPlacement> placement = context.board.withPool(m_facts.service, [&](ServicePool &pool) {
-        return pool.waiterCount() == 0 ? pool.placeModel(demand, now) : std::nullopt;
-    });
+    const std::optional<ModelPlacement> placement = context.board.withPool(
+        m_facts.service, [&](ServicePool &pool) { return pool.waiterCount() == 0 ? pool.placeModel(demand, now) : std::nullopt; });
     if (placement) {
         roomFound(*placement);
         return;
@@ -177,12 +176,17 @@
     terms.prefillOnly = true;
     const std::shared_ptr<StreamCall> self = shared_from_this();
     HttpExchange::Callbacks callbacks;
-    callbacks.head = [self](const HttpResponseHead &head) { self->m_answerHead = head; };
-    callbacks.body = [self](const std::string &part) { self->m_answerBody += part; };
-    callbacks.ended = [self](ExchangeEnd end) { self->prefillEnded(end); };
+    callbacks.head = [self](const HttpResponseHead &head) {
+        self->m_answerHead = head;
+    };
+    callbacks.body = [self](const std::string &part) {
+        self->m_answerBody += part;
+    };
+    callbacks.ended = [self](ExchangeEnd end) {
+        self->prefillEnded(end);
+    };
     m_exchange = HttpExchange::start(m_loop.events(), m_loop.engines(), requestTo(engine, terms), std::move(callbacks));
-    m_prefillTimer
-        = m_loop.events().after(m_facts.route->target * slowPrefillPart, [self] { self->prefillIsSlow(); });
+    m_prefillTimer = m_loop.events().after(m_facts.route->target * slowPrefillPart, [self] { self->prefillIsSlow(); });
 }
 
 void StreamCall::prefillEnded(ExchangeEnd end)
@@ -268,9 +272,15 @@
         self->m_wasSent = true;
         ++self->m_arrivals;
     };
-    callbacks.head = [self](const HttpResponseHead &head) { self->decodeHead(head); };
-    callbacks.body = [self](const std::string &part) { self->decodeBody(part); };
-    callbacks.ended = [self](ExchangeEnd end) { self->decodeEnded(end); };
+    callbacks.head = [self](const HttpResponseHead &head) {
+        self->decodeHead(head);
+    };
+    callbacks.body = [self](const std::string &part) {
+        self->decodeBody(part);
+    };
+    callbacks.ended = [self](ExchangeEnd end) {
+        self->decodeEnded(end);
+    };
     m_exchange = HttpExchange::start(m_loop.events(), m_loop.engines(), requestTo(engine, terms), std::move(callbacks));
 }
 
@@ -396,9 +406,8 @@
     if (end == ExchangeEnd::Complete) {
         note(engine, EngineResult::Good);
         const absl::Time now = m_loop.events().now();
-        m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) {
-            pool.noteRunEnded(m_events.count() * pool.tokensPerEvent(), now - m_firstPiece);
-        });
+        m_loop.context().board.withPool(
+            m_facts.service, [&](ServicePool &pool) { pool.noteRunEnded(m_events.count() * pool.tokensPerEvent(), now - m_firstPiece); });
         letGoAll();
         if (!m_streamBegun) {
             // A stream without any event is a whole answer with an empty body.
@@ -483,8 +492,7 @@
     letGoAll();
     const bool mayRelay = end == ExchangeEnd::Complete && !terms.isEncoded && m_answerHead.status != statusOk;
     note(engine, mayRelay && m_answerHead.status < 500 ? EngineResult::Good : EngineResult::Failed);
-    if (m_facts.route->repeatability == Repeatability::Idempotent && (!mayRelay || m_answerHead.status >= 500)
-        && mayGoOnElsewhere()) {
+    if (m_facts.route->repeatability == Repeatability::Idempotent && (!mayRelay || m_answerHead.status >= 500) && mayGoOnElsewhere()) {
         goOnElsewhere();
         return;
     }
@@ -590,8 +598,7 @@
 
 void StreamCall::note(const EngineId &engine, EngineResult result)
 {
-    m_loop.context().board.withPool(m_facts.service,
-                                    [&](ServicePool &pool) { pool.noteResult(engine, result, m_loop.events().now()); });
+    m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) { pool.noteResult(engine, result, m_loop.events().now()); });
 }
 
 bool StreamCall::spendRepeat()
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -4,8 +4,8 @@
 #include "apricotladderd/entry/entryloop.h"
 #include "apricotladderd/entry/httpexchange.h"
 #include "coordination/attemptdecision.h"
-#include "protocol/httpmessage.h"
 #include "platform/callheaders.h"
+#include "protocol/httpmessage.h"
 #include "protocol/sseevents.h"
 
 #include <memory>
--- a/packages/apricotladderd/main.cpp
+++ b/packages/apricotladderd/main.cpp
@@ -34,7 +34,9 @@
 /// One command line flag for each key of the settings.
 cxxopts::Options makeOptions()
 {
-    cxxopts::Options options("apricotladderd", "A node of apricotladder: entry, coordinator, owner of slices. 'apricotladderd entry' runs a node on a platform.");
+    cxxopts::Options options(
+        "apricotladderd",
+        "A node of apricotladder: entry, coordinator, owner of slices. 'apricotladderd entry' runs a node on a platform.");
     options.add_options()("c,config", "Settings file (JSON)", cxxopts::value<std::string>())("h,help", "Show this help");
     for (const SettingSpec &spec : settingSpecs()) {
         options.add_options("settings (each overrides the key of the file)")(spec.key, spec.text, cxxopts::value<std::string>(), spec.type);
--- a/packages/coordination/routetable.cpp
+++ b/packages/coordination/routetable.cpp
@@ -36,8 +36,8 @@
     if (it == m_routesByHost.end()) {
         return nullptr;
     }
-    const auto route
-        = std::find_if(it->second.begin(), it->second.end(), [&](const Route &r) { return absl::StartsWith(abslView(path), r->pathPrefix); });
+    const auto route = std::find_if(it->second.begin(), it->second.end(),
+                                    [&](const Route &r) { return absl::StartsWith(abslView(path), r->pathPrefix); });
     return route == it->second.end() ? nullptr : &*route;
 }
 
--- a/packages/protocol/entrysettingsjson.cpp
+++ b/packages/protocol/entrysettingsjson.cpp
@@ -29,7 +29,8 @@
         {"drainMs", "whole number", "ms", false, "2000", 1, 600000, "Time in which an engine that leaves must get no more work."},
         {"graceS", "number", "s", false, "8", 1, 3600, "From the request to stop until the process is killed."},
         {"repeatRatio", "number", "repeats a request", false, "0.1", 0, 1, "Repeats to a service for each request, over all nodes."},
-        {"repeatHeadroom", "number", "repeats", false, "20", 0, 1000000, "Repeats within the window that are always allowed, over all nodes."},
+        {"repeatHeadroom", "number", "repeats", false, "20", 0, 1000000,
+         "Repeats within the window that are always allowed, over all nodes."},
         {"repeatWindowS", "number", "s", false, "10", 1, 600, "Window of the bound on repeats."},
         {"logLevel", "text", "", false, "info", 0, 0, "Least level that is logged: info, warning or error."},
     };
--- a/packages/protocol/httpmessage.cpp
+++ b/packages/protocol/httpmessage.cpp
@@ -19,7 +19,8 @@
 
 bool contains(const std::vector<std::string_view> &names, std::string_view name)
 {
-    return std::any_of(names.begin(), names.end(), [&](std::string_view it) { return absl::EqualsIgnoreCase(abslView(it), abslView(name)); });
+    return std::any_of(names.begin(), names.end(),
+                       [&](std::string_view it) { return absl::EqualsIgnoreCase(abslView(it), abslView(name)); });
 }
 
 void appendHeaders(std::string &text, const HttpHeaders &headers)
@@ -48,7 +49,8 @@
 
 bool hasHeader(const HttpHeaders &headers, std::string_view name)
 {
-    return std::any_of(headers.begin(), headers.end(), [&](const HttpHeader &it) { return absl::EqualsIgnoreCase(it.name, abslView(name)); });
+    return std::any_of(headers.begin(), headers.end(),
+                       [&](const HttpHeader &it) { return absl::EqualsIgnoreCase(it.name, abslView(name)); });
 }
 
 HttpHeaders endToEndHeaders(const HttpHeaders &headers, const std::vector<std::string_view> &kept)
--- a/packages/protocol/settingspec.cpp
+++ b/packages/protocol/settingspec.cpp
@@ -46,7 +46,8 @@
 {
     const bool isTextList = value.is_array() && std::all_of(value.begin(), value.end(), [](const Json &it) { return it.is_string(); });
     const bool fits = (spec.type == "text" && value.is_string()) || (spec.type == "whole number" && value.is_number_integer())
-        || (spec.type == "number" && value.is_number()) || (spec.type == "flag" && value.is_boolean()) || (spec.type == "list of texts" && isTextList);
+        || (spec.type == "number" && value.is_number()) || (spec.type == "flag" && value.is_boolean())
+        || (spec.type == "list of texts" && isTextList);
     if (!fits) {
         return absl::StrCat(spec.key, ": write a ", spec.type);
     }
--- a/packages/transport/tcpconnection.cpp
+++ b/packages/transport/tcpconnection.cpp
@@ -204,7 +204,8 @@
     if (m_connecting || m_descriptor < 0) {
         return;
     }
-    const std::uint32_t wanted = (m_reading ? EPOLLIN : 0U) | (m_reading || m_endsWhilePaused ? EPOLLRDHUP : 0U) | (unsentBytes() > 0 ? EPOLLOUT : 0U);
+    const std::uint32_t wanted
+        = (m_reading ? EPOLLIN : 0U) | (m_reading || m_endsWhilePaused ? EPOLLRDHUP : 0U) | (unsentBytes() > 0 ? EPOLLOUT : 0U);
     if (wanted != m_events) {
         m_events = wanted;
         m_loop.changeEvents(m_descriptor, wanted);
