--- a/packages/apricotladderd/entry/callentry.cpp
+++ b/packages/apricotladderd/entry/callentry.cpp
@@ -1,7 +1,7 @@
 #include "apricotladderd/entry/callentry.h"
 
 #include "apricotladderd/entry/erroranswer.h"
-#include "apricotladderd/entry/plaincall.h"
+#include "apricotladderd/entry/wholecall.h"
 #include "apricotladderd/entry/streamcall.h"
 #include "platform/callheaders.h"
 
@@ -62,7 +62,7 @@
     if ((*route)->shape == AnswerShape::Stream) {
         std::make_shared<StreamCall>(loop, connection, std::move(facts), std::move(head), std::move(body))->start();
     } else {
-        std::make_shared<PlainCall>(loop, connection, std::move(facts), std::move(head), std::move(body))->start();
+        std::make_shared<WholeCall>(loop, connection, std::move(facts), std::move(head), std::move(body))->start();
     }
 }
 
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -159,7 +159,7 @@
 void EntryNode::watchDesiredState()
 {
     StoreWatch::Callbacks callbacks;
-    callbacks.changed = [this](const StoredObject &object) {
+    callbacks.changed = [this](const StoreEntry &object) {
         takeDesiredState(object);
     };
     callbacks.removed = [](const std::string &) {
@@ -173,7 +173,7 @@
 void EntryNode::watchEngines()
 {
     StoreWatch::Callbacks callbacks;
-    callbacks.changed = [this](const StoredObject &object) {
+    callbacks.changed = [this](const StoreEntry &object) {
         takeEngine(object);
     };
     callbacks.removed = [this](const std::string &name) {
@@ -190,7 +190,7 @@
     m_engineWatch->start();
 }
 
-void EntryNode::takeDesiredState(const StoredObject &object)
+void EntryNode::takeDesiredState(const StoreEntry &object)
 {
     if (object.name != Wire::configName) {
         return;
@@ -219,7 +219,7 @@
                        {"source", std::string(source)}});
 }
 
-void EntryNode::takeEngine(const StoredObject &object)
+void EntryNode::takeEngine(const StoreEntry &object)
 {
     const EngineId id(object.name);
     const auto read = collect<EngineEntry>([&] { return readEngineEntry(object); });
@@ -354,7 +354,7 @@
         const auto page = collect<StorePage>([&] { return readStorePage(status == statusOk ? body : std::string("{}")); });
         if (const auto *found = std::get_if<StorePage>(&page)) {
             std::vector<Member> nodes;
-            for (const StoredObject &object : found->objects) {
+            for (const StoreEntry &object : found->objects) {
                 const auto node = collect<Member>([&] { return readNode(object); });
                 if (const auto *member = std::get_if<Member>(&node)) {
                     nodes.push_back(*member);
--- a/packages/apricotladderd/entry/entrynode.h
+++ b/packages/apricotladderd/entry/entrynode.h
@@ -68,8 +68,8 @@
     void startWatches();
     void watchDesiredState();
     void watchEngines();
-    void takeDesiredState(const StoredObject &object);
-    void takeEngine(const StoredObject &object);
+    void takeDesiredState(const StoreEntry &object);
+    void takeEngine(const StoreEntry &object);
     void putInForce(const DesiredState &desired, const char *source);
     void engineGone(const EngineId &engine, const char *why);
     void removeLater(const EngineId &engine);
--- a/packages/apricotladderd/entry/storewatch.cpp
+++ b/packages/apricotladderd/entry/storewatch.cpp
@@ -126,7 +126,7 @@
     m_context.metrics.countStoreCall("list", "good");
     // A watch from the first page's revision sees whatever changed while the other pages were read.
     m_listRevision = m_listRevision == 0 ? found.revision : std::min(m_listRevision, found.revision);
-    for (const StoredObject &object : found.objects) {
+    for (const StoreEntry &object : found.objects) {
         m_listedNames.insert(object.name);
         take(object);
     }
@@ -168,7 +168,7 @@
     }
     const StorePage &found = std::get<StorePage>(page);
     m_context.metrics.countStoreCall("watch", "good");
-    for (const StoredObject &object : found.objects) {
+    for (const StoreEntry &object : found.objects) {
         take(object);
     }
     m_revision = std::max(m_revision, found.revision);
@@ -183,7 +183,7 @@
     }
 }
 
-void StoreWatch::take(const StoredObject &object)
+void StoreWatch::take(const StoreEntry &object)
 {
     if (object.deleted) {
         m_callbacks.removed(object.name);
--- a/packages/apricotladderd/entry/storewatch.h
+++ b/packages/apricotladderd/entry/storewatch.h
@@ -25,7 +25,7 @@
 public:
     struct Callbacks
     {
-        std::function<void(const StoredObject &)> changed;
+        std::function<void(const StoreEntry &)> changed;
         std::function<void(const std::string &name)> removed;
 
         /// A whole list came: what is not among \a names does not exist. \a afterOutage if the store was away before.
@@ -64,7 +64,7 @@
               std::function<void(int, const std::string &)> answered);
     void failed(const char *what, const std::string &why);
     void succeeded();
-    void take(const StoredObject &object);
+    void take(const StoreEntry &object);
 
     EventLoop &m_loop;
     ConnectionPool &m_pool;
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -201,7 +201,7 @@
         afterFailedPrefill(isUnsent ? EngineResult::Unreachable : EngineResult::Failed, isUnsent ? "unreachable" : "broken");
         return;
     }
-    const std::optional<PrefillResult> result = m_answerHead.status == statusOk ? readPrefillResult(m_answerBody) : std::nullopt;
+    const std::optional<PrefillHandle> result = m_answerHead.status == statusOk ? readPrefillHandle(m_answerBody) : std::nullopt;
     if (!result) {
         m_prefillCounts = true;
         afterFailedPrefill(m_answerHead.status == statusOk ? EngineResult::Failed : EngineResult::Refused, "turned down");
--- a/packages/apricotladderd/entry/plaincall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/plaincall.h"
+#include "apricotladderd/entry/wholecall.h"
 
 #include "apricotladderd/entry/erroranswer.h"
 #include "platform/callheaders.h"
@@ -32,7 +32,7 @@
 
 }
 
-PlainCall::PlainCall(EntryLoop &loop, HttpServerConnection::Self caller, CallFacts facts, HttpRequestHead head, std::string body)
+WholeCall::WholeCall(EntryLoop &loop, HttpServerConnection::Self caller, CallFacts facts, HttpRequestHead head, std::string body)
     : m_loop(loop)
     , m_caller(std::move(caller))
     , m_facts(std::move(facts))
@@ -41,16 +41,16 @@
 {
 }
 
-void PlainCall::start()
+void WholeCall::start()
 {
     const absl::Duration left = m_facts.deadline() - m_loop.events().now();
-    const std::shared_ptr<PlainCall> self = shared_from_this();
+    const std::shared_ptr<WholeCall> self = shared_from_this();
     m_caller->setGone([self] { self->callerGone(); });
     m_deadlineTimer = m_loop.events().after(left, [self] { self->timeIsUp(); });
     tryEngine();
 }
 
-void PlainCall::tryEngine()
+void WholeCall::tryEngine()
 {
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
@@ -63,7 +63,7 @@
     send(*engine);
 }
 
-void PlainCall::send(const EngineEntry &engine)
+void WholeCall::send(const EngineEntry &engine)
 {
     const absl::Time now = m_loop.events().now();
     m_engine = engine;
@@ -87,7 +87,7 @@
         const std::string answered = readEngineAnswer(head).attempt;
         return answered.empty() || answered == attempt;
     };
-    const std::shared_ptr<PlainCall> self = shared_from_this();
+    const std::shared_ptr<WholeCall> self = shared_from_this();
     HttpExchange::Callbacks callbacks;
     callbacks.sent = [self] {
         self->m_wasSent = true;
@@ -109,7 +109,7 @@
     }
 }
 
-AttemptEnd PlainCall::readEnd(ExchangeEnd end) const
+AttemptEnd WholeCall::readEnd(ExchangeEnd end) const
 {
     if (end == ExchangeEnd::NotSent) {
         return NeverSent{};
@@ -128,14 +128,14 @@
     return Answered{m_answerHead.status};
 }
 
-void PlainCall::exchangeEnded(ExchangeEnd end)
+void WholeCall::exchangeEnded(ExchangeEnd end)
 {
     if (!m_over) {
         attemptEnded(readEnd(end));
     }
 }
 
-void PlainCall::attemptEnded(const AttemptEnd &end)
+void WholeCall::attemptEnded(const AttemptEnd &end)
 {
     m_loop.events().cancel(std::exchange(m_overdueTimer, 0));
     const absl::Time now = m_loop.events().now();
@@ -154,7 +154,7 @@
     take(step);
 }
 
-AttemptFacts PlainCall::attemptFacts(absl::Time now)
+AttemptFacts WholeCall::attemptFacts(absl::Time now)
 {
     EntryContext &context = m_loop.context();
     m_avoided.push_back(m_engine->id);
@@ -169,7 +169,7 @@
     return facts;
 }
 
-void PlainCall::take(const NextStep &step)
+void WholeCall::take(const NextStep &step)
 {
     EntryContext &context = m_loop.context();
     std::visit(Overloaded{
@@ -184,12 +184,12 @@
                                        {{"engine", m_engine->id.text()}, {"counts", next.isRepeat}, {"arrivals", m_arrivals}});
                        tryEngine();
                    },
-                   [&](const AnswerError &error) { refuse(error.kind); },
+                   [&](const AnswerWithError &error) { refuse(error.kind); },
                },
                step);
 }
 
-void PlainCall::overdue()
+void WholeCall::overdue()
 {
     m_overdueTimer = 0;
     AttemptFacts facts = attemptFacts(m_loop.events().now());
@@ -202,14 +202,14 @@
     attemptEnded(Spoilt{});
 }
 
-void PlainCall::timeIsUp()
+void WholeCall::timeIsUp()
 {
     m_deadlineTimer = 0;
     m_exchange->cancel();
     attemptEnded(TimeIsUp{m_wasSent});
 }
 
-void PlainCall::releaseEngine(std::optional<EngineResult> result)
+void WholeCall::releaseEngine(std::optional<EngineResult> result)
 {
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
@@ -225,7 +225,7 @@
     });
 }
 
-void PlainCall::relay()
+void WholeCall::relay()
 {
     const HttpResponseHead head = callerAnswer(m_answerHead);
     const std::string body = std::move(m_answerBody);
@@ -233,14 +233,14 @@
     m_caller->answer(head, body);
 }
 
-void PlainCall::refuse(ErrorKind kind)
+void WholeCall::refuse(ErrorKind kind)
 {
     const bool isNotRun = errorAnswer(kind).outcome == Outcome::NotRun;
     finish(errorAnswer(kind).name.data(), errorAnswer(kind).httpStatus);
     answerError(*m_caller, kind, isNotRun ? std::optional(comeBackSoon) : std::nullopt, errorAnswer(kind).text);
 }
 
-void PlainCall::callerGone()
+void WholeCall::callerGone()
 {
     if (m_over) {
         return;
@@ -250,7 +250,7 @@
     finish("caller left", 0);
 }
 
-void PlainCall::finish(const char *outcome, int status)
+void WholeCall::finish(const char *outcome, int status)
 {
     m_over = true;
     m_loop.events().cancel(std::exchange(m_deadlineTimer, 0));
--- a/packages/apricotladderd/entry/plaincall.h
+++ b/packages/apricotladderd/entry/wholecall.h
@@ -15,13 +15,13 @@
 namespace Apricot {
 
 /**
- * \class PlainCall
+ * \class WholeCall
  * \brief One call that is answered as a whole: tries engines until one answers, as decideNextStep() says.
  */
-class PlainCall : public std::enable_shared_from_this<PlainCall>
+class WholeCall : public std::enable_shared_from_this<WholeCall>
 {
 public:
-    PlainCall(EntryLoop &loop, HttpServerConnection::Self caller, CallFacts facts, HttpRequestHead head, std::string body);
+    WholeCall(EntryLoop &loop, HttpServerConnection::Self caller, CallFacts facts, HttpRequestHead head, std::string body);
 
     void start();
 
--- a/packages/coordination/attemptdecision.cpp
+++ b/packages/coordination/attemptdecision.cpp
@@ -22,7 +22,7 @@
 /// An error that says "not run", unless an earlier try may have.
 NextStep refusal(const AttemptFacts &facts, ErrorKind kind)
 {
-    return AnswerError{facts.mayHaveRun ? ErrorKind::AnswerIncomplete : kind};
+    return AnswerWithError{facts.mayHaveRun ? ErrorKind::AnswerIncomplete : kind};
 }
 
 NextStep afterNeverSent(const AttemptFacts &facts)
@@ -48,7 +48,7 @@
     }
     // Without the engine's own word that it did not run, such a status would be a promise that nobody can keep.
     if (promisesNotRun(status)) {
-        return AnswerError{ErrorKind::AnswerIncomplete};
+        return AnswerWithError{ErrorKind::AnswerIncomplete};
     }
     return RelayAnswer{};
 }
@@ -58,7 +58,7 @@
     if (facts.repeatability == Repeatability::Idempotent && mayRepeat(facts)) {
         return TryAnother{true};
     }
-    return AnswerError{ErrorKind::AnswerIncomplete};
+    return AnswerWithError{ErrorKind::AnswerIncomplete};
 }
 
 }
@@ -71,7 +71,7 @@
                           [&](const Answered &answered) -> NextStep { return afterAnswer(facts, answered.status); },
                           [&](const Spoilt &) -> NextStep { return afterSpoilt(facts); },
                           [&](const TimeIsUp &up) -> NextStep {
-                              return AnswerError{up.wasSent || facts.mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::NoCapacity};
+                              return AnswerWithError{up.wasSent || facts.mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::NoCapacity};
                           },
                       },
                       end);
--- a/packages/coordination/attemptdecision.h
+++ b/packages/coordination/attemptdecision.h
@@ -62,15 +62,15 @@
 };
 
 /// Answer the caller with an error of ours.
-struct AnswerError
+struct AnswerWithError
 {
     ErrorKind kind = ErrorKind::Internal;
 
-    friend bool operator==(const AnswerError &, const AnswerError &) = default;
+    friend bool operator==(const AnswerWithError &, const AnswerWithError &) = default;
 };
 
 /// What follows a try.
-using NextStep = std::variant<RelayAnswer, TryAnother, AnswerError>;
+using NextStep = std::variant<RelayAnswer, TryAnother, AnswerWithError>;
 
 /// What is known of a call when one of its tries ends.
 struct AttemptFacts
--- /dev/null
+++ b/packages/coordination/tests/entry/testservicepool.cpp
@@ -0,0 +1,258 @@
+#include "coordination/engineboard.h"
+#include "coordination/servicepool.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace Apricot;
+
+namespace {
+
+const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+const DataCentreName here("here");
+const DataCentreName there("there");
+
+EngineEntry engine(const std::string &id, EngineStage stage, const DataCentreName &place = here, std::int64_t slots = 32)
+{
+    return EngineEntry::Builder()
+        .set(&EngineEntryFields::id, EngineId(id))
+        .set(&EngineEntryFields::service, ServiceName("s"))
+        .set(&EngineEntryFields::address, "10.0.0.1:1")
+        .set(&EngineEntryFields::dataCentre, place)
+        .set(&EngineEntryFields::slots, slots)
+        .set(&EngineEntryFields::stage, stage)
+        .set(&EngineEntryFields::bornMs, std::int64_t{1})
+        .build();
+}
+
+ModelServing serving()
+{
+    ModelServingFields fields;
+    fields.slots = 32;
+    fields.memoryTokens = 10000;
+    fields.handleLife = absl::Milliseconds(500);
+    return ModelServing(fields);
+}
+
+ModelDemand demand(std::int64_t prompt, std::int64_t rank = 0)
+{
+    ModelDemand it;
+    it.nearTo = here;
+    it.promptTokens = prompt;
+    it.hintedTokens = 0;
+    it.mostTokens = 1000;
+    it.rank = rank;
+    it.target = absl::Milliseconds(800);
+    it.longestPause = absl::Milliseconds(300);
+    it.patience = absl::Milliseconds(500);
+    return it;
+}
+
+ServicePool modelPool(int prefills, int decodes)
+{
+    ServicePool pool;
+    pool.setModel(serving());
+    for (int i = 0; i < prefills; ++i) {
+        pool.apply(engine("p" + std::to_string(i), EngineStage::Prefill));
+    }
+    for (int i = 0; i < decodes; ++i) {
+        pool.apply(engine("d" + std::to_string(i), EngineStage::Decode));
+    }
+    return pool;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(ServicePools)
+
+BOOST_AUTO_TEST_CASE(plainCallsAreSpreadByLoad)
+{
+    ServicePool pool;
+    for (const char *id : {"a", "b", "c"}) {
+        pool.apply(engine(id, EngineStage::Plain));
+    }
+    std::map<std::string, int> placed;
+    for (int i = 0; i < 30; ++i) {
+        ++placed[(*pool.placePlain(here, {}, start))->id.text()];
+    }
+    for (const auto &[id, n] : placed) {
+        BOOST_TEST(n == 10);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(anEngineThatLeavesGetsNothing)
+{
+    ServicePool pool;
+    pool.apply(engine("a", EngineStage::Plain));
+    pool.apply(engine("b", EngineStage::Plain).with(&EngineEntryFields::condition, EngineCondition::Leaving));
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST((*pool.placePlain(here, {}, start))->id.text() == "a");
+    }
+    BOOST_TEST(!pool.isReady(engine("b", EngineStage::Plain)));
+    pool.remove(EngineId("a"));
+    BOOST_TEST(!pool.placePlain(here, {}, start).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(anotherLifeUnderTheSameIdIsAnotherEngine)
+{
+    ServicePool pool;
+    const EngineEntry before = engine("a", EngineStage::Plain);
+    pool.apply(before);
+    pool.noteResult(EngineId("a"), EngineResult::Unreachable, start);
+    pool.apply(before.with(&EngineEntryFields::bornMs, 2));
+    BOOST_TEST(!pool.isReady(before));
+    BOOST_TEST(pool.isReady(before.with(&EngineEntryFields::bornMs, 2)));
+}
+
+BOOST_AUTO_TEST_CASE(anUnreachableEngineIsPassedOverUnlessItIsTheOnlyOne)
+{
+    ServicePool pool;
+    pool.apply(engine("a", EngineStage::Plain));
+    pool.apply(engine("b", EngineStage::Plain));
+    pool.noteResult(EngineId("a"), EngineResult::Unreachable, start);
+    for (int i = 0; i < 5; ++i) {
+        BOOST_TEST((*pool.placePlain(here, {}, start))->id.text() == "b");
+    }
+    BOOST_TEST((*pool.placePlain(here, {EngineId("b")}, start))->id.text() == "a");
+}
+
+BOOST_AUTO_TEST_CASE(anEngineThatFailsItsCallsGetsFewer)
+{
+    ServicePool pool;
+    pool.apply(engine("good", EngineStage::Plain));
+    pool.apply(engine("grey", EngineStage::Plain));
+    for (int i = 0; i < 10; ++i) {
+        pool.noteResult(EngineId("good"), EngineResult::Good, start);
+        pool.noteResult(EngineId("grey"), i % 2 == 0 ? EngineResult::Failed : EngineResult::Good, start);
+    }
+    BOOST_TEST((*pool.placePlain(here, {}, start))->id.text() == "good");
+    BOOST_TEST((*pool.placePlain(here, {}, start))->id.text() == "good");
+}
+
+BOOST_AUTO_TEST_CASE(decodeMemoryIsNeverPromisedTwice)
+{
+    ServicePool pool = modelPool(1, 2);
+    std::map<std::string, std::int64_t> promised;
+    while (const std::optional<ModelPlacement> placed = pool.placeModel(demand(2000), start)) {
+        promised[placed->decode->id.text()] += 2000;
+        BOOST_TEST(promised[placed->decode->id.text()] <= serving()->memoryTokens);
+    }
+    BOOST_TEST(promised.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(whatPeersPlacedCountsUntilTheyFallSilent)
+{
+    ServicePool pool = modelPool(1, 1);
+    const EngineLoad full{EngineId("d0"), 4, 0, {EngineRun{1, 9000, 900, 0}}};
+    pool.setPeerLoads(NodeId("peer"), {full}, start);
+    BOOST_TEST(!pool.placeModel(demand(2000), start).has_value());
+    BOOST_TEST(pool.placeModel(demand(2000), start + absl::Seconds(3)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(aReleasedShareIsFreeAgain)
+{
+    ServicePool pool = modelPool(1, 1);
+    const std::optional<ModelPlacement> placed = pool.placeModel(demand(7000), start);
+    BOOST_TEST(placed.has_value());
+    BOOST_TEST(!pool.placeModel(demand(7000), start).has_value());
+    for (const EngineShare &share : placed->shares) {
+        pool.release(share);
+    }
+    BOOST_TEST(pool.ownLoads(start).empty());
+    BOOST_TEST(pool.placeModel(demand(7000), start).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(aPromptIsReadWhereItsTokensFollowOnlyIfTheStreamsThereCanBearIt)
+{
+    ServicePool pool = modelPool(0, 1);
+    BOOST_TEST(pool.placeModel(demand(2000), start).has_value()); // The engine is free.
+    BOOST_TEST(!pool.placeModel(demand(2000), start).has_value()); // One prompt at a time.
+    BOOST_TEST(!modelPool(0, 0).placeModel(demand(10), start).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(aPrefillIsOnlyChosenWithADecodeEngine)
+{
+    ServicePool pool = modelPool(2, 0);
+    BOOST_TEST(!pool.placeModel(demand(100), start).has_value());
+    BOOST_TEST(pool.ownLoads(start).empty());
+}
+
+BOOST_AUTO_TEST_CASE(roomGoesToTheMostUrgentAndThenToTheLeastPatient)
+{
+    ServicePool pool = modelPool(1, 1);
+    const std::optional<ModelPlacement> holder = pool.placeModel(demand(7000), start);
+    for (int i = 0; i < 30; ++i) { // The lower rank has had its floor share.
+        const std::optional<ModelPlacement> placed = pool.placeModel(demand(1, 2), start);
+        for (const EngineShare &share : placed->shares) {
+            pool.release(share);
+        }
+    }
+    ModelDemand patient = demand(7000);
+    patient.patience = absl::Seconds(2);
+    pool.wait(1, demand(7000, 2), start);
+    pool.wait(2, patient, start);
+    pool.wait(3, demand(7000), start + absl::Milliseconds(10));
+    BOOST_TEST(pool.grantRoom(start).empty());
+    std::vector<WaiterId> order;
+    std::optional<ModelPlacement> held = holder;
+    while (held) {
+        for (const EngineShare &share : held->shares) {
+            pool.release(share);
+        }
+        const std::vector<Grant> grants = pool.grantRoom(start + absl::Milliseconds(20));
+        held.reset();
+        for (const Grant &grant : grants) {
+            order.push_back(grant.waiter);
+            held = grant.placement;
+        }
+    }
+    BOOST_TEST(order == (std::vector<WaiterId>{3, 2, 1}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(everyRankKeepsAFloorInAFlood)
+{
+    ServicePool pool = modelPool(4, 8);
+    int urgent = 0;
+    int low = 0;
+    for (int i = 0; i < 400; ++i) {
+        const absl::Time now = start + absl::Milliseconds(10) * i;
+        pool.wait(static_cast<WaiterId>(2 * i + 1), demand(500), now);
+        pool.wait(static_cast<WaiterId>(2 * i + 2), demand(500, 2), now);
+        for (const Grant &grant : pool.grantRoom(now)) {
+            (grant.waiter % 2 == 0 ? low : urgent) += 1;
+            for (const EngineShare &share : grant.placement.shares) {
+                pool.release(share);
+            }
+        }
+    }
+    BOOST_TEST(urgent > 0);
+    BOOST_TEST(low >= urgent / 20);
+}
+
+BOOST_AUTO_TEST_CASE(theBoardTellsGrantsAndForgetsEngines)
+{
+    std::vector<WaiterId> told;
+    EngineBoard board([&](const Grant &grant) { told.push_back(grant.waiter); });
+    RoutedServiceFields service;
+    service.name = ServiceName("s");
+    service.model = serving();
+    board.setServices({RoutedService(service)});
+    board.withPool(ServiceName("s"), [&](ServicePool &pool) { pool.wait(7, demand(100), start); });
+    BOOST_TEST(board.apply(engine("d", EngineStage::Decode), start));
+    BOOST_TEST(!board.apply(engine("d", EngineStage::Decode), start));
+    BOOST_TEST(told == std::vector<WaiterId>{7}, boost::test_tools::per_element());
+    BOOST_TEST(board.remove(EngineId("d")));
+    BOOST_TEST(!board.remove(EngineId("d")));
+    BOOST_TEST(board.entries().empty());
+}
+
+BOOST_AUTO_TEST_CASE(aSlowEngineIsTriedAgainLater)
+{
+    EngineHealth health(absl::Milliseconds(10));
+    health.noteCost(1, absl::Seconds(1), start);
+    BOOST_TEST((health.cost(start) > absl::Milliseconds(100)));
+    BOOST_TEST((health.cost(start + absl::Minutes(2)) < absl::Milliseconds(11)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/transport/tests/exchange/testexchange.cpp
@@ -0,0 +1,255 @@
+#include "transport/connectionpool.h"
+#include "transport/httpexchange.h"
+#include "transport/httplistener.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace Apricot;
+
+namespace {
+
+/// What an exchange came to.
+struct Outcome
+{
+    ExchangeEnd end = ExchangeEnd::NotSent;
+    int status = 0;
+    std::string body;
+    bool sent = false;
+};
+
+/**
+ * \class RawServer
+ * \brief A hand-made server: sends what the test says for each thing that comes.
+ */
+class RawServer
+{
+public:
+    using Handler = std::function<void(const std::shared_ptr<TcpConnection> &, const std::string &)>;
+
+    RawServer(EventLoop &loop, Handler handler)
+        : m_handler(std::move(handler))
+        , m_listener(loop, "127.0.0.1:0", ListenAt::OwnAddress, TcpTimes(), [this](const std::shared_ptr<TcpConnection> &it) { accept(it); })
+    {
+    }
+
+    ~RawServer()
+    {
+        for (const std::shared_ptr<TcpConnection> &it : m_connections) {
+            it->abort();
+        }
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_listener.port());
+    }
+
+    std::size_t connectionCount() const
+    {
+        return m_connections.size();
+    }
+
+    int requests = 0;
+    int ends = 0;
+
+private:
+    void accept(const std::shared_ptr<TcpConnection> &connection)
+    {
+        m_connections.push_back(connection);
+        TcpConnection::Callbacks callbacks;
+        callbacks.data = [this, connection](std::string_view bytes) {
+            ++requests;
+            m_handler(connection, std::string(bytes));
+        };
+        callbacks.ended = [this](TcpEnd) { ++ends; };
+        connection->setCallbacks(std::move(callbacks));
+    }
+
+    Handler m_handler;
+    std::vector<std::shared_ptr<TcpConnection>> m_connections;
+    TcpListener m_listener;
+};
+
+struct Loop
+{
+    EventLoop events;
+    ConnectionPool pool;
+
+    ExchangeRequest request(const std::string &address) const
+    {
+        HttpRequestHead head;
+        head.method = "GET";
+        head.target = "/";
+        ExchangeRequest it;
+        it.address = address;
+        it.key = address;
+        it.bytes = encodeHttpRequest(head, {});
+        it.mostIdle = absl::Seconds(60);
+        it.keepFor = absl::Seconds(60);
+        it.connectTimeout = absl::Seconds(20);
+        return it;
+    }
+
+    Outcome exchange(ExchangeRequest request)
+    {
+        Outcome outcome;
+        bool over = false;
+        HttpExchange::Callbacks callbacks;
+        callbacks.sent = [&] { outcome.sent = true; };
+        callbacks.head = [&](const HttpResponseHead &head) { outcome.status = head.status; };
+        callbacks.body = [&](const std::string &part) { outcome.body += part; };
+        callbacks.ended = [&](ExchangeEnd end) {
+            outcome.end = end;
+            over = true;
+        };
+        const auto running = HttpExchange::start(events, pool, std::move(request), std::move(callbacks));
+        while (!over) {
+            events.runOnce();
+        }
+        return outcome;
+    }
+
+    void runUntil(const std::function<bool()> &done)
+    {
+        while (!done()) {
+            events.runOnce();
+        }
+    }
+};
+
+const std::string good = "HTTP/1.1 200 OK\r\nX-For: me\r\nContent-Length: 4\r\n\r\ngood";
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(Exchanges, Loop)
+
+BOOST_AUTO_TEST_CASE(aConnectionIsKeptForTheNextExchange)
+{
+    RawServer server(events, [](const auto &connection, const std::string &) { connection->write(good); });
+    BOOST_TEST(exchange(request(server.address())).body == "good");
+    BOOST_TEST(exchange(request(server.address())).body == "good");
+    BOOST_TEST(server.connectionCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(nothingIsSentWithoutAConnection)
+{
+    const Outcome outcome = exchange(request("127.0.0.1:9"));
+    BOOST_TEST((outcome.end == ExchangeEnd::NotSent));
+    BOOST_TEST(!outcome.sent);
+}
+
+BOOST_AUTO_TEST_CASE(aRequestThatWasSentIsNeverSentAgain)
+{
+    int answers = 0;
+    RawServer server(events, [&](const auto &connection, const std::string &) {
+        if (answers++ == 0) {
+            connection->write(good);
+        } else {
+            connection->abort(); // The kept connection dies under the second request.
+        }
+    });
+    BOOST_TEST(exchange(request(server.address())).body == "good");
+    const Outcome second = exchange(request(server.address()));
+    BOOST_TEST((second.end == ExchangeEnd::Broken));
+    BOOST_TEST(second.sent);
+    BOOST_TEST(server.requests == 2);
+}
+
+BOOST_AUTO_TEST_CASE(theAnswerToAnotherRequestIsPassedOver)
+{
+    RawServer server(events, [](const auto &connection, const std::string &) {
+        connection->write("HTTP/1.1 200 OK\r\nX-For: other\r\nContent-Length: 5\r\n\r\nwrong" + good);
+    });
+    ExchangeRequest mine = request(server.address());
+    mine.isMine = [](const HttpResponseHead &head) { return headerValue(head.headers, "X-For") == "me"; };
+    BOOST_TEST(exchange(mine).body == "good");
+    exchange(mine);
+    BOOST_TEST(server.connectionCount() == 2U); // A connection that mixes answers is not used again.
+}
+
+BOOST_AUTO_TEST_CASE(bytesAfterAnAnswerEndTheConnection)
+{
+    RawServer server(events, [](const auto &connection, const std::string &) { connection->write(good + "more"); });
+    BOOST_TEST(exchange(request(server.address())).body == "good");
+    exchange(request(server.address()));
+    BOOST_TEST(server.connectionCount() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(bytesOnAnIdleConnectionEndIt)
+{
+    std::shared_ptr<TcpConnection> first;
+    RawServer server(events, [&](const auto &connection, const std::string &) {
+        first = first ? first : connection;
+        connection->write(good);
+    });
+    exchange(request(server.address()));
+    first->write(good); // Late, and to nobody.
+    runUntil([&] { return server.ends == 1; });
+    exchange(request(server.address()));
+    BOOST_TEST(server.connectionCount() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aBodyWithoutLengthIsCompleteOnlyIfItsConnectionEndsInOrder)
+{
+    bool inOrder = true;
+    RawServer server(events, [&](const auto &connection, const std::string &) {
+        connection->write("HTTP/1.1 200 OK\r\nX-For: me\r\n\r\nwhole");
+        if (inOrder) {
+            connection->close();
+        } else {
+            connection->abort();
+        }
+    });
+    BOOST_TEST((exchange(request(server.address())).end == ExchangeEnd::Complete));
+    inOrder = false;
+    BOOST_TEST((exchange(request(server.address())).end == ExchangeEnd::Broken));
+}
+
+BOOST_AUTO_TEST_CASE(aCancelledExchangeResetsItsConnection)
+{
+    RawServer server(events, [](const auto &, const std::string &) {});
+    bool told = false;
+    HttpExchange::Callbacks callbacks;
+    callbacks.ended = [&](ExchangeEnd) { told = true; };
+    const auto running = HttpExchange::start(events, pool, request(server.address()), std::move(callbacks));
+    runUntil([&] { return server.requests == 1; });
+    running->cancel();
+    runUntil([&] { return server.ends == 1; });
+    BOOST_TEST(!told);
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatLeavesIsNoticedWhileItsRequestIsUnderWay)
+{
+    bool gone = false;
+    HttpServerConnection::Self held;
+    HttpListener::Hooks hooks;
+    hooks.request = [&](const HttpServerConnection::Self &connection, const HttpRequestHead &, const std::string &) {
+        held = connection;
+        connection->setGone([&] { gone = true; });
+    };
+    HttpListener listener(events, "127.0.0.1:0", ListenAt::OwnAddress, std::move(hooks));
+    const auto running = HttpExchange::start(events, pool, request("127.0.0.1:" + std::to_string(listener.port())), HttpExchange::Callbacks());
+    runUntil([&] { return held != nullptr; });
+    running->cancel();
+    runUntil([&] { return gone; });
+    BOOST_TEST(listener.connectionCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aStreamThatIsBrokenOffDoesNotLookComplete)
+{
+    HttpListener::Hooks hooks;
+    hooks.request = [&](const HttpServerConnection::Self &connection, const HttpRequestHead &, const std::string &) {
+        connection->beginStream(HttpResponseHead{200, "OK", {}, true, false}, "part");
+        events.after(absl::Milliseconds(20), [connection] { connection->breakOff(); });
+    };
+    HttpListener listener(events, "127.0.0.1:0", ListenAt::OwnAddress, std::move(hooks));
+    const Outcome outcome = exchange(request("127.0.0.1:" + std::to_string(listener.port())));
+    BOOST_TEST((outcome.end == ExchangeEnd::Broken));
+    BOOST_TEST(outcome.status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
