--- a/packages/apricotladderd/entry/callentry.cpp
+++ b/packages/apricotladderd/entry/callentry.cpp
@@ -1,8 +1,8 @@
 #include "apricotladderd/entry/callentry.h"
 
 #include "apricotladderd/entry/erroranswer.h"
-#include "apricotladderd/entry/wholecall.h"
 #include "apricotladderd/entry/streamcall.h"
+#include "apricotladderd/entry/wholecall.h"
 #include "platform/callheaders.h"
 
 #include <algorithm>
@@ -71,7 +71,9 @@
 HttpListener::Hooks callEntryHooks(EntryLoop &loop)
 {
     HttpListener::Hooks hooks;
-    hooks.limits = [&loop] { return limitsOf(loop.context()); };
+    hooks.limits = [&loop] {
+        return limitsOf(loop.context());
+    };
     hooks.request = [&loop](const HttpServerConnection::Self &connection, HttpRequestHead head, std::string body) {
         startCall(loop, connection, std::move(head), std::move(body));
     };
@@ -79,7 +81,9 @@
         loop.context().log.add(LogLevel::Warning, "call.malformed", RequestId(), {{"state", static_cast<std::int64_t>(state)}});
         HttpListener::answerMalformed(connection, state);
     };
-    hooks.keepsOpen = [&loop] { return loop.context().phase.load(std::memory_order_relaxed) == LeavePhase::Serving; };
+    hooks.keepsOpen = [&loop] {
+        return loop.context().phase.load(std::memory_order_relaxed) == LeavePhase::Serving;
+    };
     return hooks;
 }
 
--- a/packages/coordination/tests/entry/testattemptdecision.cpp
+++ b/packages/coordination/tests/entry/testattemptdecision.cpp
@@ -13,8 +13,8 @@
 /// Every end that a try can have, with the statuses that matter.
 std::vector<AttemptEnd> allEnds()
 {
-    return {NeverSent{},     Declined{},      Answered{200}, Answered{404}, Answered{408}, Answered{421}, Answered{429},
-            Answered{500},   Answered{503},   Answered{504}, Spoilt{},      TimeIsUp{false}, TimeIsUp{true}};
+    return {NeverSent{},   Declined{},    Answered{200}, Answered{404}, Answered{408},   Answered{421}, Answered{429},
+            Answered{500}, Answered{503}, Answered{504}, Spoilt{},      TimeIsUp{false}, TimeIsUp{true}};
 }
 
 /// Every combination of what may be known of a call.
--- a/packages/coordination/tests/entry/testroutetable.cpp
+++ b/packages/coordination/tests/entry/testroutetable.cpp
@@ -23,7 +23,8 @@
     const DesiredState desired
         = DesiredState::Builder()
               .set(&DesiredStateFields::version, 3U)
-              .set(&DesiredStateFields::routes, {route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"), route("other", "b.example", "/x/")})
+              .set(&DesiredStateFields::routes,
+                   {route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"), route("other", "b.example", "/x/")})
               .build();
     return RouteTable(desired);
 }
--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -29,8 +29,12 @@
 {
     const Self self = shared_from_this();
     TcpConnection::Callbacks callbacks;
-    callbacks.data = [self](std::string_view bytes) { self->take(bytes); };
-    callbacks.ended = [self](TcpEnd) { self->otherSideLeft(); };
+    callbacks.data = [self](std::string_view bytes) {
+        self->take(bytes);
+    };
+    callbacks.ended = [self](TcpEnd) {
+        self->otherSideLeft();
+    };
     callbacks.drained = [self] {
         if (const std::function<void()> drained = self->m_drained) {
             drained();
@@ -181,7 +185,9 @@
     m_busy = true;
     m_input.clear();
     TcpConnection::Callbacks callbacks;
-    callbacks.ended = [self](TcpEnd) { self->close(); };
+    callbacks.ended = [self](TcpEnd) {
+        self->close();
+    };
     m_connection->setCallbacks(std::move(callbacks));
     m_connection->setReading(true);
     m_connection->finishWriting();
--- a/packages/transport/tests/exchange/testexchange.cpp
+++ b/packages/transport/tests/exchange/testexchange.cpp
@@ -32,7 +32,8 @@
 
     RawServer(EventLoop &loop, Handler handler)
         : m_handler(std::move(handler))
-        , m_listener(loop, "127.0.0.1:0", ListenAt::OwnAddress, TcpTimes(), [this](const std::shared_ptr<TcpConnection> &it) { accept(it); })
+        , m_listener(loop, "127.0.0.1:0", ListenAt::OwnAddress, TcpTimes(),
+                     [this](const std::shared_ptr<TcpConnection> &it) { accept(it); })
     {
     }
 
@@ -65,7 +66,9 @@
             ++requests;
             m_handler(connection, std::string(bytes));
         };
-        callbacks.ended = [this](TcpEnd) { ++ends; };
+        callbacks.ended = [this](TcpEnd) {
+            ++ends;
+        };
         connection->setCallbacks(std::move(callbacks));
     }
 
@@ -99,9 +102,15 @@
         Outcome outcome;
         bool over = false;
         HttpExchange::Callbacks callbacks;
-        callbacks.sent = [&] { outcome.sent = true; };
-        callbacks.head = [&](const HttpResponseHead &head) { outcome.status = head.status; };
-        callbacks.body = [&](const std::string &part) { outcome.body += part; };
+        callbacks.sent = [&] {
+            outcome.sent = true;
+        };
+        callbacks.head = [&](const HttpResponseHead &head) {
+            outcome.status = head.status;
+        };
+        callbacks.body = [&](const std::string &part) {
+            outcome.body += part;
+        };
         callbacks.ended = [&](ExchangeEnd end) {
             outcome.end = end;
             over = true;
@@ -165,7 +174,9 @@
         connection->write("HTTP/1.1 200 OK\r\nX-For: other\r\nContent-Length: 5\r\n\r\nwrong" + good);
     });
     ExchangeRequest mine = request(server.address());
-    mine.isMine = [](const HttpResponseHead &head) { return headerValue(head.headers, "X-For") == "me"; };
+    mine.isMine = [](const HttpResponseHead &head) {
+        return headerValue(head.headers, "X-For") == "me";
+    };
     BOOST_TEST(exchange(mine).body == "good");
     exchange(mine);
     BOOST_TEST(server.connectionCount() == 2U); // A connection that mixes answers is not used again.
@@ -214,7 +225,9 @@
     RawServer server(events, [](const auto &, const std::string &) {});
     bool told = false;
     HttpExchange::Callbacks callbacks;
-    callbacks.ended = [&](ExchangeEnd) { told = true; };
+    callbacks.ended = [&](ExchangeEnd) {
+        told = true;
+    };
     const auto running = HttpExchange::start(events, pool, request(server.address()), std::move(callbacks));
     runUntil([&] { return server.requests == 1; });
     running->cancel();
@@ -232,7 +245,8 @@
         connection->setGone([&] { gone = true; });
     };
     HttpListener listener(events, "127.0.0.1:0", ListenAt::OwnAddress, std::move(hooks));
-    const auto running = HttpExchange::start(events, pool, request("127.0.0.1:" + std::to_string(listener.port())), HttpExchange::Callbacks());
+    const auto running
+        = HttpExchange::start(events, pool, request("127.0.0.1:" + std::to_string(listener.port())), HttpExchange::Callbacks());
     runUntil([&] { return held != nullptr; });
     running->cancel();
     runUntil([&] { return gone; });
--- a/packages/transport/tests/parser/testparser.cpp
+++ b/packages/transport/tests/parser/testparser.cpp
@@ -105,8 +105,13 @@
 
 BOOST_AUTO_TEST_CASE(connectionHeadersStayAndNamedOnesGo)
 {
-    const HttpHeaders headers{{"Host", "h"},        {"Connection", "X-Hop, X-Kept, close"}, {"X-Hop", "1"}, {"X-Kept", "2"}, {"Keep-Alive", "timeout=3"},
-                              {"Content-Length", "7"}, {"X-End", "3"}};
+    const HttpHeaders headers{{"Host", "h"},
+                              {"Connection", "X-Hop, X-Kept, close"},
+                              {"X-Hop", "1"},
+                              {"X-Kept", "2"},
+                              {"Keep-Alive", "timeout=3"},
+                              {"Content-Length", "7"},
+                              {"X-End", "3"}};
     const HttpHeaders kept = endToEndHeaders(headers, {"X-Kept"});
     BOOST_TEST((kept == HttpHeaders{{"Host", "h"}, {"X-Kept", "2"}, {"X-End", "3"}}));
 }
--- /dev/null
+++ b/scripts/check_wire_words.py
@@ -0,0 +1,37 @@
+#!/usr/bin/env python3
+"""Checks that the names of the platform's wire stand only in platform/, in deploy/, in tests and in the documents."""
+import pathlib
+import re
+import sys
+
+ROOT = pathlib.Path(sys.argv[1] if len(sys.argv) > 1 else ".")
+LITERAL = re.compile(r'"([^"\\\n]*)"')
+# Names of the platform: its headers, and fields or paths of more than one word.
+WIRE_WORD = re.compile(r"^/?(Apricotladder-[A-Za-z-]+|APRICOTLADDER_\w+|[a-z]+(-[a-z]+)+/?|readyz|discovery|draining)$")
+# Words that HTTP or the product's own interface shares with the platform.
+SHARED = {"text/plain", "/readyz", "readyz"}
+
+
+def literals(path):
+    text = "\n".join(line for line in path.read_text().splitlines() if not line.lstrip().startswith("#include"))
+    return set(LITERAL.findall(text))
+
+
+def sources(folder):
+    return [path for path in sorted((ROOT / folder).rglob("*")) if path.suffix in {".h", ".cpp"} and "tests" not in path.parts]
+
+
+def main():
+    words = {word for path in sources("platform") for word in literals(path) if WIRE_WORD.match(word)} - SHARED
+    faults = []
+    for path in sources("packages"):
+        for word in sorted(literals(path) & words):
+            faults.append(f'{path}: "{word}" is a name of the platform\'s wire; translate it in platform/')
+    if not words:
+        faults.append("no names found in platform/: the pattern of this script no longer fits")
+    print("\n".join(faults) if faults else f"wire words: {len(words)} names stand in platform/ alone")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
