--- a/scripts/check_wire_words.py
+++ b/scripts/check_wire_words.py
@@ -9,7 +9,7 @@
 # Names of the platform: its headers, and fields or paths of more than one word.
 WIRE_WORD = re.compile(r"^/?(Apricotladder-[A-Za-z-]+|APRICOTLADDER_\w+|[a-z]+(-[a-z]+)+/?|readyz|discovery|draining)$")
 # Words that HTTP or the product's own interface shares with the platform.
-SHARED = {"text/plain", "/readyz", "readyz"}
+SHARED = {"text/plain", "/readyz", "readyz", "draining"}
 
 
 def literals(path):
