tests: Run a whole entry node against stand-ins of the platform

Cause found by the new test: an engine that no call had gone to was expected to take 20 ms, so beside fast ones it got none at all.

Change: stand-ins of the store and of engines by hand; 18 cases from a call's way to leaving. A new engine is expected to be as fast as the best one, and among equals the turn goes round.

--- a/packages/apricotladderd/entry/eventlog.cpp
+++ b/packages/apricotladderd/entry/eventlog.cpp
@@ -101,7 +101,7 @@
     }
     std::string text;
     for (const Line &line : lines) {
-        text += (text.empty() ? "" : "\n") + format(line);
+        text.append(text.empty() ? "" : "\n").append(format(line));
     }
     // One call for all lines: each call of the logging library writes and flushes once.
     LOG(INFO) << text;
--- a/packages/coordination/enginehealth.cpp
+++ b/packages/coordination/enginehealth.cpp
@@ -32,12 +32,6 @@
 
 }
 
-EngineHealth::EngineHealth(absl::Duration expectedCost)
-    : m_expectedCost(expectedCost)
-    , m_cost(expectedCost)
-{
-}
-
 void EngineHealth::decay(absl::Time now)
 {
     const double left = halvings(now - m_decayed, failureHalfLife);
@@ -74,17 +68,22 @@
     if (units <= 0) {
         return;
     }
-    m_cost = cost(now) * (1 - newestCostWeight) + duration / units * newestCostWeight;
+    const absl::Duration seen = duration / units;
+    m_cost = m_costNoted == absl::InfinitePast() ? seen : m_cost * (1 - newestCostWeight) + seen * newestCostWeight;
     m_costNoted = now;
 }
 
-absl::Duration EngineHealth::cost(absl::Time now) const
+absl::Duration EngineHealth::cost(absl::Duration expected, absl::Time now) const
 {
     if (m_costNoted == absl::InfinitePast()) {
-        return m_expectedCost;
+        return expected;
     }
-    const double left = halvings(now - m_costNoted, costHalfLife);
-    return m_expectedCost + (m_cost - m_expectedCost) * left;
+    return expected + (m_cost - expected) * halvings(now - m_costNoted, costHalfLife);
+}
+
+std::optional<absl::Duration> EngineHealth::seenCost() const
+{
+    return m_costNoted == absl::InfinitePast() ? std::nullopt : std::optional(m_cost);
 }
 
 double EngineHealth::failureShare(absl::Time now) const
--- a/packages/coordination/enginehealth.h
+++ b/packages/coordination/enginehealth.h
@@ -2,6 +2,8 @@
 
 #include <absl/time/time.h>
 
+#include <optional>
+
 namespace Apricot {
 
 /// How a try at an engine ended, as far as the engine's health goes.
@@ -19,16 +21,17 @@
 class EngineHealth
 {
 public:
-    /// \a expectedCost is the first estimate of the time for a unit of work: a prompt token, or a whole call.
-    explicit EngineHealth(absl::Duration expectedCost = absl::ZeroDuration());
-
     void note(EngineResult result, absl::Time now);
 
     /// Takes in that \a units of work took \a duration.
     void noteCost(double units, absl::Duration duration, absl::Time now);
 
-    /// Estimated time for a unit of work. Without news it goes back to the first estimate, so that a slow engine is tried again.
-    absl::Duration cost(absl::Time now) const;
+    /// Estimated time for a unit of work: a prompt token, or a whole call. Without news it goes back to what is \a expected of
+    /// such engines, so that a slow one is tried again.
+    absl::Duration cost(absl::Duration expected, absl::Time now) const;
+
+    /// What was seen last; nothing if no cost was noted yet.
+    std::optional<absl::Duration> seenCost() const;
 
     /// Part of the recent tries that failed, 0 to 1.
     double failureShare(absl::Time now) const;
@@ -42,7 +45,6 @@
 private:
     void decay(absl::Time now);
 
-    absl::Duration m_expectedCost;
     absl::Duration m_cost;
     absl::Time m_costNoted = absl::InfinitePast();
     double m_good = 0;
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -72,17 +72,17 @@
     return std::find(avoided.begin(), avoided.end(), engine) != avoided.end();
 }
 
-EngineHealth freshHealth(EngineStage stage)
+absl::Duration firstEstimate(EngineStage stage)
 {
     switch (stage) {
     case EngineStage::Plain:
-        return EngineHealth(expectedPlainCall);
+        return expectedPlainCall;
     case EngineStage::Prefill:
-        return EngineHealth(expectedPrefillToken);
+        return expectedPrefillToken;
     case EngineStage::Decode:
-        return EngineHealth(expectedDecodeToken);
+        return expectedDecodeToken;
     }
-    return EngineHealth();
+    return expectedPlainCall;
 }
 
 template<class Candidates>
@@ -107,7 +107,7 @@
         it->second.entry = entry;
         return;
     }
-    m_engines.insert_or_assign(entry->id, Engine{entry, freshHealth(entry->stage)});
+    m_engines.insert_or_assign(entry->id, Engine{entry, EngineHealth()});
 }
 
 void ServicePool::remove(const EngineId &engine)
@@ -151,16 +151,31 @@
     return 1 + failureWeight * (engine.health.failureShare(now) - least);
 }
 
+absl::Duration ServicePool::expectedCost(EngineStage stage) const
+{
+    std::optional<absl::Duration> least;
+    for (const auto &[id, engine] : m_engines) {
+        const std::optional<absl::Duration> seen = engine.health.seenCost();
+        if (engine.entry->stage == stage && seen && (!least || *seen < *least)) {
+            least = seen;
+        }
+    }
+    return least.value_or(firstEstimate(stage));
+}
+
 std::optional<EngineEntry> ServicePool::placePlain(const DataCentreName &nearTo, const std::vector<EngineId> &avoided, absl::Time now)
 {
     std::vector<Candidate> found = candidates(EngineStage::Plain, avoided, now);
     if (found.empty()) {
         return std::nullopt;
     }
+    // Among equals the turn goes round.
+    std::rotate(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(++m_turn % found.size()), found.end());
+    const absl::Duration expected = expectedCost(EngineStage::Plain);
     for (Candidate &it : found) {
         const double slots = static_cast<double>(std::max<std::int64_t>(1, it.engine->entry->slots));
         const double ahead = static_cast<double>(it.load.requests) / slots;
-        const double callMs = absl::ToDoubleMilliseconds(it.engine->health.cost(now));
+        const double callMs = absl::ToDoubleMilliseconds(it.engine->health.cost(expected, now));
         const double wayMs = it.engine->entry->dataCentre == nearTo ? 0 : otherDataCentrePenaltyMs;
         it.cost = (callMs * (1 + ahead) + wayMs) * failurePenalty(*it.engine, now);
     }
@@ -229,9 +244,10 @@
 std::vector<ServicePool::Candidate> ServicePool::prefillCandidates(const ModelDemand &demand, absl::Time now) const
 {
     std::vector<Candidate> found = candidates(EngineStage::Prefill, demand.avoided, now);
+    const absl::Duration expected = expectedCost(EngineStage::Prefill);
     for (Candidate &it : found) {
         const auto tokens = static_cast<double>(it.load.prefillTokens + demand.promptTokens);
-        it.cost = absl::ToDoubleMilliseconds(it.engine->health.cost(now) * tokens) * failurePenalty(*it.engine, now);
+        it.cost = absl::ToDoubleMilliseconds(it.engine->health.cost(expected, now) * tokens) * failurePenalty(*it.engine, now);
     }
     return found;
 }
@@ -248,6 +264,7 @@
     const std::vector<Candidate> decodes = decodeCandidates(demand, now);
     const std::vector<Candidate> prefills = prefillCandidates(demand, now);
     const double longestReadMs = longestReadShare * absl::ToDoubleMilliseconds(demand.target);
+    const absl::Duration expectedThere = expectedCost(EngineStage::Decode);
     std::optional<ModelPlacement> best;
     double bestCost = 0;
     const auto consider = [&](double cost, const EngineEntry &decode, const std::optional<EngineEntry> &prefill) {
@@ -264,7 +281,7 @@
             }
         }
         const auto tokens = static_cast<double>(decode.load.prefillTokens + demand.promptTokens);
-        const double readMs = absl::ToDoubleMilliseconds(decode.engine->health.cost(now) * tokens);
+        const double readMs = absl::ToDoubleMilliseconds(decode.engine->health.cost(expectedThere, now) * tokens);
         if (readMs <= longestReadMs && mayReadThere(decode, demand, readMs)) {
             const double harmMs = readThereBaseMs + readTherePerStreamMs * static_cast<double>(decode.load.requests);
             consider(decode.cost + readMs + harmMs, decode.engine->entry, std::nullopt);
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -189,6 +189,7 @@
     std::vector<Candidate> decodeCandidates(const ModelDemand &demand, absl::Time now) const;
     std::vector<Candidate> prefillCandidates(const ModelDemand &demand, absl::Time now) const;
     double failurePenalty(const Engine &engine, absl::Time now) const;
+    absl::Duration expectedCost(EngineStage stage) const;
     double usableMemory() const;
     std::int64_t peakWith(const EngineLoad &load, const EngineRun *added) const;
     std::int64_t likelyTokens(const ModelDemand &demand) const;
@@ -206,6 +207,7 @@
     std::map<WaiterId, Waiter> m_waiters;
     std::map<std::int64_t, DecayingRate> m_placedByRank; ///< calls of each rank that got room lately
     std::uint64_t m_lastRun = 0;
+    std::size_t m_turn = 0;
     double m_tokensPerSecond = 0; ///< of one run; 0: not known yet
     double m_meanTokens = 0; ///< of an answer; 0: not known yet
 };
--- a/packages/coordination/tests/entry/testservicepool.cpp
+++ b/packages/coordination/tests/entry/testservicepool.cpp
@@ -247,12 +247,29 @@
     BOOST_TEST(board.entries().empty());
 }
 
+BOOST_AUTO_TEST_CASE(aNewEngineIsExpectedToBeAsFastAsTheBest)
+{
+    ServicePool pool;
+    pool.apply(engine("known", EngineStage::Plain));
+    pool.noteCost(EngineId("known"), 1, absl::Milliseconds(1), start);
+    pool.apply(engine("new", EngineStage::Plain));
+    std::map<std::string, int> placed;
+    for (int i = 0; i < 10; ++i) {
+        const EngineEntry chosen = *pool.placePlain(here, {}, start);
+        ++placed[chosen->id.text()];
+        pool.release(EngineShare{chosen->id, 1, 0, std::nullopt});
+    }
+    BOOST_TEST(placed["new"] == 5);
+}
+
 BOOST_AUTO_TEST_CASE(aSlowEngineIsTriedAgainLater)
 {
-    EngineHealth health(absl::Milliseconds(10));
+    const absl::Duration expected = absl::Milliseconds(10);
+    EngineHealth health;
+    BOOST_TEST((health.cost(expected, start) == expected));
     health.noteCost(1, absl::Seconds(1), start);
-    BOOST_TEST((health.cost(start) > absl::Milliseconds(100)));
-    BOOST_TEST((health.cost(start + absl::Minutes(2)) < absl::Milliseconds(11)));
+    BOOST_TEST((health.cost(expected, start) > absl::Milliseconds(100)));
+    BOOST_TEST((health.cost(expected, start + absl::Minutes(2)) < absl::Milliseconds(11)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/transport/httpclient.cpp
+++ b/packages/transport/httpclient.cpp
@@ -64,10 +64,12 @@
     head.method = call.method;
     head.target = place.target;
     head.keepAlive = !call.ownConnection;
-    head.headers.push_back(HttpHeader{"Host", place.address});
     for (const auto &[name, value] : call.headers) {
         head.headers.push_back(HttpHeader{name, value});
     }
+    if (!hasHeader(head.headers, "Host")) {
+        head.headers.push_back(HttpHeader{"Host", place.address});
+    }
     ExchangeRequest request;
     request.address = place.address;
     request.key = place.address;
--- /dev/null
+++ b/tests/platform/enginestandin.cpp
@@ -0,0 +1,102 @@
+#include "platform/enginestandin.h"
+
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+HttpResponseHead signedHead(const EngineArrival &arrival, int status, const char *contentType)
+{
+    HttpResponseHead head;
+    head.status = status;
+    head.reason = std::string(reasonPhrase(status));
+    head.headers = {{"Content-Type", contentType},
+                    {"Apricotladder-Attempt-Id", arrival.header("Apricotladder-Attempt-Id")},
+                    {"Apricotladder-Response-Signature", "signed"}};
+    return head;
+}
+
+}
+
+PlatformEngineStandIn::PlatformEngineStandIn(std::string id, Behaviour behaviour)
+    : m_id(std::move(id))
+    , m_behaviour(std::move(behaviour))
+{
+    HttpListener::Hooks hooks;
+    hooks.request = [this](const HttpServerConnection::Self &connection, const HttpRequestHead &head, const std::string &body) {
+        take(connection, EngineArrival{head, body});
+    };
+    m_listener = std::make_unique<HttpListener>(m_loop, "127.0.0.1:0", ListenAt::OwnAddress, std::move(hooks));
+    m_address = "127.0.0.1:" + std::to_string(m_listener->port());
+    m_thread = Thread("engine", [this] { m_loop.run(); });
+}
+
+PlatformEngineStandIn::~PlatformEngineStandIn()
+{
+    m_loop.stop();
+    m_thread.join();
+}
+
+void PlatformEngineStandIn::take(const HttpServerConnection::Self &connection, EngineArrival arrival)
+{
+    connection->setGone([this] {
+        pthread_mutex_lock(&m_mutex);
+        ++m_left;
+        pthread_mutex_unlock(&m_mutex);
+    });
+    pthread_mutex_lock(&m_mutex);
+    m_arrivals.push_back(arrival);
+    pthread_mutex_unlock(&m_mutex);
+    const std::string expected = arrival.header("Apricotladder-Expected-Instance");
+    if (!expected.empty() && expected != m_id) {
+        HttpResponseHead head;
+        head.status = 421;
+        head.reason = "Misdirected Request";
+        connection->answer(std::move(head), {});
+        return;
+    }
+    m_behaviour(m_loop, connection, arrival);
+}
+
+std::vector<EngineArrival> PlatformEngineStandIn::arrivals() const
+{
+    pthread_mutex_lock(&m_mutex);
+    std::vector<EngineArrival> copy = m_arrivals;
+    pthread_mutex_unlock(&m_mutex);
+    return copy;
+}
+
+int PlatformEngineStandIn::left() const
+{
+    pthread_mutex_lock(&m_mutex);
+    const int n = m_left;
+    pthread_mutex_unlock(&m_mutex);
+    return n;
+}
+
+void PlatformEngineStandIn::answer(const HttpServerConnection::Self &connection, const EngineArrival &arrival, int status,
+                                   const std::string &body)
+{
+    connection->answer(signedHead(arrival, status, "text/plain"), body);
+}
+
+void PlatformEngineStandIn::decline(const HttpServerConnection::Self &connection)
+{
+    HttpResponseHead head;
+    head.status = 503;
+    head.reason = "Service Unavailable";
+    head.headers = {{"Apricotladder-Not-Executed", "1"}};
+    connection->answer(std::move(head), {});
+}
+
+void PlatformEngineStandIn::stream(const HttpServerConnection::Self &connection, const EngineArrival &arrival, int first, int last)
+{
+    std::string events;
+    for (int id = first; id <= last; ++id) {
+        events += "id: " + std::to_string(id) + "\ndata: token\n\n";
+    }
+    connection->beginStream(signedHead(arrival, 200, "text/event-stream"), events);
+}
+
+}
--- /dev/null
+++ b/tests/platform/enginestandin.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "transport/eventloop.h"
+#include "transport/httplistener.h"
+#include "transport/thread.h"
+
+#include <functional>
+#include <memory>
+#include <pthread.h>
+#include <string>
+#include <vector>
+
+namespace Apricot {
+
+/// What an engine got.
+struct EngineArrival
+{
+    HttpRequestHead head;
+    std::string body;
+
+    std::string header(const char *name) const
+    {
+        return std::string(headerValue(head.headers, name));
+    }
+};
+
+/**
+ * \class PlatformEngineStandIn
+ * \brief An engine or a plain endpoint that does what the test says with each request, and remembers what it got.
+ */
+class PlatformEngineStandIn
+{
+public:
+    using Behaviour = std::function<void(EventLoop &, const HttpServerConnection::Self &, const EngineArrival &)>;
+
+    PlatformEngineStandIn(std::string id, Behaviour behaviour);
+    ~PlatformEngineStandIn();
+
+    PlatformEngineStandIn(const PlatformEngineStandIn &) = delete;
+    PlatformEngineStandIn &operator=(const PlatformEngineStandIn &) = delete;
+
+    const std::string &id() const
+    {
+        return m_id;
+    }
+
+    const std::string &address() const
+    {
+        return m_address;
+    }
+
+    std::vector<EngineArrival> arrivals() const;
+
+    /// Requests whose caller closed the connection before the answer.
+    int left() const;
+
+    /// Answers as engines do: signed, with the attempt's id.
+    static void answer(const HttpServerConnection::Self &connection, const EngineArrival &arrival, int status, const std::string &body);
+
+    /// Says that the request did not run.
+    static void decline(const HttpServerConnection::Self &connection);
+
+    /// Sends the head of a stream and events with the ids from \a first to \a last.
+    static void stream(const HttpServerConnection::Self &connection, const EngineArrival &arrival, int first, int last);
+
+private:
+    void take(const HttpServerConnection::Self &connection, EngineArrival arrival);
+
+    std::string m_id;
+    Behaviour m_behaviour;
+    EventLoop m_loop;
+    std::unique_ptr<HttpListener> m_listener;
+    std::string m_address;
+    mutable pthread_mutex_t m_mutex = PTHREAD_MUTEX_INITIALIZER;
+    std::vector<EngineArrival> m_arrivals; ///< under m_mutex
+    int m_left = 0; ///< under m_mutex
+    Thread m_thread;
+};
+
+}
--- /dev/null
+++ b/tests/platform/testentrynode.cpp
@@ -0,0 +1,486 @@
+#include "apricotladderd/entry/entrynode.h"
+#include "platform/enginestandin.h"
+#include "platform/storestandin.h"
+#include "transport/httpclient.h"
+#include "transport/socketaddress.h"
+
+#include <absl/time/clock.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+using namespace Apricot;
+
+namespace {
+
+/// Far longer than anything here takes; a test that waits so long has failed.
+constexpr absl::Duration longest = absl::Seconds(30);
+
+/// A port that nobody uses at present.
+std::string freeAddress()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = *parseSocketAddress("127.0.0.1:0");
+    bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+    socklen_t length = sizeof(address);
+    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
+    close(descriptor);
+    return socketAddressText(address);
+}
+
+bool eventually(const std::function<bool()> &holds)
+{
+    const absl::Time end = absl::Now() + longest;
+    while (!holds()) {
+        if (absl::Now() > end) {
+            return false;
+        }
+        absl::SleepFor(absl::Milliseconds(5));
+    }
+    return true;
+}
+
+Json route(const std::string &prefix, const std::string &type, const std::string &service, int attempts, int timeoutMs = 20000)
+{
+    return Json{{"name", "r" + prefix},     {"host", "h.example"},      {"path-prefix", prefix},       {"type", type},
+                {"timeout-ms", timeoutMs},  {"target-latency-ms", 2000}, {"priority", 0},               {"service", service},
+                {"max-attempts", attempts}, {"resumable", type == "streaming" && attempts > 1}, {"itl-target-ms", 2000}};
+}
+
+Json desiredState(int version, const Json &moreRoutes = Json::array())
+{
+    Json routes = Json::array({route("/read/", "idempotent", "desk", 2), route("/book/", "non_idempotent", "desk", 1),
+                               route("/short/", "idempotent", "desk", 1, 300), route("/draft/", "streaming", "model", 1),
+                               route("/again/", "streaming", "model", 2)});
+    routes.insert(routes.end(), moreRoutes.begin(), moreRoutes.end());
+    return Json{{"version", version},
+                {"routes", routes},
+                {"services", Json::array({Json{{"name", "desk"}},
+                                          Json{{"name", "model"}, {"engine", {{"slots", 8}, {"kv-capacity", 100000}, {"stride", 1}, {"kv-hold-s", 0.5}}}}})},
+                {"limits",
+                 {{"max-header-bytes", 16384}, {"max-body-bytes", 100000}, {"header-timeout-ms", 5000}, {"idle-timeout-ms", 20000}}}};
+}
+
+/**
+ * \class NodeUnderTest
+ * \brief An entry node on a thread of its own.
+ */
+class NodeUnderTest
+{
+public:
+    explicit NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds = {})
+    {
+        EntrySettingsFields fields;
+        fields.node = NodeId(name);
+        fields.dataCentre = DataCentreName("here");
+        fields.callerAddress = freeAddress();
+        fields.readyAddress = freeAddress();
+        fields.discoveryAddress = freeAddress();
+        fields.peerAddress = freeAddress();
+        fields.metricsAddress = freeAddress();
+        fields.storeAddress = store;
+        fields.seeds = seeds;
+        fields.addressKeepMs = 200;
+        fields.graceS = 20;
+        fields.logLevel = "error";
+        m_settings = EntrySettings(fields);
+        m_node = std::make_unique<EntryNode>(m_settings);
+        BOOST_REQUIRE_EQUAL(m_node->start(), "");
+        m_thread = Thread("node", [this] {
+            m_node->run();
+            m_ended = true;
+        });
+    }
+
+    ~NodeUnderTest()
+    {
+        m_node->leave();
+        m_thread.join();
+    }
+
+    HttpReply call(const std::string &path, const std::string &method = "GET", const std::string &body = {}) const
+    {
+        HttpCall call;
+        call.method = method;
+        call.url = "http://" + m_settings->callerAddress + path;
+        call.headers = {{"Host", "h.example"}, {"Apricotladder-Attempt-Id", "attempt"}, {"Apricotladder-Deadline-Ms", "15000"},
+                        {"Apricotladder-Token-Usage", "100,50"}};
+        call.body = body;
+        call.limit = longest;
+        call.ownConnection = true;
+        return HttpClient::call(call);
+    }
+
+    HttpReply ask(const std::string &address, const std::string &path) const
+    {
+        HttpCall call;
+        call.url = "http://" + address + path;
+        return HttpClient::call(call);
+    }
+
+    bool isReady() const
+    {
+        return ask(m_settings->readyAddress, "/readyz").status == 200;
+    }
+
+    const EntrySettings &settings() const
+    {
+        return m_settings;
+    }
+
+    void leave()
+    {
+        m_node->leave();
+    }
+
+    bool hasEnded() const
+    {
+        return m_ended;
+    }
+
+private:
+    EntrySettings m_settings;
+    std::unique_ptr<EntryNode> m_node;
+    std::atomic<bool> m_ended{false};
+    Thread m_thread;
+};
+
+using Engine = std::unique_ptr<PlatformEngineStandIn>;
+
+/// A store with a desired state, and engines that the test adds.
+struct Platform
+{
+    Platform()
+    {
+        HttpClient::initialize();
+        store.put("config", "main", desiredState(2));
+    }
+
+    PlatformEngineStandIn &add(const std::string &id, const std::string &service, const std::string &stage,
+                               PlatformEngineStandIn::Behaviour behaviour)
+    {
+        engines.push_back(std::make_unique<PlatformEngineStandIn>(id, std::move(behaviour)));
+        announce(*engines.back(), service, stage, "ready");
+        return *engines.back();
+    }
+
+    void announce(const PlatformEngineStandIn &engine, const std::string &service, const std::string &stage, const std::string &state)
+    {
+        Json spec{{"service", service}, {"address", engine.address()}, {"zone", "here"}, {"slots", 8}, {"state", state}, {"born", 1}};
+        if (!stage.empty()) {
+            spec["phase"] = stage;
+        }
+        store.put("servers", engine.id(), spec);
+    }
+
+    PlatformStoreStandIn store;
+    std::vector<Engine> engines;
+};
+
+void answerWell(EventLoop &, const HttpServerConnection::Self &connection, const EngineArrival &arrival)
+{
+    PlatformEngineStandIn::answer(connection, arrival, 200, "done " + arrival.body);
+}
+
+void answerPrefill(EventLoop &, const HttpServerConnection::Self &connection, const EngineArrival &arrival)
+{
+    PlatformEngineStandIn::answer(connection, arrival, 200, R"({"kv-handle":"h1","tokens":100,"version":1})");
+}
+
+int idsIn(const std::string &stream)
+{
+    int n = 0;
+    for (std::size_t at = stream.find("id: "); at != std::string::npos; at = stream.find("id: ", at + 1)) {
+        ++n;
+    }
+    return n;
+}
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(EntryNodes, Platform)
+
+BOOST_AUTO_TEST_CASE(aPlainCallIsPassedOnUnchangedAndAnswered)
+{
+    PlatformEngineStandIn &desk = add("i-1", "desk", "", answerWell);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    const HttpReply reply = node.call("/book/x?y=%20z", "POST", "body");
+    BOOST_TEST(reply.status == 200);
+    BOOST_TEST(reply.body == "done body");
+    const EngineArrival arrival = desk.arrivals().at(0);
+    BOOST_TEST(arrival.head.method == "POST");
+    BOOST_TEST(arrival.head.target == "/book/x?y=%20z");
+    BOOST_TEST(arrival.header("Apricotladder-Expected-Instance") == "i-1");
+    BOOST_TEST(std::stoi(arrival.header("Apricotladder-Deadline-Ms")) <= 15000);
+    BOOST_TEST(node.call("/nowhere/").status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(aNodeThatKnowsNothingSaysNotRun)
+{
+    PlatformStoreStandIn empty;
+    const NodeUnderTest node("n1", empty.address());
+    BOOST_TEST(!node.isReady());
+    BOOST_TEST(node.call("/read/x").status == 503);
+    BOOST_TEST(node.ask(node.settings()->discoveryAddress, "/discovery?zone=here").status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(aCallThatMustNotRunTwiceIsNotRepeatedAfterItsConnectionBroke)
+{
+    const auto breakOff = [](EventLoop &, const HttpServerConnection::Self &connection, const EngineArrival &) { connection->breakOff(); };
+    PlatformEngineStandIn &first = add("i-1", "desk", "", breakOff);
+    PlatformEngineStandIn &second = add("i-2", "desk", "", breakOff);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    BOOST_TEST(node.call("/book/x", "POST", "b").status == 502);
+    BOOST_TEST(first.arrivals().size() + second.arrivals().size() == 1U);
+    BOOST_TEST(node.call("/read/x").status == 502);
+    BOOST_TEST(first.arrivals().size() + second.arrivals().size() == 3U); // An idempotent call may go to two engines.
+}
+
+BOOST_AUTO_TEST_CASE(aFullEngineMakesATrueRefusal)
+{
+    PlatformEngineStandIn &desk
+        = add("i-1", "desk", "", [](EventLoop &, const HttpServerConnection::Self &it, const EngineArrival &) { PlatformEngineStandIn::decline(it); });
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    BOOST_TEST(node.call("/book/x", "POST", "b").status == 503);
+    BOOST_TEST(desk.arrivals().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(anErrorOfOneEngineIsTriedAtAnotherIfTheCallMayRunTwice)
+{
+    add("i-1", "desk", "", [](EventLoop &, const HttpServerConnection::Self &connection, const EngineArrival &arrival) {
+        PlatformEngineStandIn::answer(connection, arrival, 500, "bad");
+    });
+    add("i-2", "desk", "", answerWell);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    for (int i = 0; i < 4; ++i) {
+        BOOST_TEST(node.call("/read/x").status == 200);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(anAddressThatAnotherEngineHasIsNotServedFrom)
+{
+    const PlatformEngineStandIn other("i-other", answerWell);
+    store.put("servers", "i-gone", Json{{"service", "desk"}, {"address", other.address()}, {"slots", 8}, {"state", "ready"}});
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    BOOST_TEST(node.call("/book/x", "POST", "b").status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(anEngineThatLeavesGetsNoMoreCalls)
+{
+    PlatformEngineStandIn &leaving = add("i-1", "desk", "", answerWell);
+    PlatformEngineStandIn &staying = add("i-2", "desk", "", answerWell);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    announce(leaving, "desk", "", "draining");
+    BOOST_REQUIRE(eventually([&] {
+        const std::size_t before = leaving.arrivals().size();
+        node.call("/read/x");
+        node.call("/read/x");
+        return leaving.arrivals().size() == before;
+    }));
+    const std::size_t before = leaving.arrivals().size();
+    for (int i = 0; i < 10; ++i) {
+        BOOST_TEST(node.call("/read/x").status == 200);
+    }
+    BOOST_TEST(leaving.arrivals().size() == before);
+    BOOST_TEST(staying.arrivals().size() >= 10U);
+}
+
+BOOST_AUTO_TEST_CASE(aMalformedEntryIsNoEngineAndTheOthersHold)
+{
+    store.put("servers", "i-bad", Json{{"service", 7}});
+    add("i-1", "desk", "", answerWell);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    BOOST_TEST(node.call("/read/x").status == 200);
+    BOOST_TEST(node.ask(node.settings()->metricsAddress, "/metrics").body.find("malformed_entries_total") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(aRoutesTimeoutEndsACallWithoutAPromise)
+{
+    PlatformEngineStandIn &desk = add("i-1", "desk", "", [](EventLoop &, const HttpServerConnection::Self &, const EngineArrival &) {});
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    BOOST_TEST(node.call("/short/x").status == 504);
+    BOOST_TEST(eventually([&] { return desk.left() == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatLeavesTakesItsCallFromTheEngine)
+{
+    PlatformEngineStandIn &desk = add("i-1", "desk", "", [](EventLoop &, const HttpServerConnection::Self &, const EngineArrival &) {});
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    HttpCall call;
+    call.url = "http://" + node.settings()->callerAddress + "/book/x";
+    call.headers = {{"Host", "h.example"}};
+    call.limit = absl::Milliseconds(300);
+    call.ownConnection = true;
+    HttpClient::call(call);
+    BOOST_TEST(eventually([&] { return desk.left() == 1; }));
+    BOOST_TEST(desk.arrivals().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aStreamIsReadAtOneEngineAndMadeAtAnother)
+{
+    PlatformEngineStandIn &prefill = add("p-1", "model", "prefill", answerPrefill);
+    PlatformEngineStandIn &decode
+        = add("d-1", "model", "decode", [](EventLoop &, const HttpServerConnection::Self &connection, const EngineArrival &arrival) {
+              PlatformEngineStandIn::stream(connection, arrival, 1, 5);
+              connection->endStream();
+          });
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    const HttpReply reply = node.call("/draft/x", "POST", "prompt");
+    BOOST_TEST((reply.end == CallEnd::Answered));
+    BOOST_TEST(idsIn(reply.body) == 5);
+    BOOST_TEST(prefill.arrivals().at(0).header("Apricotladder-Inference-Phase") == "prefill");
+    BOOST_TEST(decode.arrivals().at(0).header("Apricotladder-Kv-Source") == prefill.address() + "/h1");
+    BOOST_TEST(decode.arrivals().at(0).body == "prompt");
+}
+
+BOOST_AUTO_TEST_CASE(aHandleThatCannotBeHadIsDoneWithoutAndFreed)
+{
+    PlatformEngineStandIn &prefill = add("p-1", "model", "prefill", answerPrefill);
+    add("d-1", "model", "decode", [](EventLoop &, const HttpServerConnection::Self &connection, const EngineArrival &arrival) {
+        if (!arrival.header("Apricotladder-Kv-Source").empty()) {
+            PlatformEngineStandIn::decline(connection);
+            return;
+        }
+        PlatformEngineStandIn::stream(connection, arrival, 1, 3);
+        connection->endStream();
+    });
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    BOOST_TEST(idsIn(node.call("/draft/x", "POST", "prompt").body) == 3);
+    BOOST_TEST(eventually([&] {
+        const std::vector<EngineArrival> arrivals = prefill.arrivals();
+        return arrivals.size() == 2 && arrivals[1].head.method == "DELETE" && arrivals[1].head.target == "/kv-handle/h1";
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(aStreamThatBreaksOffDoesNotLookComplete)
+{
+    add("d-1", "model", "decode", [](EventLoop &loop, const HttpServerConnection::Self &connection, const EngineArrival &arrival) {
+        PlatformEngineStandIn::stream(connection, arrival, 1, 3);
+        loop.after(absl::Milliseconds(50), [connection] { connection->breakOff(); });
+    });
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    const HttpReply reply = node.call("/draft/x", "POST", "prompt");
+    BOOST_TEST((reply.end == CallEnd::SentNoAnswer));
+    BOOST_TEST(idsIn(reply.body) == 3);
+    BOOST_TEST(engines.at(0)->arrivals().size() == 1U); // It must not run twice.
+}
+
+BOOST_AUTO_TEST_CASE(aStreamThatMayGoOnIsResumedAfterItsLastEvent)
+{
+    const auto breakOrResume = [](EventLoop &loop, const HttpServerConnection::Self &connection, const EngineArrival &arrival) {
+        const std::string last = arrival.header("Last-Event-Id");
+        if (last.empty()) {
+            PlatformEngineStandIn::stream(connection, arrival, 1, 3);
+            connection->sendPart("id: 4\ndata: cut in the mid");
+            loop.after(absl::Milliseconds(50), [connection] { connection->breakOff(); });
+            return;
+        }
+        PlatformEngineStandIn::stream(connection, arrival, std::stoi(last) + 1, 6);
+        connection->endStream();
+    };
+    add("d-1", "model", "decode", breakOrResume);
+    add("d-2", "model", "decode", breakOrResume);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    const HttpReply reply = node.call("/again/x", "POST", "prompt");
+    BOOST_TEST((reply.end == CallEnd::Answered));
+    BOOST_TEST(idsIn(reply.body) == 6);
+    BOOST_TEST(reply.body.find("cut in the mid") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(theDesiredStateOnlyMovesForward)
+{
+    add("i-1", "desk", "", answerWell);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    store.put("config", "main", desiredState(9, Json::array({route("/new/", "idempotent", "desk", 1)})));
+    BOOST_REQUIRE(eventually([&] { return node.call("/new/x").status == 200; }));
+    store.put("config", "main", desiredState(5)); // Late, from before.
+    store.put("config", "main", Json{{"version", "none"}});
+    store.put("config", "main", desiredState(10, Json::array({route("/newer/", "idempotent", "desk", 1), route("/new/", "idempotent", "desk", 1)})));
+    BOOST_REQUIRE(eventually([&] {
+        BOOST_TEST(node.call("/new/x").status == 200);
+        return node.call("/newer/x").status == 200;
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(aForgottenHistoryAndAnOutageOfTheStoreAreSurvived)
+{
+    PlatformEngineStandIn &before = add("i-1", "desk", "", answerWell);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    store.forgetHistory();
+    PlatformEngineStandIn &after = add("i-2", "desk", "", answerWell);
+    BOOST_TEST(eventually([&] {
+        node.call("/read/x");
+        return !after.arrivals().empty();
+    }));
+    store.setDown(true);
+    BOOST_TEST(node.call("/read/x").status == 200);
+    store.setDown(false);
+    store.remove("servers", before.id());
+    BOOST_TEST(eventually([&] {
+        const std::size_t n = before.arrivals().size();
+        node.call("/read/x");
+        node.call("/read/x");
+        return before.arrivals().size() == n;
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(aNodeThatTheStoreTurnsAwayLearnsFromAPeer)
+{
+    add("i-1", "desk", "", answerWell);
+    const NodeUnderTest served("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return served.isReady(); }));
+    PlatformStoreStandIn refusing;
+    refusing.setDown(true);
+    // Seeds are met at the port of the node's own peers, so the peer is named by the test's second way: it hears of n1 itself.
+    const std::string peer = served.settings()->peerAddress;
+    EntrySettingsFields fields = served.settings().fields();
+    BOOST_TEST(!peer.empty());
+    BOOST_TEST(!fields.node.isEmpty());
+    const HttpReply state = served.ask(peer, "/cell-state");
+    BOOST_TEST(state.status == 200);
+    const auto cell = collect<CellState>([&] { return decodeCellState(state.body); });
+    BOOST_REQUIRE(std::holds_alternative<CellState>(cell));
+    BOOST_TEST(std::get<CellState>(cell).desired->version == 2U);
+    BOOST_TEST(std::get<CellState>(cell).engines.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aNodeThatLeavesFinishesItsCalls)
+{
+    PlatformEngineStandIn &desk
+        = add("i-1", "desk", "", [](EventLoop &loop, const HttpServerConnection::Self &connection, const EngineArrival &arrival) {
+              loop.after(absl::Milliseconds(700), [connection, arrival] { PlatformEngineStandIn::answer(connection, arrival, 200, "late"); });
+          });
+    NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    int status = 0;
+    Thread caller("caller", [&] { status = node.call("/book/x", "POST", "b").status; });
+    BOOST_REQUIRE(eventually([&] { return !desk.arrivals().empty(); }));
+    node.leave();
+    BOOST_TEST(eventually([&] { return !node.isReady(); }));
+    caller.join();
+    BOOST_TEST(status == 200);
+    BOOST_TEST(eventually([&] { return node.hasEnded(); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
