coordination: Share which engines cannot be reached, and count what runs have made

Change: runs carry the tokens they have made; three failures in a row pass an engine over; heartbeats name engines that cannot be reached, and two such words count; a handle goes on to another decode engine; watches pause 250 ms after changes.

--- a/packages/apricotladderd/entry/celllink.cpp
+++ b/packages/apricotladderd/entry/celllink.cpp
@@ -145,7 +145,8 @@
     heartbeat.sender = m_membership.self();
     heartbeat.claims = m_membership.claims();
     heartbeat.enginesRevision = m_hooks.enginesRevision();
-    heartbeat.loads = m_context.board.ownLoads(m_loop.now());
+    heartbeat.loads = m_context.board.ownLoads();
+    heartbeat.doubts = m_context.board.ownDoubts(m_loop.now());
     const std::string bytes = encodeCellHeartbeat(heartbeat);
     for (const std::string &address : targets()) {
         m_socket->send(address, bytes);
@@ -186,6 +187,7 @@
     }
     m_membership.heartbeat(heartbeat.sender, heartbeat.claims, now);
     m_context.board.setPeerLoads(heartbeat.sender->id, heartbeat.loads, now);
+    m_context.board.setPeerDoubts(heartbeat.sender->id, heartbeat.doubts, now);
     const bool isNewer
         = heartbeat.sender->generation > m_membership.self()->generation || heartbeat.enginesRevision > m_hooks.enginesRevision();
     if (isNewer) {
--- a/packages/apricotladderd/entry/entryloop.h
+++ b/packages/apricotladderd/entry/entryloop.h
@@ -72,6 +72,12 @@
         return absl::Uniform(m_random, 0.0, 1.0);
     }
 
+    /// A random number of 64 bits.
+    std::uint64_t luck()
+    {
+        return absl::Uniform<std::uint64_t>(m_random);
+    }
+
     /// Registers who is told when a waiting call gets its room.
     WaiterId addWaiter(RoomFound found);
     void removeWaiter(WaiterId waiter);
--- a/packages/apricotladderd/entry/storewatch.cpp
+++ b/packages/apricotladderd/entry/storewatch.cpp
@@ -11,7 +11,7 @@
 constexpr int statusGone = 410;
 
 /// How long the store may hold a watch.
-constexpr absl::Duration longestWatch = absl::Seconds(8);
+constexpr absl::Duration longestWatch = absl::Seconds(15);
 
 /// Time for an answer beyond that.
 constexpr absl::Duration callTimeout = absl::Milliseconds(1500);
@@ -22,8 +22,8 @@
 constexpr absl::Duration firstBackoff = absl::Milliseconds(150);
 constexpr absl::Duration longestBackoff = absl::Milliseconds(600);
 
-/// Changes that follow each other closely come in one answer, which saves calls.
-constexpr absl::Duration pauseAfterEvents = absl::Milliseconds(50);
+/// Changes that follow each other closely come in one answer, which saves calls: each costs every node one.
+constexpr absl::Duration pauseAfterEvents = absl::Milliseconds(250);
 
 }
 
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -15,7 +15,7 @@
 
 constexpr int statusOk = 200;
 
-constexpr absl::Duration connectTimeout = absl::Milliseconds(200);
+constexpr absl::Duration connectTimeout = absl::Milliseconds(100);
 
 /// How long a call waits for room, in targets. Beyond that its first event would miss the target: it is told to come back
 /// when the burst is over, and then waits longer, as nothing is left to miss but the whole answer.
@@ -52,7 +52,8 @@
 /// A freed handle is of no further interest after this long.
 constexpr absl::Duration freeHandleTimeout = absl::Milliseconds(500);
 
-ModelDemand demandOf(const CallFacts &facts, const DataCentreName &nearTo, const std::vector<EngineId> &avoided, absl::Duration patience)
+ModelDemand demandOf(const CallFacts &facts, const DataCentreName &nearTo, const std::vector<EngineId> &avoided, absl::Duration patience,
+                     std::uint64_t luck)
 {
     ModelDemand demand;
     demand.nearTo = nearTo;
@@ -64,6 +65,7 @@
     demand.longestPause = facts.route->longestPause;
     demand.patience = patience;
     demand.avoided = avoided;
+    demand.luck = luck;
     return demand;
 }
 
@@ -96,7 +98,7 @@
 {
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
-    const ModelDemand demand = demandOf(m_facts, context.settings->dataCentre, m_avoided, patience);
+    const ModelDemand demand = demandOf(m_facts, context.settings->dataCentre, m_avoided, patience, m_loop.luck());
     const std::optional<ModelPlacement> placement = context.board.withPool(
         m_facts.service, [&](ServicePool &pool) { return pool.waiterCount() == 0 ? pool.placeModel(demand, now) : std::nullopt; });
     if (placement) {
@@ -124,10 +126,14 @@
     m_placedAt = m_loop.events().now();
     m_held = placement.shares;
     m_loop.context().loadsChanged();
-    if (placement.prefill && !m_streamBegun) {
-        startPrefill();
-    } else {
+    if (!placement.prefill || m_streamBegun) {
+        startDecode();
+    } else if (m_handle) {
+        // The prompt is read already: only its decode engine was lost.
+        letGo((*placement.prefill)->id);
         startDecode();
+    } else {
+        startPrefill();
     }
 }
 
@@ -204,7 +210,8 @@
     const std::optional<PrefillHandle> result = m_answerHead.status == statusOk ? readPrefillHandle(m_answerBody) : std::nullopt;
     if (!result) {
         m_prefillCounts = true;
-        afterFailedPrefill(m_answerHead.status == statusOk ? EngineResult::Failed : EngineResult::Refused, "turned down");
+        const bool isRefusal = provesNotRun(m_answerHead.status, readEngineAnswer(m_answerHead));
+        afterFailedPrefill(isRefusal ? EngineResult::Refused : EngineResult::Failed, isRefusal ? "declined" : "failed");
         return;
     }
     m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) {
@@ -252,7 +259,6 @@
     if (!isReady) {
         m_avoided.push_back(engine->id);
         letGoAll();
-        freeHandle("its decode engine left");
         m_placement.reset();
         askForRoom(m_facts.route->target);
         return;
@@ -331,25 +337,22 @@
         m_loop.context().metrics.observeFirstAnswer("stream", absl::ToDoubleSeconds(now - m_facts.arrival));
         m_caller->beginStream(callerAnswer(m_answerHead), events);
     }
-    noteFirstTokens(now);
+    noteTokens(now);
     if (m_caller->unsentBytes() > mostUnsent) {
         m_exchange->setReading(false);
         m_caller->setDrained([self = shared_from_this()] { self->m_exchange->setReading(true); });
     }
 }
 
-void StreamCall::noteFirstTokens(absl::Time now)
+void StreamCall::noteTokens(absl::Time now)
 {
-    if (m_tokensNoted) {
-        return;
-    }
-    m_tokensNoted = true;
-    // From its first event on the engine has read the prompt.
+    const bool isFirst = !std::exchange(m_tokensNoted, true);
     m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) {
         for (EngineShare &share : m_held) {
             if (share.run) {
-                pool.noteRunStarted(share.engine, share.run->id, now);
+                pool.noteRunMade(share.engine, share.run->id, m_events.count() * pool.tokensPerEvent());
             }
+            // From its first event on the engine has read the prompt.
             if (share.prefillTokens > 0) {
                 pool.noteCost(share.engine, static_cast<double>(share.prefillTokens), now - m_stageSince, now);
                 pool.release(EngineShare{share.engine, 0, share.prefillTokens, std::nullopt});
@@ -357,7 +360,9 @@
             }
         }
     });
-    m_loop.context().loadsChanged();
+    if (isFirst) {
+        m_loop.context().loadsChanged();
+    }
 }
 
 void StreamCall::armSilence()
@@ -407,9 +412,8 @@
     const EngineId engine = m_placement->decode->id;
     if (end == ExchangeEnd::Complete) {
         note(engine, EngineResult::Good);
-        const absl::Time now = m_loop.events().now();
-        m_loop.context().board.withPool(
-            m_facts.service, [&](ServicePool &pool) { pool.noteRunEnded(m_events.count() * pool.tokensPerEvent(), now - m_firstPiece); });
+        m_loop.context().board.withPool(m_facts.service,
+                                        [&](ServicePool &pool) { pool.noteRunEnded(m_events.count() * pool.tokensPerEvent()); });
         letGoAll();
         if (!m_streamBegun) {
             // A stream without any event is a whole answer with an empty body.
@@ -478,7 +482,6 @@
             }
         }
         note(engine, isDeclined ? EngineResult::Refused : EngineResult::Unreachable);
-        freeHandle("unused");
         const bool mayTry = m_arrivals < m_facts.route->mostAttempts && m_facts.deadline() - m_loop.events().now() > leastTimeForTry;
         m_avoided.push_back(engine);
         letGoAll();
@@ -550,7 +553,7 @@
 
 void StreamCall::hold(const EngineShare &share)
 {
-    m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) { pool.add(share, m_loop.events().now()); });
+    m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) { pool.add(share); });
     m_held.push_back(share);
 }
 
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -53,7 +53,7 @@
     void decodeBody(const std::string &part);
     void decodeEnded(ExchangeEnd end);
     void passOn(const std::string &events);
-    void noteFirstTokens(absl::Time now);
+    void noteTokens(absl::Time now);
     void silent();
     void armSilence();
     void streamEnded(ExchangeEnd end);
--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr absl::Duration connectTimeout = absl::Milliseconds(150);
+constexpr absl::Duration connectTimeout = absl::Milliseconds(100);
 
 /// A connection that was idle for longer may be closed by the engine while a request is on its way to it; a request that
 /// must not run twice would then end without a known outcome.
--- a/packages/coordination/engineboard.cpp
+++ b/packages/coordination/engineboard.cpp
@@ -80,11 +80,30 @@
     }
 }
 
-std::vector<EngineLoad> EngineBoard::ownLoads(absl::Time now) const
+void EngineBoard::setPeerDoubts(const NodeId &node, const std::vector<EngineId> &engines, absl::Time now)
+{
+    std::vector<ServiceName> services;
+    m_pools.forEach([&](const ServiceName &service, const ServicePool &) { services.push_back(service); });
+    for (const ServiceName &service : services) {
+        m_pools.update(service, [&](ServicePool &pool) { pool.setPeerDoubts(node, engines, now); });
+    }
+}
+
+std::vector<EngineId> EngineBoard::ownDoubts(absl::Time now) const
+{
+    std::vector<EngineId> doubts;
+    m_pools.forEach([&](const ServiceName &, const ServicePool &pool) {
+        const std::vector<EngineId> found = pool.ownDoubts(now);
+        doubts.insert(doubts.end(), found.begin(), found.end());
+    });
+    return doubts;
+}
+
+std::vector<EngineLoad> EngineBoard::ownLoads() const
 {
     std::vector<EngineLoad> loads;
     m_pools.forEach([&](const ServiceName &, const ServicePool &pool) {
-        const std::vector<EngineLoad> found = pool.ownLoads(now);
+        const std::vector<EngineLoad> found = pool.ownLoads();
         loads.insert(loads.end(), found.begin(), found.end());
     });
     return loads;
--- a/packages/coordination/engineboard.h
+++ b/packages/coordination/engineboard.h
@@ -51,8 +51,14 @@
     /// Takes in what \a node has placed on all engines.
     void setPeerLoads(const NodeId &node, const std::vector<EngineLoad> &loads, absl::Time now);
 
+    /// Takes in which engines \a node cannot reach.
+    void setPeerDoubts(const NodeId &node, const std::vector<EngineId> &engines, absl::Time now);
+
+    /// Engines that this node cannot reach at present.
+    std::vector<EngineId> ownDoubts(absl::Time now) const;
+
     /// What this node has placed on all engines.
-    std::vector<EngineLoad> ownLoads(absl::Time now) const;
+    std::vector<EngineLoad> ownLoads() const;
 
 private:
     void tellGrants(const std::vector<Grant> &grants) const;
--- a/packages/coordination/enginehealth.cpp
+++ b/packages/coordination/enginehealth.cpp
@@ -19,6 +19,9 @@
 /// Good tries that a new engine is credited with, so that one failure does not condemn it.
 constexpr double creditedGood = 3;
 
+/// Failures in a row after which an engine is passed over like one that cannot be reached.
+constexpr int failuresUntilPassOver = 3;
+
 constexpr absl::Duration firstPassOver = absl::Milliseconds(600);
 constexpr absl::Duration longestPassOver = absl::Seconds(4);
 
@@ -40,22 +43,32 @@
     m_decayed = now;
 }
 
+void EngineHealth::passOver(absl::Time now)
+{
+    m_passOver = std::clamp(m_passOver * 2, firstPassOver, longestPassOver);
+    m_unreachableUntil = now + m_passOver;
+}
+
 void EngineHealth::note(EngineResult result, absl::Time now)
 {
     decay(now);
     switch (result) {
     case EngineResult::Good:
         m_good += 1;
+        m_failuresInRow = 0;
         m_passOver = absl::ZeroDuration();
         m_passedOverUntil = absl::InfinitePast();
+        m_unreachableUntil = absl::InfinitePast();
         break;
     case EngineResult::Failed:
         m_bad += 1;
+        if (++m_failuresInRow >= failuresUntilPassOver) {
+            passOver(now);
+        }
         break;
     case EngineResult::Unreachable:
         m_bad += 1;
-        m_passOver = std::clamp(m_passOver * 2, firstPassOver, longestPassOver);
-        m_passedOverUntil = now + m_passOver;
+        passOver(now);
         break;
     case EngineResult::Refused:
         m_passedOverUntil = std::max(m_passedOverUntil, now + passOverAfterRefusal);
--- a/packages/coordination/enginehealth.h
+++ b/packages/coordination/enginehealth.h
@@ -36,14 +36,21 @@
     /// Part of the recent tries that failed, 0 to 1.
     double failureShare(absl::Time now) const;
 
-    /// Whether the engine is passed over after failed connections or a refusal.
+    /// Whether the engine is passed over after failed connections, failures in a row or a refusal.
     bool isPassedOver(absl::Time now) const
     {
-        return now < m_passedOverUntil;
+        return now < m_passedOverUntil || now < m_unreachableUntil;
+    }
+
+    /// Whether it is passed over because it cannot be reached or fails whatever it gets.
+    bool isUnreachable(absl::Time now) const
+    {
+        return now < m_unreachableUntil;
     }
 
 private:
     void decay(absl::Time now);
+    void passOver(absl::Time now);
 
     absl::Duration m_cost;
     absl::Time m_costNoted = absl::InfinitePast();
@@ -51,7 +58,9 @@
     double m_bad = 0;
     absl::Time m_decayed = absl::UnixEpoch();
     absl::Duration m_passOver;
-    absl::Time m_passedOverUntil = absl::InfinitePast();
+    absl::Time m_unreachableUntil = absl::InfinitePast();
+    absl::Time m_passedOverUntil = absl::InfinitePast(); ///< after a refusal
+    int m_failuresInRow = 0;
 };
 
 }
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -2,6 +2,8 @@
 
 #include "coordination/memoryforecast.h"
 
+#include <absl/hash/hash.h>
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -29,6 +31,12 @@
 /// What a full decode engine is weighed with against an empty one, ms.
 constexpr double fullnessPenaltyMs = 60;
 
+/// Largest random part of a cost, ms.
+constexpr double jitterMs = 8;
+
+/// Peers that must be unable to reach an engine before this node passes it over untried.
+constexpr std::ptrdiff_t doubtingPeers = 2;
+
 /// What reading a prompt at a decode engine costs the streams there, ms, and more for each of them.
 constexpr double readThereBaseMs = 60;
 constexpr double readTherePerStreamMs = 4;
@@ -128,6 +136,7 @@
             found.push_back(Candidate{&engine, totalLoad(id, now), 0});
         }
     }
+    dropDoubted(found, now);
     if (!found.empty() || stage != EngineStage::Plain) {
         return found;
     }
@@ -140,6 +149,36 @@
     return found;
 }
 
+bool ServicePool::isDoubted(const EngineId &engine, absl::Time now) const
+{
+    const auto n = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        const PeerLoads &peer = entry.second;
+        return now - peer.heard <= peerLoadLife && isAvoided(peer.doubts, engine);
+    });
+    return n >= doubtingPeers;
+}
+
+void ServicePool::dropDoubted(std::vector<Candidate> &found, absl::Time now) const
+{
+    std::vector<Candidate> trusted;
+    for (const Candidate &it : found) {
+        if (!isDoubted(it.engine->entry->id, now)) {
+            trusted.push_back(it);
+        }
+    }
+    // Nodes that are cut off from engines doubt all of them.
+    if (2 * trusted.size() > found.size()) {
+        found = std::move(trusted);
+    }
+}
+
+double ServicePool::jitter(const EngineEntry &engine, const ModelDemand &demand) const
+{
+    constexpr std::uint64_t steps = 1024;
+    const std::uint64_t drawn = absl::HashOf(engine->id, demand.luck) % steps;
+    return jitterMs * static_cast<double>(drawn) / static_cast<double>(steps);
+}
+
 double ServicePool::failurePenalty(const Engine &engine, absl::Time now) const
 {
     double least = 1;
@@ -180,7 +219,7 @@
         it.cost = (callMs * (1 + ahead) + wayMs) * failurePenalty(*it.engine, now);
     }
     const EngineEntry chosen = cheapest(found)->engine->entry;
-    add(EngineShare{chosen->id, 1, 0, std::nullopt}, now);
+    add(EngineShare{chosen->id, 1, 0, std::nullopt});
     return chosen;
 }
 
@@ -235,7 +274,8 @@
     for (Candidate &it : found) {
         const bool slotIsFree = it.load.requests + spareSlots < it.engine->entry->slots;
         const double used = static_cast<double>(peakWith(it.load, &added)) / usableMemory();
-        it.cost = slotIsFree && used <= 1 ? fullnessPenaltyMs * used * failurePenalty(*it.engine, now) : noRoomCost;
+        it.cost = slotIsFree && used <= 1 ? (fullnessPenaltyMs * used + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, now)
+                                          : noRoomCost;
     }
     std::erase_if(found, [](const Candidate &it) { return it.cost >= noRoomCost; });
     return found;
@@ -247,7 +287,8 @@
     const absl::Duration expected = expectedCost(EngineStage::Prefill);
     for (Candidate &it : found) {
         const auto tokens = static_cast<double>(it.load.prefillTokens + demand.promptTokens);
-        it.cost = absl::ToDoubleMilliseconds(it.engine->health.cost(expected, now) * tokens) * failurePenalty(*it.engine, now);
+        const double readMs = absl::ToDoubleMilliseconds(it.engine->health.cost(expected, now) * tokens);
+        it.cost = (readMs + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, now);
     }
     return found;
 }
@@ -294,7 +335,7 @@
             best->shares.push_back(EngineShare{(*best->prefill)->id, 1, demand.promptTokens, std::nullopt});
         }
         for (const EngineShare &share : best->shares) {
-            add(share, now);
+            add(share);
         }
         notePlaced(demand, now);
     }
@@ -349,7 +390,7 @@
     }
 }
 
-void ServicePool::noteRunStarted(const EngineId &engine, std::uint64_t run, absl::Time now)
+void ServicePool::noteRunMade(const EngineId &engine, std::uint64_t run, std::int64_t tokens)
 {
     const auto own = m_own.find(engine);
     if (own == m_own.end()) {
@@ -357,20 +398,14 @@
     }
     const auto it = own->second.runs.find(run);
     if (it != own->second.runs.end()) {
-        it->second.started = now;
+        it->second.madeTokens = tokens;
     }
 }
 
-void ServicePool::noteRunEnded(std::int64_t tokens, absl::Duration duration)
+void ServicePool::noteRunEnded(std::int64_t tokens)
 {
-    const double seconds = absl::ToDoubleSeconds(duration);
-    if (tokens <= 0 || seconds <= 0) {
-        return;
-    }
     const auto made = static_cast<double>(tokens);
     m_meanTokens = m_meanTokens == 0 ? made : m_meanTokens + newestRunWeight * (made - m_meanTokens);
-    const double pace = made / seconds;
-    m_tokensPerSecond = m_tokensPerSecond == 0 ? pace : m_tokensPerSecond + newestRunWeight * (pace - m_tokensPerSecond);
 }
 
 void ServicePool::noteResult(const EngineId &engine, EngineResult result, absl::Time now)
@@ -400,14 +435,31 @@
     std::erase_if(m_peers, [&](const auto &entry) { return now - entry.second.heard > peerLoadLife; });
 }
 
-std::vector<EngineLoad> ServicePool::ownLoads(absl::Time now) const
+void ServicePool::setPeerDoubts(const NodeId &node, const std::vector<EngineId> &engines, absl::Time now)
+{
+    PeerLoads &peer = m_peers[node];
+    peer.heard = now;
+    peer.doubts = engines;
+}
+
+std::vector<EngineId> ServicePool::ownDoubts(absl::Time now) const
+{
+    std::vector<EngineId> doubts;
+    for (const auto &[id, engine] : m_engines) {
+        if (engine.health.isUnreachable(now)) {
+            doubts.push_back(id);
+        }
+    }
+    return doubts;
+}
+
+std::vector<EngineLoad> ServicePool::ownLoads() const
 {
     std::vector<EngineLoad> loads;
     for (const auto &[id, own] : m_own) {
         EngineLoad load{id, own.requests, own.prefillTokens, {}};
-        for (const auto &[runId, it] : own.runs) {
-            load.runs.push_back(it.run);
-            load.runs.back().madeTokens += tokensMadeIn(now - it.started);
+        for (const auto &[runId, run] : own.runs) {
+            load.runs.push_back(run);
         }
         loads.push_back(std::move(load));
     }
@@ -420,13 +472,13 @@
     return it != m_engines.end() && it->second.entry->condition == EngineCondition::Ready && it->second.entry->bornMs == engine->bornMs;
 }
 
-void ServicePool::add(const EngineShare &share, absl::Time now)
+void ServicePool::add(const EngineShare &share)
 {
     OwnLoad &own = m_own[share.engine];
     own.requests += share.requests;
     own.prefillTokens += share.prefillTokens;
     if (share.run) {
-        own.runs.insert_or_assign(share.run->id, OwnRun{*share.run, share.run->madeTokens > 0 ? now : absl::InfiniteFuture()});
+        own.runs.insert_or_assign(share.run->id, *share.run);
     }
 }
 
@@ -437,11 +489,6 @@
     });
 }
 
-std::int64_t ServicePool::tokensMadeIn(absl::Duration duration) const
-{
-    return static_cast<std::int64_t>(m_tokensPerSecond * std::max(0.0, absl::ToDoubleSeconds(duration)));
-}
-
 std::int64_t ServicePool::likelyTokens(const ModelDemand &demand) const
 {
     const double mean = m_meanTokens > 0 ? m_meanTokens : firstMeanPart * static_cast<double>(demand.mostTokens);
@@ -485,9 +532,8 @@
     if (const auto own = m_own.find(engine); own != m_own.end()) {
         total.requests += own->second.requests;
         total.prefillTokens += own->second.prefillTokens;
-        for (const auto &[id, it] : own->second.runs) {
-            total.runs.push_back(it.run);
-            total.runs.back().madeTokens += tokensMadeIn(now - it.started);
+        for (const auto &[id, run] : own->second.runs) {
+            total.runs.push_back(run);
         }
     }
     for (const auto &[node, peer] : m_peers) {
@@ -497,10 +543,7 @@
         }
         total.requests += it->second.requests;
         total.prefillTokens += it->second.prefillTokens;
-        for (const EngineRun &run : it->second.runs) {
-            total.runs.push_back(run);
-            total.runs.back().madeTokens += run.madeTokens > 0 ? tokensMadeIn(now - peer.heard) : 0;
-        }
+        total.runs.insert(total.runs.end(), it->second.runs.begin(), it->second.runs.end());
     }
     return total;
 }
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -30,6 +30,7 @@
     absl::Duration longestPause = absl::InfiniteDuration(); ///< between the events of a stream
     absl::Duration patience; ///< how long it may wait for room
     std::vector<EngineId> avoided; ///< engines that failed this call
+    std::uint64_t luck = 0; ///< a random number: nodes that decide at the same moment do not all choose the same engine
 
     friend bool operator==(const ModelDemand &, const ModelDemand &) = default;
 };
@@ -99,16 +100,16 @@
     bool isReady(const EngineEntry &engine) const;
 
     /// Counts a share beyond what place...() has counted.
-    void add(const EngineShare &share, absl::Time now);
+    void add(const EngineShare &share);
 
     /// Takes back a part of what place...() and add() have counted.
     void release(const EngineShare &share);
 
-    /// Takes in that a run has made its first tokens.
-    void noteRunStarted(const EngineId &engine, std::uint64_t run, absl::Time now);
+    /// Takes in how many tokens a run has made up to now.
+    void noteRunMade(const EngineId &engine, std::uint64_t run, std::int64_t tokens);
 
-    /// Takes in that a run that made \a tokens in \a duration has ended.
-    void noteRunEnded(std::int64_t tokens, absl::Duration duration);
+    /// Takes in that a run has ended after \a tokens.
+    void noteRunEnded(std::int64_t tokens);
 
     /// Takes in how a try at an engine ended.
     void noteResult(const EngineId &engine, EngineResult result, absl::Time now);
@@ -119,8 +120,14 @@
     /// Replaces what \a node has placed on the engines of this service.
     void setPeerLoads(const NodeId &node, const std::vector<EngineLoad> &loads, absl::Time now);
 
+    /// Takes in which engines \a node cannot reach. Engines that two nodes or more doubt are passed over, but never half of a stage.
+    void setPeerDoubts(const NodeId &node, const std::vector<EngineId> &engines, absl::Time now);
+
+    /// Engines that this node cannot reach at present.
+    std::vector<EngineId> ownDoubts(absl::Time now) const;
+
     /// What this node has placed.
-    std::vector<EngineLoad> ownLoads(absl::Time now) const;
+    std::vector<EngineLoad> ownLoads() const;
 
     /// Whether an engine other than those in \a avoided could take a call.
     bool hasOther(const std::vector<EngineId> &avoided) const;
@@ -157,22 +164,17 @@
         absl::Time since;
     };
 
-    struct OwnRun
-    {
-        EngineRun run;
-        absl::Time started = absl::InfiniteFuture(); ///< first tokens
-    };
-
     struct OwnLoad
     {
         std::int64_t requests = 0;
         std::int64_t prefillTokens = 0;
-        std::map<std::uint64_t, OwnRun> runs;
+        std::map<std::uint64_t, EngineRun> runs;
     };
 
     struct PeerLoads
     {
         absl::flat_hash_map<EngineId, EngineLoad> loads;
+        std::vector<EngineId> doubts; ///< engines that it cannot reach
         absl::Time heard;
     };
 
@@ -185,15 +187,17 @@
     };
 
     bool isUsable(const Engine &engine, const std::vector<EngineId> &avoided, absl::Time now) const;
+    bool isDoubted(const EngineId &engine, absl::Time now) const;
+    void dropDoubted(std::vector<Candidate> &found, absl::Time now) const;
     std::vector<Candidate> candidates(EngineStage stage, const std::vector<EngineId> &avoided, absl::Time now) const;
     std::vector<Candidate> decodeCandidates(const ModelDemand &demand, absl::Time now) const;
     std::vector<Candidate> prefillCandidates(const ModelDemand &demand, absl::Time now) const;
+    double jitter(const EngineEntry &engine, const ModelDemand &demand) const;
     double failurePenalty(const Engine &engine, absl::Time now) const;
     absl::Duration expectedCost(EngineStage stage) const;
     double usableMemory() const;
     std::int64_t peakWith(const EngineLoad &load, const EngineRun *added) const;
     std::int64_t likelyTokens(const ModelDemand &demand) const;
-    std::int64_t tokensMadeIn(absl::Duration duration) const;
     double freeShare(absl::Time now) const;
     bool isBelowFloor(std::int64_t rank, absl::Time now) const;
     bool mayTakeReserve(const ModelDemand &demand, absl::Time now) const;
@@ -208,7 +212,6 @@
     std::map<std::int64_t, DecayingRate> m_placedByRank; ///< calls of each rank that got room lately
     std::uint64_t m_lastRun = 0;
     std::size_t m_turn = 0;
-    double m_tokensPerSecond = 0; ///< of one run; 0: not known yet
     double m_meanTokens = 0; ///< of an answer; 0: not known yet
 };
 
--- a/packages/coordination/tests/entry/testservicepool.cpp
+++ b/packages/coordination/tests/entry/testservicepool.cpp
@@ -159,7 +159,7 @@
     for (const EngineShare &share : placed->shares) {
         pool.release(share);
     }
-    BOOST_TEST(pool.ownLoads(start).empty());
+    BOOST_TEST(pool.ownLoads().empty());
     BOOST_TEST(pool.placeModel(demand(7000), start).has_value());
 }
 
@@ -175,7 +175,7 @@
 {
     ServicePool pool = modelPool(2, 0);
     BOOST_TEST(!pool.placeModel(demand(100), start).has_value());
-    BOOST_TEST(pool.ownLoads(start).empty());
+    BOOST_TEST(pool.ownLoads().empty());
 }
 
 BOOST_AUTO_TEST_CASE(roomGoesToTheMostUrgentAndThenToTheLeastPatient)
@@ -247,6 +247,39 @@
     BOOST_TEST(board.entries().empty());
 }
 
+BOOST_AUTO_TEST_CASE(anEngineThatTwoPeersCannotReachIsPassedOverUntried)
+{
+    ServicePool pool;
+    for (const char *id : {"a", "b", "c"}) {
+        pool.apply(engine(id, EngineStage::Plain));
+    }
+    const auto placesOnA = [&] {
+        int n = 0;
+        for (int i = 0; i < 9; ++i) {
+            n += (*pool.placePlain(here, {}, start))->id.text() == "a" ? 1 : 0;
+        }
+        return n;
+    };
+    pool.setPeerDoubts(NodeId("m"), {EngineId("a")}, start);
+    BOOST_TEST(placesOnA() == 3); // One node alone may be cut off itself.
+    pool.setPeerDoubts(NodeId("n"), {EngineId("a")}, start);
+    BOOST_TEST(placesOnA() == 0);
+    pool.setPeerDoubts(NodeId("m"), {EngineId("a"), EngineId("b"), EngineId("c")}, start);
+    pool.setPeerDoubts(NodeId("n"), {EngineId("a"), EngineId("b"), EngineId("c")}, start);
+    BOOST_TEST(placesOnA() > 0); // Peers that doubt all engines are cut off.
+}
+
+BOOST_AUTO_TEST_CASE(anEngineThatFailsThreeTimesInARowIsPassedOver)
+{
+    ServicePool pool = modelPool(0, 1);
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST(pool.ownDoubts(start).empty());
+        pool.noteResult(EngineId("d0"), EngineResult::Failed, start);
+    }
+    BOOST_TEST(!pool.placeModel(demand(10), start).has_value());
+    BOOST_TEST(pool.ownDoubts(start).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(aNewEngineIsExpectedToBeAsFastAsTheBest)
 {
     ServicePool pool;
--- a/packages/protocol/cellmessage.cpp
+++ b/packages/protocol/cellmessage.cpp
@@ -111,7 +111,7 @@
 template<class Archive>
 void serialize(Archive &archive, CellHeartbeat &it)
 {
-    archive(it.sender, it.claims, it.enginesRevision, it.loads);
+    archive(it.sender, it.claims, it.enginesRevision, it.loads, it.doubts);
 }
 
 template<class Archive>
--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -48,9 +48,17 @@
 
 Json route(const std::string &prefix, const std::string &type, const std::string &service, int attempts, int timeoutMs = 20000)
 {
-    return Json{{"name", "r" + prefix},     {"host", "h.example"},      {"path-prefix", prefix},       {"type", type},
-                {"timeout-ms", timeoutMs},  {"target-latency-ms", 2000}, {"priority", 0},               {"service", service},
-                {"max-attempts", attempts}, {"resumable", type == "streaming" && attempts > 1}, {"itl-target-ms", 2000}};
+    return Json{{"name", "r" + prefix},
+                {"host", "h.example"},
+                {"path-prefix", prefix},
+                {"type", type},
+                {"timeout-ms", timeoutMs},
+                {"target-latency-ms", 2000},
+                {"priority", 0},
+                {"service", service},
+                {"max-attempts", attempts},
+                {"resumable", type == "streaming" && attempts > 1},
+                {"itl-target-ms", 2000}};
 }
 
 Json desiredState(int version, const Json &moreRoutes = Json::array())
@@ -59,12 +67,13 @@
                                route("/short/", "idempotent", "desk", 1, 300), route("/draft/", "streaming", "model", 1),
                                route("/again/", "streaming", "model", 2)});
     routes.insert(routes.end(), moreRoutes.begin(), moreRoutes.end());
-    return Json{{"version", version},
-                {"routes", routes},
-                {"services", Json::array({Json{{"name", "desk"}},
-                                          Json{{"name", "model"}, {"engine", {{"slots", 8}, {"kv-capacity", 100000}, {"stride", 1}, {"kv-hold-s", 0.5}}}}})},
-                {"limits",
-                 {{"max-header-bytes", 16384}, {"max-body-bytes", 100000}, {"header-timeout-ms", 5000}, {"idle-timeout-ms", 20000}}}};
+    return Json{
+        {"version", version},
+        {"routes", routes},
+        {"services",
+         Json::array({Json{{"name", "desk"}},
+                      Json{{"name", "model"}, {"engine", {{"slots", 8}, {"kv-capacity", 100000}, {"stride", 1}, {"kv-hold-s", 0.5}}}}})},
+        {"limits", {{"max-header-bytes", 16384}, {"max-body-bytes", 100000}, {"header-timeout-ms", 5000}, {"idle-timeout-ms", 20000}}}};
 }
 
 /**
@@ -109,7 +118,9 @@
         HttpCall call;
         call.method = method;
         call.url = "http://" + m_settings->callerAddress + path;
-        call.headers = {{"Host", "h.example"}, {"Apricotladder-Attempt-Id", "attempt"}, {"Apricotladder-Deadline-Ms", "15000"},
+        call.headers = {{"Host", "h.example"},
+                        {"Apricotladder-Attempt-Id", "attempt"},
+                        {"Apricotladder-Deadline-Ms", "15000"},
                         {"Apricotladder-Token-Usage", "100,50"}};
         call.body = body;
         call.limit = longest;
@@ -233,7 +244,9 @@
 
 BOOST_AUTO_TEST_CASE(aCallThatMustNotRunTwiceIsNotRepeatedAfterItsConnectionBroke)
 {
-    const auto breakOff = [](EventLoop &, const HttpServerConnection::Self &connection, const EngineArrival &) { connection->breakOff(); };
+    const auto breakOff = [](EventLoop &, const HttpServerConnection::Self &connection, const EngineArrival &) {
+        connection->breakOff();
+    };
     PlatformEngineStandIn &first = add("i-1", "desk", "", breakOff);
     PlatformEngineStandIn &second = add("i-2", "desk", "", breakOff);
     const NodeUnderTest node("n1", store.address());
@@ -246,8 +259,9 @@
 
 BOOST_AUTO_TEST_CASE(aFullEngineMakesATrueRefusal)
 {
-    PlatformEngineStandIn &desk
-        = add("i-1", "desk", "", [](EventLoop &, const HttpServerConnection::Self &it, const EngineArrival &) { PlatformEngineStandIn::decline(it); });
+    PlatformEngineStandIn &desk = add("i-1", "desk", "", [](EventLoop &, const HttpServerConnection::Self &it, const EngineArrival &) {
+        PlatformEngineStandIn::decline(it);
+    });
     const NodeUnderTest node("n1", store.address());
     BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
     BOOST_TEST(node.call("/book/x", "POST", "b").status == 503);
@@ -415,7 +429,8 @@
     BOOST_REQUIRE(eventually([&] { return node.call("/new/x").status == 200; }));
     store.put("config", "main", desiredState(5)); // Late, from before.
     store.put("config", "main", Json{{"version", "none"}});
-    store.put("config", "main", desiredState(10, Json::array({route("/newer/", "idempotent", "desk", 1), route("/new/", "idempotent", "desk", 1)})));
+    store.put("config", "main",
+              desiredState(10, Json::array({route("/newer/", "idempotent", "desk", 1), route("/new/", "idempotent", "desk", 1)})));
     BOOST_REQUIRE(eventually([&] {
         BOOST_TEST(node.call("/new/x").status == 200);
         return node.call("/newer/x").status == 200;
@@ -467,10 +482,10 @@
 
 BOOST_AUTO_TEST_CASE(aNodeThatLeavesFinishesItsCalls)
 {
-    PlatformEngineStandIn &desk
-        = add("i-1", "desk", "", [](EventLoop &loop, const HttpServerConnection::Self &connection, const EngineArrival &arrival) {
-              loop.after(absl::Milliseconds(700), [connection, arrival] { PlatformEngineStandIn::answer(connection, arrival, 200, "late"); });
-          });
+    PlatformEngineStandIn &desk = add(
+        "i-1", "desk", "", [](EventLoop &loop, const HttpServerConnection::Self &connection, const EngineArrival &arrival) {
+            loop.after(absl::Milliseconds(700), [connection, arrival] { PlatformEngineStandIn::answer(connection, arrival, 200, "late"); });
+        });
     NodeUnderTest node("n1", store.address());
     BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
     int status = 0;
