--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -302,6 +302,10 @@
     if (!mayTakeReserve(demand, now)) {
         return std::nullopt;
     }
+    if (m_meanTokens == 0) {
+        // The first answers to end are the short ones, so the mean does not start from them.
+        m_meanTokens = firstMeanPart * static_cast<double>(demand.mostTokens);
+    }
     const std::vector<Candidate> decodes = decodeCandidates(demand, now);
     const std::vector<Candidate> prefills = prefillCandidates(demand, now);
     const double longestReadMs = longestReadShare * absl::ToDoubleMilliseconds(demand.target);
@@ -404,8 +408,9 @@
 
 void ServicePool::noteRunEnded(std::int64_t tokens)
 {
-    const auto made = static_cast<double>(tokens);
-    m_meanTokens = m_meanTokens == 0 ? made : m_meanTokens + newestRunWeight * (made - m_meanTokens);
+    if (m_meanTokens > 0) {
+        m_meanTokens += newestRunWeight * (static_cast<double>(tokens) - m_meanTokens);
+    }
 }
 
 void ServicePool::noteResult(const EngineId &engine, EngineResult result, absl::Time now)
@@ -491,8 +496,7 @@
 
 std::int64_t ServicePool::likelyTokens(const ModelDemand &demand) const
 {
-    const double mean = m_meanTokens > 0 ? m_meanTokens : firstMeanPart * static_cast<double>(demand.mostTokens);
-    return likelyAnswerTokens(demand.hintedTokens, mean, demand.mostTokens);
+    return likelyAnswerTokens(demand.hintedTokens, m_meanTokens, demand.mostTokens);
 }
 
 double ServicePool::usableMemory() const
