--- a/packages/apricotladder/commands.h
+++ b/packages/apricotladder/commands.h
@@ -33,5 +33,6 @@
 int runAddress(const CommandArguments &arguments);
 int runDrain(const CommandArguments &arguments);
 int runTimeline(const CommandArguments &arguments);
+int runExplain(const CommandArguments &arguments);
 
 }
--- /dev/null
+++ b/packages/apricotladder/explaincommand.cpp
@@ -0,0 +1,43 @@
+#include "apricotladder/commands.h"
+#include "protocol/logjson.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <vector>
+
+namespace Apricot {
+
+int runExplain(const CommandArguments &arguments)
+{
+    const std::string &request = arguments.names.front();
+    std::vector<LogLine> lines;
+    for (auto it = arguments.names.begin() + 1; it != arguments.names.end(); ++it) {
+        std::ifstream file(*it);
+        if (!file) {
+            std::cout << *it << ": cannot be read; name the log files of the nodes\n";
+            return ExitUsage;
+        }
+        for (std::string text; std::getline(file, text);) {
+            if (std::optional<LogLine> line = readLogLine(text)) {
+                lines.push_back(std::move(*line));
+            }
+        }
+    }
+    const std::vector<LogLine> story = storyOf(request, std::move(lines));
+    if (story.empty()) {
+        std::cout << request << ": no line names it; its node's log is missing, or it never reached a node\n";
+        return ExitFaults;
+    }
+    if (arguments.has("json")) {
+        std::cout << storyJson(story) << "\n";
+        return ExitOk;
+    }
+    for (const LogLine &line : story) {
+        std::cout << lineText(line) << "\n";
+    }
+    std::cout << causeOf(story) << "\n";
+    return ExitOk;
+}
+
+}
--- a/packages/apricotladder/main.cpp
+++ b/packages/apricotladder/main.cpp
@@ -65,6 +65,13 @@
          {nodeFlag, "request:Only events of this request"},
          {"json:Print JSON for programs"},
          runTimeline},
+        {"explain",
+         "REQUEST FILE...",
+         "Tell from the logs of entry nodes what became of a request, and why",
+         2,
+         {},
+         {"json:Print JSON for programs"},
+         runExplain},
     };
     return list;
 }
--- /dev/null
+++ b/packages/protocol/logjson.cpp
@@ -0,0 +1,152 @@
+#include "protocol/logjson.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Apricot {
+
+namespace {
+
+/// Fields of a line that stand in front of the others.
+const std::set<std::string> headFields{"time", "level", "node", "event", "request"};
+
+/// Fields that name an engine.
+constexpr const char *engineFields[] = {"engine", "decode", "prefill", "from"};
+
+/// Whether \a belief is about something that \a line rests on.
+bool restsOn(const LogLine &line, const LogLine &belief)
+{
+    if (belief.node != line.node || !belief.request.empty()) {
+        return false;
+    }
+    if (belief.event == "desired.inforce" || belief.event.rfind("store.", 0) == 0) {
+        return true;
+    }
+    const std::string engine = jsonText(belief.fields, "engine");
+    return !engine.empty() && std::any_of(std::begin(engineFields), std::end(engineFields), [&](const char *field) {
+        return jsonText(line.fields, field) == engine;
+    });
+}
+
+std::string fieldsText(const Json &fields)
+{
+    std::string text;
+    for (const auto &[name, value] : fields.items()) {
+        if (!headFields.contains(name)) {
+            absl::StrAppend(&text, " ", name, "=", value.is_string() ? value.get<std::string>() : value.dump());
+        }
+    }
+    return text;
+}
+
+double numberOf(const Json &fields, const char *name)
+{
+    const auto it = fields.find(name);
+    return it != fields.end() && it->is_number() ? it->get<double>() : 0;
+}
+
+std::string causeOfEnd(const Json &end)
+{
+    const std::string outcome = jsonText(end, "outcome");
+    const std::string engine = end.contains("engine") ? jsonText(end, "engine") : jsonText(end, "decode");
+    const auto arrivals = jsonInteger(end, "arrivals");
+    const std::string ms = absl::StrCat(static_cast<std::int64_t>(numberOf(end, "ms")), " ms");
+    if (outcome == "answered") {
+        return absl::StrCat("engine ", engine, " answered with status ", jsonInteger(end, "status"), " after ", ms);
+    }
+    if (outcome == "caller left") {
+        return absl::StrCat("the caller closed its connection after ", ms, "; ", arrivals, " engine(s) had the call");
+    }
+    if (outcome == "NoCapacity" && numberOf(end, "waitedMs") < 0) {
+        return absl::StrCat("refused, not run: no decode engine had room for ", jsonInteger(end, "promptTokens"), " prompt tokens within ", ms);
+    }
+    if (outcome == "NoCapacity") {
+        return absl::StrCat("refused, not run: the engines declined it (", arrivals, " asked, the last one ", engine, ") within ", ms);
+    }
+    if (outcome == "EngineUnreachable") {
+        return absl::StrCat("refused, not run: no connection to an engine could be made, the last one tried was ", engine);
+    }
+    if (outcome == "Draining") {
+        return "refused, not run: the node is leaving and the stream would outlast it";
+    }
+    if (outcome == "OutcomeUnknown") {
+        return absl::StrCat("engine ", engine, " had the call and did not answer within ", ms, "; it may have run");
+    }
+    if (outcome == "AnswerIncomplete") {
+        return absl::StrCat("engine ", engine, " had the call and its answer was missing, cut off or spoilt; it may have run");
+    }
+    return absl::StrCat("the stream ended early after ", ms, ": ", outcome, " (engine ", engine.empty() ? "none any more" : engine, ")");
+}
+
+}
+
+std::optional<LogLine> readLogLine(const std::string &text)
+{
+    const std::size_t begin = text.find('{');
+    const Json json = begin == std::string::npos ? Json() : Json::parse(text.substr(begin), nullptr, false);
+    if (!json.is_object() || jsonText(json, "event").empty() || jsonText(json, "time").empty()) {
+        return std::nullopt;
+    }
+    return LogLine{jsonText(json, "time"), jsonText(json, "node"), jsonText(json, "event"), jsonText(json, "request"), json};
+}
+
+std::vector<LogLine> storyOf(const std::string &request, std::vector<LogLine> lines)
+{
+    std::stable_sort(lines.begin(), lines.end(), [](const LogLine &left, const LogLine &right) { return left.time < right.time; });
+    std::set<std::size_t> chosen;
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+        if (lines[i].request != request) {
+            continue;
+        }
+        chosen.insert(i);
+        std::set<std::string> told; // the newest belief of each kind
+        for (std::size_t before = i; before-- > 0;) {
+            const std::string kind = lines[before].event.substr(0, lines[before].event.find('.')) + jsonText(lines[before].fields, "engine");
+            if (restsOn(lines[i], lines[before]) && told.insert(kind).second) {
+                chosen.insert(before);
+            }
+        }
+    }
+    std::vector<LogLine> story;
+    for (const std::size_t i : chosen) {
+        story.push_back(lines[i]);
+    }
+    return story;
+}
+
+std::string lineText(const LogLine &line)
+{
+    return absl::StrCat(line.time, " ", line.node, " ", line.event, fieldsText(line.fields));
+}
+
+std::string causeOf(const std::vector<LogLine> &story)
+{
+    const auto last = std::find_if(story.rbegin(), story.rend(), [](const LogLine &line) { return !line.request.empty(); });
+    if (last == story.rend()) {
+        return "cause: no decision on the request is logged";
+    }
+    if (last->event == "call.noroute") {
+        return absl::StrCat("cause: no route of version ", jsonInteger(last->fields, "version"), " matches ", jsonText(last->fields, "host"),
+                            jsonText(last->fields, "path"));
+    }
+    if (last->event == "call.unconfigured") {
+        return "cause: refused, not run: the node had not learnt a desired state yet";
+    }
+    if (last->event != "call.end") {
+        return absl::StrCat("cause: the node ended before the call did; its last decision was ", last->event);
+    }
+    return absl::StrCat("cause: ", causeOfEnd(last->fields));
+}
+
+std::string storyJson(const std::vector<LogLine> &story)
+{
+    Json lines = Json::array();
+    for (const LogLine &line : story) {
+        lines.push_back(line.fields);
+    }
+    return jsonDump(Json{{"lines", std::move(lines)}, {"cause", causeOf(story)}});
+}
+
+}
