coordination: Give away four fifths of an engine's memory

Cause: runs that are preempted are read again, the largest price of all.

Conclusion: 0.8 is kept; below it calls wait while memory is free.

docs: entry settings, log lines and metrics in OPERATIONS.md, checked against the code.

--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -67,7 +67,7 @@
 constexpr std::int64_t spareSlots = 1;
 
 /// Part of an engine's memory that is given away: forecasts are off, and a run that is preempted is read again.
-constexpr double usableMemoryPart = 0.88;
+constexpr double usableMemoryPart = 0.8;
 
 /// Weight of the newest run in what is known of all runs.
 constexpr double newestRunWeight = 0.05;
--- a/scripts/check_docs.py
+++ b/scripts/check_docs.py
@@ -40,10 +40,17 @@
     faults += compare("error kind", kinds, first_cells(section(read("docs/CALLERS.md"), "Errors")))
     faults += compare("metric", metrics, first_cells(section(operations, "Metrics")))
     faults += compare("command", commands, first_cells(section(operations, "Commands")))
-    for name, found in (("settings", settings), ("fields", fields), ("error kinds", kinds), ("metrics", metrics), ("commands", commands)):
+    entry = section(operations, "Entry nodes on a platform")
+    entry_settings = set(re.findall(r'^\s*\{"(\w+)",\s*"(?:text|whole number|number|flag|list of texts)"', read("packages/protocol/entrysettingsjson.cpp"), re.M))
+    entry_metrics = set(re.findall(r'"(apricotladder_entry_\w+)"', read("packages/apricotladderd/entry/entrymetrics.cpp")))
+    sources = "\n".join(path.read_text() for path in sorted((ROOT / "packages/apricotladderd/entry").glob("*.cpp")))
+    events = set(re.findall(r'"((?:call|store|desired|engine|engines|peer)\.[a-z]+|start|stop|stopped|reload|engine|member)"', sources))
+    events |= set(re.findall(r'\\"event\\":\\"([a-z.]+)\\"', sources))
+    faults += compare("entry setting, metric or event", entry_settings | entry_metrics | events, first_cells(entry))
+    for name, found in (("entry settings", entry_settings), ("entry metrics", entry_metrics), ("log events", events), ("settings", settings), ("fields", fields), ("error kinds", kinds), ("metrics", metrics), ("commands", commands)):
         if not found:
             faults.append(f"no {name} found in the code: the pattern of this script no longer fits")
-    print("\n".join(faults) if faults else f"documents: {len(settings)} settings, {len(fields)} fields, {len(kinds)} error kinds, {len(metrics)} metrics, {len(commands)} commands agree")
+    print("\n".join(faults) if faults else f"documents: {len(settings)} settings, {len(fields)} fields, {len(kinds)} error kinds, {len(metrics)} metrics, {len(commands)} commands, {len(entry_settings)} entry settings, {len(entry_metrics)} entry metrics, {len(events)} log events agree")
     return 1 if faults else 0
 
 
