--- a/packages/apricotladderd/entry/entryloop.cpp
+++ b/packages/apricotladderd/entry/entryloop.cpp
@@ -63,10 +63,10 @@
     m_events.post([this] { m_listener->stopAccepting(); });
 }
 
-WaiterId EntryLoop::addWaiter(RoomFound found)
+WaiterId EntryLoop::addWaiter(const RoomFound &found)
 {
     const WaiterId id = (m_index << loopShift) | ++m_lastWaiter;
-    m_waiters.emplace(id, std::move(found));
+    m_waiters.emplace(id, found);
     return id;
 }
 
--- a/packages/apricotladderd/entry/entryloop.h
+++ b/packages/apricotladderd/entry/entryloop.h
@@ -79,7 +79,7 @@
     }
 
     /// Registers who is told when a waiting call gets its room.
-    WaiterId addWaiter(RoomFound found);
+    WaiterId addWaiter(const RoomFound &found);
     void removeWaiter(WaiterId waiter);
 
     /// The loop that a waiter belongs to.
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -292,7 +292,7 @@
 }
 
 void EntryNode::call(const HttpRequestHead &head, const std::string &body, const std::string &address,
-                     std::function<void(int, const std::string &)> answered)
+                     const std::function<void(int, const std::string &)> &answered)
 {
     struct Answer
     {
--- a/packages/apricotladderd/entry/entrynode.h
+++ b/packages/apricotladderd/entry/entrynode.h
@@ -88,7 +88,7 @@
     LocalAnswer answerPeer(const HttpRequestHead &question);
     LocalAnswer answerMetrics();
     void call(const HttpRequestHead &head, const std::string &body, const std::string &address,
-              std::function<void(int, const std::string &)> answered);
+              const std::function<void(int, const std::string &)> &answered);
     std::size_t callerCount() const;
 
     EntryContext m_context;
--- a/packages/coordination/engineboard.cpp
+++ b/packages/coordination/engineboard.cpp
@@ -72,9 +72,9 @@
             byService[entry->service].push_back(load);
         }
     }
-    for (const auto &[service, serviceLoads] : byService) {
-        tellGrants(m_pools.update(service, [&](ServicePool &pool) {
-            pool.setPeerLoads(node, serviceLoads, now);
+    for (const auto &entry : byService) {
+        tellGrants(m_pools.update(entry.first, [&](ServicePool &pool) {
+            pool.setPeerLoads(node, entry.second, now);
             return pool.grantRoom(now);
         }));
     }
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -102,9 +102,9 @@
 
 }
 
-void ServicePool::setModel(std::optional<ModelServing> model)
+void ServicePool::setModel(const std::optional<ModelServing> &model)
 {
-    m_model = std::move(model);
+    m_model = model;
 }
 
 void ServicePool::apply(const EngineEntry &entry)
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -74,7 +74,7 @@
 class ServicePool
 {
 public:
-    void setModel(std::optional<ModelServing> model);
+    void setModel(const std::optional<ModelServing> &model);
 
     /// Takes in what an engine says of itself.
     void apply(const EngineEntry &entry);
--- a/packages/protocol/logjson.cpp
+++ b/packages/protocol/logjson.cpp
@@ -60,7 +60,8 @@
         return absl::StrCat("the caller closed its connection after ", ms, "; ", arrivals, " engine(s) had the call");
     }
     if (outcome == "NoCapacity" && numberOf(end, "waitedMs") < 0) {
-        return absl::StrCat("refused, not run: no decode engine had room for ", jsonInteger(end, "promptTokens"), " prompt tokens within ", ms);
+        return absl::StrCat("refused, not run: no decode engine had room for ", jsonInteger(end, "promptTokens"), " prompt tokens within ",
+                            ms);
     }
     if (outcome == "NoCapacity") {
         return absl::StrCat("refused, not run: the engines declined it (", arrivals, " asked, the last one ", engine, ") within ", ms);
@@ -103,13 +104,15 @@
         chosen.insert(i);
         std::set<std::string> told; // the newest belief of each kind
         for (std::size_t before = i; before-- > 0;) {
-            const std::string kind = lines[before].event.substr(0, lines[before].event.find('.')) + jsonText(lines[before].fields, "engine");
+            const std::string kind
+                = lines[before].event.substr(0, lines[before].event.find('.')) + jsonText(lines[before].fields, "engine");
             if (restsOn(lines[i], lines[before]) && told.insert(kind).second) {
                 chosen.insert(before);
             }
         }
     }
     std::vector<LogLine> story;
+    story.reserve(chosen.size());
     for (const std::size_t i : chosen) {
         story.push_back(lines[i]);
     }
@@ -128,8 +131,8 @@
         return "cause: no decision on the request is logged";
     }
     if (last->event == "call.noroute") {
-        return absl::StrCat("cause: no route of version ", jsonInteger(last->fields, "version"), " matches ", jsonText(last->fields, "host"),
-                            jsonText(last->fields, "path"));
+        return absl::StrCat("cause: no route of version ", jsonInteger(last->fields, "version"), " matches ",
+                            jsonText(last->fields, "host"), jsonText(last->fields, "path"));
     }
     if (last->event == "call.unconfigured") {
         return "cause: refused, not run: the node had not learnt a desired state yet";
--- a/packages/protocol/tests/log/testlog.cpp
+++ b/packages/protocol/tests/log/testlog.cpp
@@ -33,14 +33,14 @@
 
 BOOST_AUTO_TEST_CASE(aStoryHoldsTheRequestsLinesAndWhatTheyRestOn)
 {
-    const std::vector<LogLine> story = storyOf(
-        "r",
-        lines({endLine("answered", R"("engine":"e1","status":200,"ms":12)"),
-               R"(  1.5 name {"time":"1","node":"n","event":"engine","engine":"e1","state":"ready","revision":7})",
-               R"({"time":"2","node":"n","event":"engine","engine":"e2","state":"ready"})",
-               R"({"time":"2","node":"m","event":"engine","engine":"e1","state":"leaving"})",
-               R"({"time":"0","node":"n","event":"desired.inforce","version":4})", "no line of ours",
-               R"({"time":"2","node":"n","event":"call.end","request":"other","outcome":"answered"})"}));
+    const std::vector<LogLine> story
+        = storyOf("r",
+                  lines({endLine("answered", R"("engine":"e1","status":200,"ms":12)"),
+                         R"(  1.5 name {"time":"1","node":"n","event":"engine","engine":"e1","state":"ready","revision":7})",
+                         R"({"time":"2","node":"n","event":"engine","engine":"e2","state":"ready"})",
+                         R"({"time":"2","node":"m","event":"engine","engine":"e1","state":"leaving"})",
+                         R"({"time":"0","node":"n","event":"desired.inforce","version":4})", "no line of ours",
+                         R"({"time":"2","node":"n","event":"call.end","request":"other","outcome":"answered"})"}));
     BOOST_REQUIRE(story.size() == 3U);
     BOOST_TEST(story[0].event == "desired.inforce");
     BOOST_TEST(story[1].event == "engine");
@@ -53,15 +53,20 @@
 {
     BOOST_TEST(causeOfOutcome("NoCapacity", R"("decode":"","promptTokens":500,"waitedMs":-1.0,"ms":520)")
                == "cause: refused, not run: no decode engine had room for 500 prompt tokens within 520 ms");
-    BOOST_TEST(causeOfOutcome("NoCapacity", R"("engine":"e","arrivals":1,"ms":3)").find("declined it (1 asked, the last one e)") != std::string::npos);
-    BOOST_TEST(causeOfOutcome("OutcomeUnknown", R"("engine":"e","ms":1000)").find("e had the call and did not answer within 1000 ms") != std::string::npos);
+    BOOST_TEST(causeOfOutcome("NoCapacity", R"("engine":"e","arrivals":1,"ms":3)").find("declined it (1 asked, the last one e)")
+               != std::string::npos);
+    BOOST_TEST(causeOfOutcome("OutcomeUnknown", R"("engine":"e","ms":1000)").find("e had the call and did not answer within 1000 ms")
+               != std::string::npos);
     BOOST_TEST(causeOfOutcome("AnswerIncomplete", R"("engine":"e","ms":9)").find("may have run") != std::string::npos);
     BOOST_TEST(causeOfOutcome("EngineUnreachable", R"("engine":"e")").find("tried was e") != std::string::npos);
     BOOST_TEST(causeOfOutcome("caller left", R"("engine":"e","arrivals":1,"ms":40)").find("after 40 ms; 1 engine(s)") != std::string::npos);
-    BOOST_TEST(causeOfOutcome("the engine broke off", R"("decode":"e","ms":40)").find("the engine broke off (engine e)") != std::string::npos);
-    BOOST_TEST(causeOf(storyOf("r", lines({R"({"time":"1","node":"n","event":"call.noroute","request":"r","host":"h","path":"/p","version":3})"})))
-               == "cause: no route of version 3 matches h/p");
-    BOOST_TEST(causeOf(storyOf("r", lines({R"({"time":"1","node":"n","event":"call.repeat","request":"r"})"}))).find("call.repeat") != std::string::npos);
+    BOOST_TEST(causeOfOutcome("the engine broke off", R"("decode":"e","ms":40)").find("the engine broke off (engine e)")
+               != std::string::npos);
+    BOOST_TEST(
+        causeOf(storyOf("r", lines({R"({"time":"1","node":"n","event":"call.noroute","request":"r","host":"h","path":"/p","version":3})"})))
+        == "cause: no route of version 3 matches h/p");
+    BOOST_TEST(causeOf(storyOf("r", lines({R"({"time":"1","node":"n","event":"call.repeat","request":"r"})"}))).find("call.repeat")
+               != std::string::npos);
     BOOST_TEST(storyOf("unknown", lines({endLine("answered", R"("ms":1)")})).empty());
 }
 
--- a/packages/transport/httpparser.cpp
+++ b/packages/transport/httpparser.cpp
@@ -129,7 +129,7 @@
 };
 
 HttpRequestParser::HttpRequestParser(const ParseLimits &limits)
-    : d(std::make_unique<Private>(limits))
+    : m_data(std::make_unique<Private>(limits))
 {
 }
 
@@ -139,44 +139,44 @@
 
 std::size_t HttpRequestParser::feed(std::string_view bytes)
 {
-    if (d->state != ParseState::Head && d->state != ParseState::Body) {
+    if (m_data->state != ParseState::Head && m_data->state != ParseState::Body) {
         return 0;
     }
-    d->hasStarted = d->hasStarted || !bytes.empty();
+    m_data->hasStarted = m_data->hasStarted || !bytes.empty();
     ErrorCode ec;
-    const std::size_t n = feedParser(d->parser, d->pending, bytes, ec);
+    const std::size_t n = feedParser(m_data->parser, m_data->pending, bytes, ec);
     if (ec) {
-        d->state = stateOfError(ec);
+        m_data->state = stateOfError(ec);
         return n;
     }
-    if (d->parser.is_header_done() && !d->hasHead) {
-        d->state = ParseState::Body;
-        d->takeHead();
+    if (m_data->parser.is_header_done() && !m_data->hasHead) {
+        m_data->state = ParseState::Body;
+        m_data->takeHead();
     }
-    if (d->state == ParseState::Body && d->parser.is_done()) {
-        d->state = ParseState::Done;
+    if (m_data->state == ParseState::Body && m_data->parser.is_done()) {
+        m_data->state = ParseState::Done;
     }
     return n;
 }
 
 ParseState HttpRequestParser::state() const
 {
-    return d->state;
+    return m_data->state;
 }
 
 const HttpRequestHead &HttpRequestParser::head() const
 {
-    return d->head;
+    return m_data->head;
 }
 
 const std::string &HttpRequestParser::body() const
 {
-    return d->parser.get().body();
+    return m_data->parser.get().body();
 }
 
 bool HttpRequestParser::hasStarted() const
 {
-    return d->hasStarted;
+    return m_data->hasStarted;
 }
 
 struct HttpResponseParser::Private
@@ -219,7 +219,7 @@
 };
 
 HttpResponseParser::HttpResponseParser(bool hasNoBody)
-    : d(std::make_unique<Private>(hasNoBody))
+    : m_data(std::make_unique<Private>(hasNoBody))
 {
 }
 
@@ -229,46 +229,46 @@
 
 std::size_t HttpResponseParser::feed(std::string_view bytes)
 {
-    if (d->state != ParseState::Head && d->state != ParseState::Body) {
+    if (m_data->state != ParseState::Head && m_data->state != ParseState::Body) {
         return 0;
     }
     ErrorCode ec;
-    const std::size_t n = feedParser(d->parser, d->pending, bytes, ec);
+    const std::size_t n = feedParser(m_data->parser, m_data->pending, bytes, ec);
     if (ec) {
-        d->state = stateOfError(ec);
+        m_data->state = stateOfError(ec);
         return n;
     }
-    d->update();
+    m_data->update();
     return n;
 }
 
 void HttpResponseParser::finish()
 {
-    if (d->state != ParseState::Body) {
+    if (m_data->state != ParseState::Body) {
         return;
     }
     ErrorCode ec;
-    d->parser.put_eof(ec);
+    m_data->parser.put_eof(ec);
     if (ec) {
-        d->state = stateOfError(ec);
+        m_data->state = stateOfError(ec);
         return;
     }
-    d->update();
+    m_data->update();
 }
 
 ParseState HttpResponseParser::state() const
 {
-    return d->state;
+    return m_data->state;
 }
 
 const HttpResponseHead &HttpResponseParser::head() const
 {
-    return d->head;
+    return m_data->head;
 }
 
 std::string HttpResponseParser::takeBody()
 {
-    std::string &body = d->parser.get().body();
+    std::string &body = m_data->parser.get().body();
     return std::exchange(body, std::string());
 }
 
--- a/packages/transport/httpparser.h
+++ b/packages/transport/httpparser.h
@@ -56,7 +56,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_data;
 };
 
 /**
@@ -86,7 +86,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_data;
 };
 
 }
--- a/scripts/check_tidy.sh
+++ b/scripts/check_tidy.sh
@@ -2,5 +2,5 @@
 # Runs clang-tidy over the packages, with the settings of .clang-tidy.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-git ls-files 'packages/*.cpp' 'bench/*.cpp' | grep -v /tests/ | xargs -P "$(nproc)" -n 2 clang-tidy-14 -p build --quiet 2>/dev/null
+git ls-files 'packages/*.cpp' 'platform/*.cpp' 'bench/*.cpp' | grep -v /tests/ | xargs -P "$(nproc)" -n 2 clang-tidy-14 -p build --quiet 2>/dev/null
 echo "clang-tidy: clean"
