--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -77,6 +77,7 @@
     , m_facts(std::move(facts))
     , m_head(std::move(head))
     , m_body(std::move(body))
+    , m_reservation(loop.context(), m_facts.service)
 {
 }
 
@@ -124,13 +125,12 @@
     m_waiter = 0;
     m_placement = placement;
     m_placedAt = m_loop.events().now();
-    m_held = placement.shares;
-    m_loop.context().loadsChanged();
+    m_reservation.take(placement);
     if (!placement.prefill || m_streamBegun) {
         startDecode();
     } else if (m_handle) {
         // The prompt is read already: only its decode engine was lost.
-        letGo((*placement.prefill)->id);
+        m_reservation.letGo((*placement.prefill)->id, m_loop.events().now());
         startDecode();
     } else {
         startPrefill();
@@ -221,7 +221,7 @@
     });
     m_loop.context().metrics.countAttempt("prefill", "good");
     m_handle = Handle{engine, result->handle};
-    letGo(engine->id);
+    m_reservation.letGo(engine->id, m_loop.events().now());
     startDecode();
 }
 
@@ -236,18 +236,18 @@
 void StreamCall::afterFailedPrefill(EngineResult result, const char *why)
 {
     const EngineEntry engine = *m_placement->prefill;
-    note(engine->id, result);
+    m_reservation.note(engine->id, result, m_loop.events().now());
     m_loop.context().metrics.countAttempt("prefill", why);
     m_loop.context().log.add(LogLevel::Info, "call.prefillfailed", m_facts.call->attempt,
                              {{"engine", engine->id.text()}, {"why", std::string(why)}});
-    letGo(engine->id);
+    m_reservation.letGo(engine->id, m_loop.events().now());
     m_placement->prefill.reset();
     // The prompt does not run while it is only read: nothing has happened yet that a refusal would deny.
     if (m_prefillCounts && !spendRepeat()) {
         refuse(ErrorKind::NoCapacity, comeBackSoon);
         return;
     }
-    hold(EngineShare{m_placement->decode->id, 0, m_facts.call->promptTokens, std::nullopt});
+    m_reservation.hold(EngineShare{m_placement->decode->id, 0, m_facts.call->promptTokens, std::nullopt});
     startDecode();
 }
 
@@ -258,14 +258,13 @@
     const bool isReady = context.board.withPool(m_facts.service, [&](ServicePool &pool) { return pool.isReady(engine); });
     if (!isReady) {
         m_avoided.push_back(engine->id);
-        letGoAll();
+        m_reservation.letGoAll(m_loop.events().now());
         m_placement.reset();
         askForRoom(m_facts.route->target);
         return;
     }
     m_stageSince = m_loop.events().now();
     m_wasSent = false;
-    m_tokensNoted = false;
     m_answerHead = {};
     m_answerBody.clear();
     m_isStream = false;
@@ -337,34 +336,13 @@
         m_loop.context().metrics.observeFirstAnswer("stream", absl::ToDoubleSeconds(now - m_facts.arrival));
         m_caller->beginStream(callerAnswer(m_answerHead), events);
     }
-    noteTokens(now);
+    m_reservation.noteEvents(m_events.count(), m_stageSince, now);
     if (m_caller->unsentBytes() > mostUnsent) {
         m_exchange->setReading(false);
         m_caller->setDrained([self = shared_from_this()] { self->m_exchange->setReading(true); });
     }
 }
 
-void StreamCall::noteTokens(absl::Time now)
-{
-    const bool isFirst = !std::exchange(m_tokensNoted, true);
-    m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) {
-        for (EngineShare &share : m_held) {
-            if (share.run) {
-                pool.noteRunMade(share.engine, share.run->id, m_events.count() * pool.tokensPerEvent());
-            }
-            // From its first event on the engine has read the prompt.
-            if (share.prefillTokens > 0) {
-                pool.noteCost(share.engine, static_cast<double>(share.prefillTokens), now - m_stageSince, now);
-                pool.release(EngineShare{share.engine, 0, share.prefillTokens, std::nullopt});
-                share.prefillTokens = 0;
-            }
-        }
-    });
-    if (isFirst) {
-        m_loop.context().loadsChanged();
-    }
-}
-
 void StreamCall::armSilence()
 {
     if (!m_facts.route->resumable || m_silenceTimer != 0) {
@@ -400,7 +378,8 @@
         streamEnded(end);
     } else if (m_streamBegun) {
         // An engine that was asked to go on with a stream did not.
-        note(m_placement->decode->id, end == ExchangeEnd::NotSent ? EngineResult::Unreachable : EngineResult::Refused);
+        m_reservation.note(m_placement->decode->id, end == ExchangeEnd::NotSent ? EngineResult::Unreachable : EngineResult::Refused,
+                           m_loop.events().now());
         goOnElsewhere();
     } else {
         wholeAnswerEnded(end);
@@ -411,10 +390,9 @@
 {
     const EngineId engine = m_placement->decode->id;
     if (end == ExchangeEnd::Complete) {
-        note(engine, EngineResult::Good);
-        m_loop.context().board.withPool(m_facts.service,
-                                        [&](ServicePool &pool) { pool.noteRunEnded(m_events.count() * pool.tokensPerEvent()); });
-        letGoAll();
+        m_reservation.note(engine, EngineResult::Good, m_loop.events().now());
+        m_reservation.noteEnded(m_events.count());
+        m_reservation.letGoAll(m_loop.events().now());
         if (!m_streamBegun) {
             // A stream without any event is a whole answer with an empty body.
             const HttpResponseHead head = callerAnswer(m_answerHead);
@@ -426,7 +404,7 @@
         m_caller->endStream();
         return;
     }
-    note(engine, EngineResult::Failed);
+    m_reservation.note(engine, EngineResult::Failed, m_loop.events().now());
     m_events.dropPending();
     goOnElsewhere();
 }
@@ -442,7 +420,7 @@
 void StreamCall::goOnElsewhere()
 {
     m_avoided.push_back(m_placement->decode->id);
-    letGoAll();
+    m_reservation.letGoAll(m_loop.events().now());
     m_placement.reset();
     if (!mayGoOnElsewhere() || !spendRepeat()) {
         if (m_streamBegun) {
@@ -461,7 +439,7 @@
 
 void StreamCall::decodeAtSameEngine()
 {
-    hold(EngineShare{m_placement->decode->id, 0, m_facts.call->promptTokens, std::nullopt});
+    m_reservation.hold(EngineShare{m_placement->decode->id, 0, m_facts.call->promptTokens, std::nullopt});
     startDecode();
 }
 
@@ -474,17 +452,17 @@
     if (end == ExchangeEnd::NotSent || isDeclined) {
         if (isDeclined && m_handle) {
             // The handle lapsed or cannot be fetched: the engine can still read the prompt itself.
-            note(m_handle->engine->id, EngineResult::Failed);
+            m_reservation.note(m_handle->engine->id, EngineResult::Failed, m_loop.events().now());
             freeHandle("declined");
             if (spendRepeat()) {
                 decodeAtSameEngine();
                 return;
             }
         }
-        note(engine, isDeclined ? EngineResult::Refused : EngineResult::Unreachable);
+        m_reservation.note(engine, isDeclined ? EngineResult::Refused : EngineResult::Unreachable, m_loop.events().now());
         const bool mayTry = m_arrivals < m_facts.route->mostAttempts && m_facts.deadline() - m_loop.events().now() > leastTimeForTry;
         m_avoided.push_back(engine);
-        letGoAll();
+        m_reservation.letGoAll(m_loop.events().now());
         m_placement.reset();
         if (mayTry && (!isDeclined || spendRepeat())) {
             m_wasSent = false;
@@ -494,9 +472,9 @@
         refuse(ErrorKind::NoCapacity, comeBackSoon);
         return;
     }
-    letGoAll();
+    m_reservation.letGoAll(m_loop.events().now());
     const bool mayRelay = end == ExchangeEnd::Complete && !terms.isEncoded && m_answerHead.status != statusOk;
-    note(engine, mayRelay && m_answerHead.status < 500 ? EngineResult::Good : EngineResult::Failed);
+    m_reservation.note(engine, mayRelay && m_answerHead.status < 500 ? EngineResult::Good : EngineResult::Failed, m_loop.events().now());
     if (m_facts.route->repeatability == Repeatability::Idempotent && (!mayRelay || m_answerHead.status >= 500) && mayGoOnElsewhere()) {
         goOnElsewhere();
         return;
@@ -549,38 +527,6 @@
     m_caller->breakOff();
 }
 
-void StreamCall::hold(const EngineShare &share)
-{
-    m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) { pool.add(share); });
-    m_held.push_back(share);
-}
-
-void StreamCall::letGo(const EngineId &engine)
-{
-    const absl::Time now = m_loop.events().now();
-    for (auto it = m_held.begin(); it != m_held.end();) {
-        if (it->engine == engine) {
-            m_loop.context().board.release(m_facts.service, *it, now);
-            it = m_held.erase(it);
-        } else {
-            ++it;
-        }
-    }
-    m_loop.context().loadsChanged();
-}
-
-void StreamCall::letGoAll()
-{
-    if (m_held.empty()) {
-        return;
-    }
-    const absl::Time now = m_loop.events().now();
-    for (const EngineShare &share : std::exchange(m_held, {})) {
-        m_loop.context().board.release(m_facts.service, share, now);
-    }
-    m_loop.context().loadsChanged();
-}
-
 void StreamCall::freeHandle(const char *why)
 {
     if (!m_handle) {
@@ -599,11 +545,6 @@
     m_handle.reset();
 }
 
-void StreamCall::note(const EngineId &engine, EngineResult result)
-{
-    m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) { pool.noteResult(engine, result, m_loop.events().now()); });
-}
-
 bool StreamCall::spendRepeat()
 {
     EntryContext &context = m_loop.context();
@@ -624,7 +565,7 @@
         m_loop.removeWaiter(m_waiter);
         context.board.withPool(m_facts.service, [&](ServicePool &pool) { pool.stopWaiting(m_waiter); });
     }
-    letGoAll();
+    m_reservation.letGoAll(m_loop.events().now());
     freeHandle("unused");
     const absl::Time now = events.now();
     const bool isGood = status > 0 && status < 500;
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -2,6 +2,7 @@
 
 #include "apricotladderd/entry/callfacts.h"
 #include "apricotladderd/entry/entryloop.h"
+#include "apricotladderd/entry/modelreservation.h"
 #include "coordination/attemptdecision.h"
 #include "platform/callheaders.h"
 #include "protocol/sseevents.h"
@@ -53,7 +54,6 @@
     void decodeBody(const std::string &part);
     void decodeEnded(ExchangeEnd end);
     void passOn(const std::string &events);
-    void noteTokens(absl::Time now);
     void silent();
     void armSilence();
     void streamEnded(ExchangeEnd end);
@@ -65,11 +65,7 @@
     void callerGone();
     void refuse(ErrorKind kind, std::optional<absl::Duration> comeBack);
     void breakOff(const char *why);
-    void hold(const EngineShare &share);
-    void letGo(const EngineId &engine);
-    void letGoAll();
     void freeHandle(const char *why);
-    void note(const EngineId &engine, EngineResult result);
     bool spendRepeat();
     ExchangeRequest requestTo(const EngineEntry &engine, const EngineTerms &terms) const;
     EngineTerms termsFor(const EngineEntry &engine) const;
@@ -84,7 +80,7 @@
     WaiterId m_waiter = 0;
     TimerId m_waitTimer = 0;
     std::optional<ModelPlacement> m_placement;
-    std::vector<EngineShare> m_held;
+    ModelReservation m_reservation;
     std::vector<EngineId> m_avoided;
     std::shared_ptr<HttpExchange> m_exchange;
     TimerId m_prefillTimer = 0;
@@ -98,7 +94,6 @@
     HttpResponseHead m_answerHead;
     std::string m_answerBody; ///< of an answer that is no stream
     bool m_isStream = false;
-    bool m_tokensNoted = false; ///< the pool knows that the present engine makes tokens
     bool m_streamBegun = false; ///< the caller has the head and the first event
     std::size_t m_resumptions = 0;
     SseEvents m_events;
