transport: End the loop of an HttpServer before its workers

Cause: ThreadSanitizer found that the destructor took the workers away while the loop could still hand them a request.

--- a/packages/transport/httplistener.cpp
+++ b/packages/transport/httplistener.cpp
@@ -51,7 +51,7 @@
     // Each connection is held by its own callbacks too.
     const std::vector<HttpServerConnection::Self> connections(m_connections.begin(), m_connections.end());
     for (const HttpServerConnection::Self &it : connections) {
-        it->breakOff();
+        it->abandon();
     }
 }
 
--- a/packages/transport/httpserver.cpp
+++ b/packages/transport/httpserver.cpp
@@ -135,9 +135,10 @@
 
 HttpServer::~HttpServer()
 {
-    m_workers.reset();
     m_loop.stop();
     m_thread.join();
+    m_listener.reset(); // Workers that wait for their callers learn that these are gone.
+    m_workers.reset();
 }
 
 void HttpServer::stopAccepting()
--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -168,6 +168,12 @@
     }
 }
 
+void HttpServerConnection::abandon()
+{
+    m_connection->abort();
+    otherSideLeft();
+}
+
 void HttpServerConnection::otherSideLeft()
 {
     const std::function<void()> gone = std::exchange(m_gone, nullptr);
--- a/packages/transport/httpserverconnection.h
+++ b/packages/transport/httpserverconnection.h
@@ -54,6 +54,9 @@
     /// Closes the connection if no request has begun on it.
     void closeIfIdle();
 
+    /// Ends the connection as if the other side had left.
+    void abandon();
+
     /// Runs \a gone if the other side leaves before the request under way has its answer.
     void setGone(std::function<void()> gone);
 
