--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -264,6 +264,7 @@
         return;
     }
     m_stageSince = m_loop.events().now();
+    m_lastDecode = engine->id;
     m_wasSent = false;
     m_answerHead = {};
     m_answerBody.clear();
@@ -581,7 +582,7 @@
                      {"timeLeftMs", absl::ToDoubleMilliseconds(m_facts.call->timeLeft.value_or(absl::ZeroDuration()))},
                      {"likelyOutputTokens", m_facts.call->likelyOutputTokens},
                      {"events", m_events.lastId()},
-                     {"decode", m_placement ? m_placement->decode->id.text() : std::string()},
+                     {"decode", m_lastDecode.text()},
                      {"prefill", m_placement && m_placement->prefill ? (*m_placement->prefill)->id.text() : std::string()},
                      {"outcome", std::string(outcome)},
                      {"status", std::int64_t{status}},
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -86,6 +86,7 @@
     TimerId m_prefillTimer = 0;
     std::optional<Handle> m_handle;
     absl::Time m_stageSince; ///< begin of the present prefill or decode
+    EngineId m_lastDecode; ///< that the call was sent to last
     absl::Time m_placedAt;
     std::int64_t m_arrivals = 0; ///< engines that got the call, but for the first accepted prefill
     bool m_prefillCounts = false; ///< a prefill was turned down, so it counts as an arrival
