--- a/packages/apricotladderd/entry/celllink.cpp
+++ b/packages/apricotladderd/entry/celllink.cpp
@@ -17,19 +17,6 @@
 /// Datagrams that are read at one wake-up.
 constexpr int mostDatagramsAtOnce = 32;
 
-const char *stateName(MemberState state)
-{
-    switch (state) {
-    case MemberState::Alive:
-        return "alive";
-    case MemberState::Suspect:
-        return "suspect";
-    case MemberState::Dead:
-        return "dead";
-    }
-    return "dead";
-}
-
 std::string portOf(const std::string &address)
 {
     const std::size_t colon = address.rfind(':');
@@ -207,7 +194,7 @@
             it->second = member->state;
             m_context.log.add(LogLevel::Info, "member", RequestId(),
                               {{"member", member->id.text()},
-                               {"state", std::string(stateName(member->state))},
+                               {"state", std::string(memberStateName(member->state))},
                                {"incarnation", static_cast<std::int64_t>(member->incarnation)},
                                {"leaving", member->leaving}});
         }
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -163,11 +163,12 @@
 
 void EntryNode::putInForce(const DesiredState &desired, const char *source)
 {
-    const auto table = std::make_shared<const RouteTable>(desired);
-    m_context.board.setServices(desired->services);
-    if (!m_context.routes.offer(table)) {
+    if (desired->version <= m_context.routes.current()->desired()->version) {
         return;
     }
+    // The services come first: a call that finds a new route needs its pool.
+    m_context.board.setServices(desired->services);
+    m_context.routes.offer(std::make_shared<const RouteTable>(desired));
     m_cell->setDesiredVersion(desired->version);
     m_context.metrics.setDesiredVersion(static_cast<double>(desired->version));
     m_context.log.add(LogLevel::Info, "desired.inforce", RequestId(),
--- a/packages/protocol/cellmessage.cpp
+++ b/packages/protocol/cellmessage.cpp
@@ -1,49 +1,11 @@
 #include "protocol/cellmessage.h"
 
-#include "protocol/statearchive.h"
+#include "protocol/messagecodec.h"
 
 #include <cereal/types/optional.hpp>
 
-#include <exception>
-
 namespace Apricot {
 
-namespace {
-
-/// First byte of every message; raised when the encoding changes.
-constexpr std::uint8_t encodingVersion = 1;
-
-template<class Message>
-std::string encode(const Message &message)
-{
-    BoundedOutputArchive archive;
-    archive(encodingVersion, message);
-    return archive.bytes();
-}
-
-template<class Message>
-Result<Message> decode(std::string_view bytes, const char *what)
-{
-    try {
-        BoundedInputArchive archive(bytes);
-        std::uint8_t version = 0;
-        archive(version);
-        if (version != encodingVersion) {
-            return fail(ErrorKind::BadRequest, std::string(what) + ": another encoding version; run the same release on all nodes");
-        }
-        Message message;
-        archive(message);
-        if (!archive.isAtEnd()) {
-            return fail(ErrorKind::BadRequest, std::string(what) + ": bytes after the end");
-        }
-        return message;
-    } catch (const std::exception &ec) {
-        return fail(ErrorKind::BadRequest, std::string(what) + ": " + ec.what());
-    }
-}
-
-}
-
 template<class Archive>
 void serialize(Archive &archive, EngineRun &it)
 {
@@ -122,22 +84,22 @@
 
 std::string encodeCellHeartbeat(const CellHeartbeat &heartbeat)
 {
-    return encode(heartbeat);
+    return encodeMessage(heartbeat);
 }
 
 Result<CellHeartbeat> decodeCellHeartbeat(std::string_view bytes)
 {
-    return decode<CellHeartbeat>(bytes, "heartbeat");
+    return decodeMessage<CellHeartbeat>(bytes, "heartbeat");
 }
 
 std::string encodeCellState(const CellState &state)
 {
-    return encode(state);
+    return encodeMessage(state);
 }
 
 Result<CellState> decodeCellState(std::string_view bytes)
 {
-    return decode<CellState>(bytes, "state of the cell");
+    return decodeMessage<CellState>(bytes, "state of the cell");
 }
 
 }
--- a/packages/protocol/timelinejson.cpp
+++ b/packages/protocol/timelinejson.cpp
@@ -8,19 +8,6 @@
 
 namespace {
 
-const char *stateName(MemberState state)
-{
-    switch (state) {
-    case MemberState::Alive:
-        return "alive";
-    case MemberState::Suspect:
-        return "suspect";
-    case MemberState::Dead:
-        return "dead";
-    }
-    return "dead";
-}
-
 MemberState stateOf(const std::string &name)
 {
     return name == "alive" ? MemberState::Alive : name == "suspect" ? MemberState::Suspect : MemberState::Dead;
@@ -29,7 +16,7 @@
 Json memberJson(const Member &member)
 {
     return Json{{"node", member->id.text()},
-                {"state", stateName(member->state)},
+                {"state", memberStateName(member->state)},
                 {"leaving", member->leaving},
                 {"dataCentre", member->dataCentre.text()},
                 {"callerAddress", member->callerAddress},
--- a/packages/state/member.h
+++ b/packages/state/member.h
@@ -11,6 +11,20 @@
 /// What a node of the cell is held to be.
 enum class MemberState : std::uint8_t { Alive, Suspect, Dead };
 
+/// Name of a state in answers and logs.
+inline const char *memberStateName(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return "alive";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Dead:
+        return "dead";
+    }
+    return "dead";
+}
+
 struct MemberFields
 {
     NodeId id;
