entry: Remove gone nodes from the store, notice changed settings, ask by one class

Cause: nothing expires by itself in the platform's store, so the objects of dead nodes stayed for ever; a settings file that changes without a signal was not noticed; three places collected a whole answer, each in its own way.

HttpQuestion asks and waits for a whole answer within a limit, for the store, peers and handles. NodeDirectory (split from EntryNode) writes this node's object, removes it at a planned end, and removes that of a node that nobody heard for 30 s; GoneNodes decides, and only the first node alive acts, bound to the revision. Lists of nodes may be old, at a tenth of the price. The settings file is compared every two seconds. Placements log what they rest on (memory, runs, age of peers' words). The log writes in pieces that a pipe takes whole: glog cuts a message at 30,000 bytes.

Ruled out: an expiry by time of day, as clocks jump; removal by every node, as each call costs.

--- a/packages/apricotladderd/entry/entrymain.cpp
+++ b/packages/apricotladderd/entry/entrymain.cpp
@@ -9,12 +9,15 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <pthread.h>
 #include <sstream>
 #include <string>
+#include <utility>
 #include <variant>
 
 namespace Apricot {
@@ -23,6 +26,9 @@
 
 constexpr int exitBadSettings = 2;
 
+/// How often the settings file is looked at: it may change without a signal.
+constexpr timespec settingsCheckInterval{2, 0};
+
 int fail(const std::string &message)
 {
     std::cerr << "apricotladderd: " << message << "\n";
@@ -40,16 +46,25 @@
     return options;
 }
 
-/// Reads and checks the settings; the message of an error names the file.
-std::variant<EntrySettings, Error> readEntrySettings(const std::string &path, const std::map<std::string, std::string> &overrides)
+std::optional<std::string> readFile(const std::string &path)
 {
     std::ifstream file(path);
     if (!file) {
-        return Error{ErrorKind::BadRequest, "config: cannot read \"" + path + "\"; name the settings file with --config"};
+        return std::nullopt;
     }
     std::ostringstream text;
     text << file.rdbuf();
-    auto settings = collect<EntrySettings>([&] { return decodeEntrySettings(text.str(), overrides); });
+    return text.str();
+}
+
+/// Reads and checks the settings; the message of an error names the file.
+std::variant<EntrySettings, Error> readEntrySettings(const std::string &path, const std::map<std::string, std::string> &overrides)
+{
+    const std::optional<std::string> text = readFile(path);
+    if (!text) {
+        return Error{ErrorKind::BadRequest, "config: cannot read \"" + path + "\"; name the settings file with --config"};
+    }
+    auto settings = collect<EntrySettings>([&] { return decodeEntrySettings(*text, overrides); });
     if (auto *error = std::get_if<Error>(&settings)) {
         error->message = path + ": " + error->message;
     }
@@ -66,25 +81,32 @@
     return signals;
 }
 
-/// Waits for signals and hands them to the node; the process ends with it in the wait.
+void reload(EntryNode &node, const std::string &path, const std::map<std::string, std::string> &overrides)
+{
+    const auto settings = readEntrySettings(path, overrides);
+    if (const auto *error = std::get_if<Error>(&settings)) {
+        LOG(ERROR) << "{\"level\":\"error\",\"event\":\"reload.failed\",\"why\":" << jsonDump(Json(error->message)) << "}";
+        return;
+    }
+    node.reload(std::get<EntrySettings>(settings));
+}
+
+/// Waits for signals and for changes of the settings file, and hands them to the node; the process ends with it in the wait.
 void handleSignals(EntryNode &node, const std::string &path, const std::map<std::string, std::string> &overrides)
 {
     const sigset_t signals = handledSignals();
+    std::optional<std::string> known = readFile(path);
     for (;;) {
-        int signal = 0;
-        if (sigwait(&signals, &signal) != 0) {
-            continue;
-        }
-        if (signal != SIGHUP) {
+        const int signal = sigtimedwait(&signals, nullptr, &settingsCheckInterval);
+        if (signal == SIGTERM || signal == SIGINT) {
             node.leave();
             continue;
         }
-        const auto settings = readEntrySettings(path, overrides);
-        if (const auto *error = std::get_if<Error>(&settings)) {
-            LOG(ERROR) << "{\"level\":\"error\",\"event\":\"reload.failed\",\"why\":" << jsonDump(Json(error->message)) << "}";
-            continue;
+        std::optional<std::string> text = readFile(path);
+        if (signal == SIGHUP || text != known) {
+            reload(node, path, overrides);
         }
-        node.reload(std::get<EntrySettings>(settings));
+        known = std::move(text);
     }
 }
 
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -17,13 +17,9 @@
 namespace {
 
 constexpr int statusOk = 200;
-constexpr int statusCreated = 201;
-constexpr int statusConflict = 409;
 constexpr int statusUnavailable = 503;
 
-constexpr absl::Duration nodeListInterval = absl::Seconds(10);
-constexpr absl::Duration registerRetry = absl::Seconds(1);
-constexpr absl::Duration controlCallTimeout = absl::Milliseconds(1500);
+constexpr absl::Duration peerAnswerTimeout = absl::Milliseconds(1500);
 
 /// A peer is asked for its state at most this often.
 constexpr absl::Duration learnInterval = absl::Milliseconds(300);
@@ -59,6 +55,7 @@
     };
     m_engines = std::make_unique<EngineCatalogue>(m_control, m_controlPool, m_context);
     m_cell = std::make_unique<CellLink>(m_control, m_context, incarnation, std::move(hooks));
+    m_directory = std::make_unique<NodeDirectory>(m_control, m_controlPool, m_context, *m_cell);
     m_context.loadsChanged = [this] {
         m_control.post([this] { m_cell->tellSoon(); });
     };
@@ -118,8 +115,7 @@
         m_threads.emplace_back("entry", [raw = loop.get()] { raw->run(); });
     }
     startWatches();
-    registerSelf();
-    listNodes();
+    m_directory->start();
     m_control.run();
     for (const std::unique_ptr<EntryLoop> &loop : m_loops) {
         loop->stop();
@@ -177,81 +173,6 @@
                        {"source", std::string(source)}});
 }
 
-void EntryNode::call(const HttpRequestHead &head, const std::string &body, const std::string &address,
-                     const std::function<void(int, const std::string &)> &answered)
-{
-    struct Answer
-    {
-        int status = 0;
-        std::string body;
-        TimerId timeout = 0;
-    };
-    const auto answer = std::make_shared<Answer>();
-    ExchangeRequest request;
-    request.address = address;
-    request.key = address;
-    request.bytes = encodeHttpRequest(head, body);
-    HttpExchange::Callbacks callbacks;
-    callbacks.head = [answer](const HttpResponseHead &it) {
-        answer->status = it.status;
-    };
-    callbacks.body = [answer](const std::string &part) {
-        answer->body += part;
-    };
-    callbacks.ended = [this, answer, answered](ExchangeEnd end) {
-        m_control.cancel(answer->timeout);
-        answered(end == ExchangeEnd::Complete ? answer->status : 0, answer->body);
-    };
-    const std::shared_ptr<HttpExchange> exchange = HttpExchange::start(m_control, m_controlPool, std::move(request), std::move(callbacks));
-    answer->timeout = m_control.after(controlCallTimeout, [exchange, answered] {
-        exchange->cancel();
-        answered(0, {});
-    });
-}
-
-void EntryNode::registerSelf()
-{
-    const std::string &name = m_context.settings->node.text();
-    const std::string body = createBody(name, nodeSpec(m_cell->membership().self()));
-    const std::string &store = m_context.settings->storeAddress;
-    const auto settled = [this](int status, const char *what) {
-        m_context.metrics.countStoreCall(what, status == 0 ? "failed" : std::to_string(status));
-        if (status == statusOk || status == statusCreated) {
-            return;
-        }
-        m_context.log.add(LogLevel::Warning, "store.registerfailed", RequestId(),
-                          {{"call", std::string(what)}, {"status", std::int64_t{status}}});
-        m_control.after(registerRetry, [this] { registerSelf(); });
-    };
-    call(createRequest(Wire::nodesKind), body, store, [=, this](int status, const std::string &) {
-        if (status != statusConflict) {
-            settled(status, "create");
-            return;
-        }
-        call(replaceRequest(Wire::nodesKind, name), body, store,
-             [settled](int replaced, const std::string &) { settled(replaced, "replace"); });
-    });
-}
-
-void EntryNode::listNodes()
-{
-    call(listRequest(Wire::nodesKind, {}), {}, m_context.settings->storeAddress, [this](int status, const std::string &body) {
-        m_context.metrics.countStoreCall("list", status == statusOk ? "good" : "failed");
-        const auto page = collect<StorePage>([&] { return readStorePage(status == statusOk ? body : std::string("{}")); });
-        if (const auto *found = std::get_if<StorePage>(&page)) {
-            std::vector<Member> nodes;
-            for (const StoreEntry &object : found->objects) {
-                const auto node = collect<Member>([&] { return readNode(object); });
-                if (const auto *member = std::get_if<Member>(&node)) {
-                    nodes.push_back(*member);
-                }
-            }
-            m_cell->setNodes(nodes);
-        }
-        m_control.after(nodeListInterval, [this] { listNodes(); });
-    });
-}
-
 void EntryNode::learnFrom(const Member &peer)
 {
     const absl::Time now = m_control.now();
@@ -275,24 +196,33 @@
     head.method = "GET";
     head.target = cellStatePath;
     head.headers.push_back(HttpHeader{"Host", "peer"});
-    call(head, {}, peer->peerAddress, [this, from = peer->id](int status, const std::string &body) {
+    ExchangeRequest request;
+    request.address = peer->peerAddress;
+    request.key = peer->peerAddress;
+    request.bytes = encodeHttpRequest(head, {});
+    HttpQuestion::ask(m_control, m_controlPool, std::move(request), peerAnswerTimeout, [this, from = peer->id](const QuestionEnd &end) {
         m_behindSince = absl::InfiniteFuture();
-        if (status != statusOk) {
-            return; // Another heartbeat will bring it up again.
-        }
-        const auto state = collect<CellState>([&] { return decodeCellState(body); });
-        if (const auto *error = std::get_if<Error>(&state)) {
-            m_context.log.add(LogLevel::Warning, "peer.malformed", RequestId(), {{"from", from.text()}, {"why", error->message}});
-            return;
-        }
-        const CellState &found = std::get<CellState>(state);
-        if (found.desired->version > 0) {
-            putInForce(found.desired, "peer");
-        }
-        m_engines->takeFromPeer(found, from);
+        const auto *answer = std::get_if<WholeAnswer>(&end);
+        if (answer != nullptr && answer->status == statusOk) {
+            takePeerState(answer->body, from);
+        } // Otherwise another heartbeat will bring it up again.
     });
 }
 
+void EntryNode::takePeerState(const std::string &body, const NodeId &from)
+{
+    const auto state = collect<CellState>([&] { return decodeCellState(body); });
+    if (const auto *error = std::get_if<Error>(&state)) {
+        m_context.log.add(LogLevel::Warning, "peer.malformed", RequestId(), {{"from", from.text()}, {"why", error->message}});
+        return;
+    }
+    const CellState &found = std::get<CellState>(state);
+    if (found.desired->version > 0) {
+        putInForce(found.desired, "peer");
+    }
+    m_engines->takeFromPeer(found, from);
+}
+
 bool EntryNode::isReady() const
 {
     return m_context.phase.load(std::memory_order_relaxed) == LeavePhase::Serving && m_context.routes.current()->desired()->version > 0
@@ -351,6 +281,7 @@
     m_leaveBegan = m_control.now();
     m_context.log.add(LogLevel::Info, "stop", RequestId(), {{"callers", static_cast<std::int64_t>(callerCount())}});
     m_cell->setLeaving();
+    m_directory->leave();
     m_control.after(closingAfter, [this] { m_context.phase.store(LeavePhase::Closing); });
     const absl::Duration keep = absl::Milliseconds(m_context.settings->addressKeepMs);
     m_control.after(keep + leaveCheckInterval, [this] { closeWhenDone(m_leaveBegan); });
@@ -390,7 +321,10 @@
 {
     m_control.post([this, settings] {
         m_cell->setSeeds(settings->seeds);
-        m_context.log.add(LogLevel::Info, "reload", RequestId(), {{"seeds", static_cast<std::int64_t>(settings->seeds.size())}});
+        const bool isAll = settings.with(&EntrySettingsFields::seeds, m_context.settings->seeds) == m_context.settings;
+        m_context.log.add(LogLevel::Info, "reload", RequestId(),
+                          {{"seeds", static_cast<std::int64_t>(settings->seeds.size())},
+                           {"others", std::string(isAll ? "unchanged" : "changed; they take effect at the next start")}});
     });
 }
 
--- a/packages/apricotladderd/entry/entrynode.h
+++ b/packages/apricotladderd/entry/entrynode.h
@@ -4,6 +4,7 @@
 #include "apricotladderd/entry/enginecatalogue.h"
 #include "apricotladderd/entry/entrycontext.h"
 #include "apricotladderd/entry/entryloop.h"
+#include "apricotladderd/entry/nodedirectory.h"
 #include "apricotladderd/entry/storewatch.h"
 #include "state/entrysettings.h"
 #include "transport/connectionpool.h"
@@ -68,9 +69,8 @@
     void watchDesiredState();
     void takeDesiredState(const StoreEntry &object);
     void putInForce(const DesiredState &desired, const char *source);
-    void registerSelf();
-    void listNodes();
     void learnFrom(const Member &peer);
+    void takePeerState(const std::string &body, const NodeId &from);
     void leaveNow();
     void closeWhenDone(absl::Time since);
     void finish();
@@ -79,8 +79,6 @@
     LocalAnswer answerReady(const HttpRequestHead &question) const;
     LocalAnswer answerPeer(const HttpRequestHead &question);
     LocalAnswer answerMetrics();
-    void call(const HttpRequestHead &head, const std::string &body, const std::string &address,
-              const std::function<void(int, const std::string &)> &answered);
     std::size_t callerCount() const;
 
     EntryContext m_context;
@@ -89,6 +87,7 @@
     std::vector<std::unique_ptr<EntryLoop>> m_loops;
     std::vector<Thread> m_threads;
     std::unique_ptr<CellLink> m_cell;
+    std::unique_ptr<NodeDirectory> m_directory;
     std::unique_ptr<StoreWatch> m_desiredWatch;
     std::unique_ptr<EngineCatalogue> m_engines;
     std::vector<std::unique_ptr<HttpListener>> m_servers;
--- a/packages/apricotladderd/entry/eventlog.cpp
+++ b/packages/apricotladderd/entry/eventlog.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t mostWaitingInfo = 2000;
 constexpr std::size_t mostWaiting = 4000;
 
+/// A pipe takes this much as a whole (PIPE_BUF); a longer text may be split by the text of another process.
+constexpr std::size_t mostBytesAtOnce = 4096;
+
 constexpr absl::Duration writeInterval = absl::Milliseconds(500);
 
 const char *levelName(LogLevel level)
@@ -99,11 +102,16 @@
     if (lines.empty()) {
         return;
     }
+    // One call for many lines, as each call writes and flushes once.
     std::string text;
     for (const Line &line : lines) {
-        text.append(text.empty() ? "" : "\n").append(format(line));
+        const std::string formatted = format(line);
+        if (!text.empty() && text.size() + formatted.size() + 1 >= mostBytesAtOnce) {
+            LOG(INFO) << text;
+            text.clear();
+        }
+        text.append(text.empty() ? "" : "\n").append(formatted);
     }
-    // One call for all lines: each call of the logging library writes and flushes once.
     LOG(INFO) << text;
 }
 
--- /dev/null
+++ b/packages/apricotladderd/entry/nodedirectory.cpp
@@ -0,0 +1,200 @@
+#include "apricotladderd/entry/nodedirectory.h"
+
+#include "platform/objectreader.h"
+#include "platform/wirenames.h"
+#include "state/overloaded.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Apricot {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusCreated = 201;
+constexpr int statusConflict = 409;
+constexpr int statusMissing = 404;
+
+constexpr absl::Duration listInterval = absl::Seconds(10);
+constexpr absl::Duration registerRetry = absl::Seconds(1);
+constexpr absl::Duration callTimeout = absl::Milliseconds(1500);
+
+/// A list may be some seconds old. One that does not show this node's object means something only after that time.
+constexpr absl::Duration oldestList = absl::Seconds(8);
+
+int statusOf(const QuestionEnd &end)
+{
+    const auto *answer = std::get_if<WholeAnswer>(&end);
+    return answer != nullptr ? answer->status : 0;
+}
+
+std::string describe(const QuestionEnd &end)
+{
+    return std::visit(Overloaded{
+                          [](const WholeAnswer &it) { return "status " + std::to_string(it.status); },
+                          [](Unanswered why) { return std::string(unansweredText(why)); },
+                      },
+                      end);
+}
+
+}
+
+NodeDirectory::NodeDirectory(EventLoop &loop, ConnectionPool &pool, EntryContext &context, CellLink &cell)
+    : m_loop(loop)
+    , m_pool(pool)
+    , m_context(context)
+    , m_cell(cell)
+{
+}
+
+void NodeDirectory::start()
+{
+    registerSelf();
+    list({});
+}
+
+void NodeDirectory::ask(const HttpRequestHead &head, const std::string &body, HttpQuestion::Ended ended)
+{
+    ExchangeRequest request;
+    request.address = m_context.settings->storeAddress;
+    request.key = "store/" + std::string(Wire::nodesKind);
+    request.bytes = encodeHttpRequest(head, body);
+    HttpQuestion::ask(m_loop, m_pool, std::move(request), callTimeout, std::move(ended));
+}
+
+void NodeDirectory::registerSelf()
+{
+    const std::string &name = m_context.settings->node.text();
+    const std::string body = createBody(name, nodeSpec(m_cell.membership().self()));
+    m_registeredAt = absl::InfiniteFuture();
+    ask(createRequest(Wire::nodesKind), body, [this, name, body](const QuestionEnd &created) {
+        if (statusOf(created) != statusConflict) {
+            registered("create", created);
+            return;
+        }
+        // An earlier life of this node has left its object behind.
+        ask(replaceRequest(Wire::nodesKind, name), body, [this](const QuestionEnd &replaced) { registered("replace", replaced); });
+    });
+}
+
+void NodeDirectory::registered(const char *call, const QuestionEnd &end)
+{
+    const int status = statusOf(end);
+    m_context.metrics.countStoreCall(call, status == 0 ? "failed" : std::to_string(status));
+    if (status == statusOk || status == statusCreated) {
+        m_registeredAt = m_loop.now();
+        m_ownRevision = std::max(m_ownRevision, writtenRevision(std::get<WholeAnswer>(end).body));
+        return;
+    }
+    m_context.log.add(LogLevel::Warning, "store.registerfailed", RequestId(), {{"call", std::string(call)}, {"why", describe(end)}});
+    m_loop.after(registerRetry, [this] {
+        if (!m_hasLeft) {
+            registerSelf();
+        }
+    });
+}
+
+void NodeDirectory::list(const std::string &after)
+{
+    if (after.empty()) {
+        m_stored.clear();
+    }
+    ask(listRequest(Wire::nodesKind, after, Freshness::MayBeOld), {}, [this](const QuestionEnd &end) { listAnswered(end); });
+}
+
+void NodeDirectory::listAnswered(const QuestionEnd &end)
+{
+    const bool isGood = statusOf(end) == statusOk;
+    m_context.metrics.countStoreCall("list", isGood ? "good" : "failed");
+    const auto listLater = [this] {
+        m_loop.after(listInterval, [this] { list({}); });
+    };
+    if (!isGood) {
+        m_context.log.add(LogLevel::Warning, "nodes.notlisted", RequestId(), {{"why", describe(end)}});
+        listLater();
+        return;
+    }
+    const auto page = collect<StorePage>([&] { return readStorePage(std::get<WholeAnswer>(end).body); });
+    if (const auto *error = std::get_if<Error>(&page)) {
+        m_context.log.add(LogLevel::Warning, "nodes.malformed", RequestId(), {{"why", error->message}});
+        listLater();
+        return;
+    }
+    const StorePage &found = std::get<StorePage>(page);
+    takePage(found);
+    if (found.hasMore && !found.objects.empty()) {
+        list(found.objects.back().name);
+        return;
+    }
+    listed();
+    listLater();
+}
+
+void NodeDirectory::takePage(const StorePage &page)
+{
+    for (const StoreEntry &object : page.objects) {
+        const auto read = collect<Member>([&] { return readNode(object); });
+        if (const auto *error = std::get_if<Error>(&read)) {
+            m_context.metrics.countMalformedEntry(std::string(Wire::nodesKind));
+            m_context.log.add(LogLevel::Warning, "node.malformed", RequestId(), {{"entry", object.name}, {"why", error->message}});
+            continue;
+        }
+        m_stored.push_back(StoredNode{std::get<Member>(read), object.revision});
+    }
+}
+
+void NodeDirectory::listed()
+{
+    std::vector<Member> nodes;
+    bool isListed = false;
+    for (const StoredNode &it : m_stored) {
+        nodes.push_back(it.node);
+        if (it.node->id == m_context.settings->node) {
+            isListed = true;
+            m_ownRevision = std::max(m_ownRevision, it.revision);
+        }
+    }
+    m_cell.setNodes(nodes);
+    if (m_hasLeft) {
+        return;
+    }
+    if (!isListed && m_loop.now() - m_registeredAt > oldestList) {
+        m_context.log.add(LogLevel::Info, "store.registeragain", RequestId(),
+                          {{"why", std::string("its object was removed while it was held gone")}});
+        registerSelf();
+    }
+    removeGone();
+}
+
+void NodeDirectory::removeGone()
+{
+    for (const StoredNode &it : m_gone.update(m_stored, m_cell.membership().members(), m_context.settings->node, m_loop.now())) {
+        const std::string name = it.node->id.text();
+        ask(removeRequest(Wire::nodesKind, name, it.revision), {}, [this, name](const QuestionEnd &end) {
+            m_context.metrics.countStoreCall("remove", describe(end));
+            m_context.log.add(LogLevel::Info, "node.removed", RequestId(),
+                              {{"node", name}, {"silentS", absl::ToDoubleSeconds(GoneNodes::goneAfter)}, {"end", describe(end)}});
+        });
+    }
+}
+
+void NodeDirectory::leave()
+{
+    m_hasLeft = true;
+    // Bound to a revision where one is known: carried out late, it must not remove what this node's next life has written.
+    if (m_ownRevision == 0) {
+        return;
+    }
+    const std::string &name = m_context.settings->node.text();
+    ask(removeRequest(Wire::nodesKind, name, m_ownRevision), {}, [this](const QuestionEnd &end) {
+        const int status = statusOf(end);
+        m_context.metrics.countStoreCall("remove", describe(end));
+        if (status != statusOk && status != statusMissing) {
+            m_context.log.add(LogLevel::Warning, "store.notremoved", RequestId(),
+                              {{"why", describe(end)}, {"then", std::string("the other nodes remove the object later")}});
+        }
+    });
+}
+
+}
--- a/packages/apricotladderd/entry/storewatch.cpp
+++ b/packages/apricotladderd/entry/storewatch.cpp
@@ -1,5 +1,7 @@
 #include "apricotladderd/entry/storewatch.h"
 
+#include "state/overloaded.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -39,10 +41,9 @@
 
 StoreWatch::~StoreWatch()
 {
-    if (m_exchange) {
-        m_exchange->cancel();
+    if (m_question) {
+        m_question->cancel();
     }
-    m_loop.cancel(m_timeout);
     m_loop.cancel(m_retry);
 }
 
@@ -53,23 +54,16 @@
 
 void StoreWatch::refresh()
 {
-    if (m_exchange) {
-        m_exchange->cancel();
+    if (m_question) {
+        m_question->cancel();
     }
-    m_loop.cancel(std::exchange(m_timeout, 0));
     m_loop.cancel(std::exchange(m_retry, 0));
     list({});
 }
 
 void StoreWatch::call(const char *what, const HttpRequestHead &head, absl::Duration timeout, bool takesKept,
-                      std::function<void(int, const std::string &)> answered)
+                      std::function<void(const WholeAnswer &)> answered)
 {
-    struct Answer
-    {
-        int status = 0;
-        std::string body;
-    };
-    const auto answer = std::make_shared<Answer>();
     ExchangeRequest request;
     request.address = m_context.settings->storeAddress;
     request.key = "store/" + m_kind;
@@ -77,27 +71,15 @@
     request.connectTimeout = connectTimeout;
     request.mostIdle = takesKept ? absl::Seconds(2) : absl::ZeroDuration();
     request.keepFor = absl::Seconds(5);
-    HttpExchange::Callbacks callbacks;
-    callbacks.head = [answer](const HttpResponseHead &it) {
-        answer->status = it.status;
-    };
-    callbacks.body = [answer](const std::string &part) {
-        answer->body += part;
-    };
-    callbacks.ended = [this, what, answer, answered = std::move(answered)](ExchangeEnd end) {
-        m_loop.cancel(std::exchange(m_timeout, 0));
-        if (end != ExchangeEnd::Complete) {
-            failed(what, end == ExchangeEnd::NotSent ? "no connection" : "no answer");
-            return;
-        }
-        answered(answer->status, answer->body);
-    };
-    m_exchange = HttpExchange::start(m_loop, m_pool, std::move(request), std::move(callbacks));
-    m_timeout = m_loop.after(timeout, [this, what] {
-        m_timeout = 0;
-        m_exchange->cancel();
-        failed(what, "no answer in time");
-    });
+    m_question = HttpQuestion::ask(m_loop, m_pool, std::move(request), timeout,
+                                   [this, what, answered = std::move(answered)](const QuestionEnd &end) {
+                                       std::visit(
+                                           Overloaded{
+                                               answered,
+                                               [&](Unanswered why) { failed(what, unansweredText(why)); },
+                                           },
+                                           end);
+                                   });
 }
 
 void StoreWatch::list(const std::string &after)
@@ -106,11 +88,11 @@
         m_listedNames.clear();
         m_listRevision = 0;
     }
-    call("list", listRequest(m_kind, after), callTimeout, !m_wasOut, [this](int status, const std::string &body) {
-        if (status == statusOk) {
-            listAnswered(body);
+    call("list", listRequest(m_kind, after, Freshness::Newest), callTimeout, !m_wasOut, [this](const WholeAnswer &answer) {
+        if (answer.status == statusOk) {
+            listAnswered(answer.body);
         } else {
-            failed("list", "status " + std::to_string(status));
+            failed("list", "status " + std::to_string(answer.status));
         }
     });
 }
@@ -145,23 +127,23 @@
 void StoreWatch::watch()
 {
     call("watch", watchRequest(m_kind, m_revision, longestWatch), longestWatch + callTimeout, true,
-         [this](int status, const std::string &body) { watchAnswered(status, body); });
+         [this](const WholeAnswer &answer) { watchAnswered(answer); });
 }
 
-void StoreWatch::watchAnswered(int status, const std::string &body)
+void StoreWatch::watchAnswered(const WholeAnswer &answer)
 {
-    if (status == statusGone) {
+    if (answer.status == statusGone) {
         m_context.metrics.countStoreCall("watch", "history gone");
         m_context.log.add(LogLevel::Warning, "store.historygone", RequestId(),
                           {{"kind", m_kind}, {"revision", static_cast<std::int64_t>(m_revision)}});
         list({});
         return;
     }
-    if (status != statusOk) {
-        failed("watch", "status " + std::to_string(status));
+    if (answer.status != statusOk) {
+        failed("watch", "status " + std::to_string(answer.status));
         return;
     }
-    const auto page = collect<StorePage>([&] { return readStorePage(body); });
+    const auto page = collect<StorePage>([&] { return readStorePage(answer.body); });
     if (const auto *error = std::get_if<Error>(&page)) {
         failed("watch", error->message);
         return;
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -125,6 +125,7 @@
     m_waiter = 0;
     m_placement = placement;
     m_placedAt = m_loop.events().now();
+    m_basis = placement.basis;
     m_reservation.take(placement);
     if (!placement.prefill || m_streamBegun) {
         startDecode();
@@ -540,9 +541,9 @@
     request.address = m_handle->engine->address;
     request.key = m_handle->engine->id.text() + "@" + m_handle->engine->address;
     request.bytes = encodeHttpRequest(releaseHandleRequest(m_handle->name), {});
-    const std::shared_ptr<HttpExchange> exchange
-        = HttpExchange::start(m_loop.events(), m_loop.engines(), std::move(request), HttpExchange::Callbacks());
-    m_loop.events().after(freeHandleTimeout, [exchange] { exchange->cancel(); });
+    HttpQuestion::ask(m_loop.events(), m_loop.engines(), std::move(request), freeHandleTimeout, [](const QuestionEnd &) {
+        // An engine that does not hear of it frees the handle itself when its time is over.
+    });
     m_handle.reset();
 }
 
@@ -588,6 +589,9 @@
                      {"status", std::int64_t{status}},
                      {"arrivals", m_arrivals},
                      {"waitedMs", wasPlaced ? absl::ToDoubleMilliseconds(m_placedAt - m_facts.arrival) : -1.0},
+                     {"memoryPart", m_basis.memoryPart},
+                     {"runsThere", m_basis.runs},
+                     {"loadsAgeMs", absl::ToDoubleMilliseconds(m_basis.loadsAge)},
                      {"firstMs", m_streamBegun ? absl::ToDoubleMilliseconds(m_firstPiece - m_facts.arrival) : -1.0},
                      {"pauseMs", absl::ToDoubleMilliseconds(m_longestPause)},
                      {"ms", absl::ToDoubleMilliseconds(now - m_facts.arrival)}});
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -8,6 +8,7 @@
 #include "protocol/sseevents.h"
 #include "transport/httpexchange.h"
 #include "transport/httpmessage.h"
+#include "transport/httpquestion.h"
 #include "transport/httpserverconnection.h"
 
 #include <memory>
@@ -80,6 +81,7 @@
     WaiterId m_waiter = 0;
     TimerId m_waitTimer = 0;
     std::optional<ModelPlacement> m_placement;
+    PlacementBasis m_basis; ///< of the last placement
     ModelReservation m_reservation;
     std::vector<EngineId> m_avoided;
     std::shared_ptr<HttpExchange> m_exchange;
--- a/packages/coordination/engineloads.cpp
+++ b/packages/coordination/engineloads.cpp
@@ -94,6 +94,18 @@
     return loads;
 }
 
+absl::Duration EngineLoads::oldestWord(absl::Time now) const
+{
+    absl::Duration oldest = absl::ZeroDuration();
+    for (const auto &[node, peer] : m_peers) {
+        const absl::Duration age = now - peer.heard;
+        if (age <= peerLife) {
+            oldest = std::max(oldest, age);
+        }
+    }
+    return oldest;
+}
+
 EngineLoad EngineLoads::total(const EngineId &engine, absl::Time now) const
 {
     EngineLoad total;
--- a/packages/coordination/engineloads.h
+++ b/packages/coordination/engineloads.h
@@ -54,6 +54,9 @@
     /// What this node has placed.
     std::vector<EngineLoad> own() const;
 
+    /// Age of the oldest word of a peer that counts; zero without peers.
+    absl::Duration oldestWord(absl::Time now) const;
+
     /// All nodes' load on \a engine.
     EngineLoad total(const EngineId &engine, absl::Time now) const;
 
--- /dev/null
+++ b/packages/coordination/gonenodes.cpp
@@ -0,0 +1,35 @@
+#include "coordination/gonenodes.h"
+
+#include <set>
+#include <utility>
+
+namespace Apricot {
+
+std::vector<StoredNode> GoneNodes::update(const std::vector<StoredNode> &stored, const std::vector<Member> &members, const NodeId &self,
+                                          absl::Time now)
+{
+    std::set<NodeId> alive;
+    for (const Member &member : members) {
+        if (member->state == MemberState::Alive) {
+            alive.insert(member->id);
+        }
+    }
+    const bool isFirst = !alive.empty() && *alive.begin() == self;
+    std::map<NodeId, absl::Time> missing;
+    std::vector<StoredNode> gone;
+    for (const StoredNode &it : stored) {
+        if (alive.contains(it.node->id) || it.node->id == self) {
+            continue;
+        }
+        const auto known = m_missingSince.find(it.node->id);
+        const absl::Time since = known == m_missingSince.end() ? now : known->second;
+        missing.emplace(it.node->id, since);
+        if (isFirst && now - since >= goneAfter) {
+            gone.push_back(it);
+        }
+    }
+    m_missingSince = std::move(missing);
+    return gone;
+}
+
+}
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -258,7 +258,9 @@
     const EngineRun added{0, demand.promptTokens, likelyTokens(demand), 0};
     for (Candidate &it : found) {
         const bool slotIsFree = it.load.requests + spareSlots < it.engine->entry->slots;
-        const double used = static_cast<double>(peakWith(it.load, &added)) / usableMemory();
+        const auto peak = static_cast<double>(peakWith(it.load, &added));
+        const double used = peak / usableMemory();
+        it.memoryPart = peak / wholeMemory();
         it.cost = slotIsFree && used <= 1 ? (fullnessPenaltyMs * used + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, now)
                                           : noRoomCost;
     }
@@ -282,7 +284,8 @@
 {
     if (!m_model) {
         const std::optional<EngineEntry> plain = placePlain(demand.nearTo, demand.avoided, now);
-        return plain ? std::optional(ModelPlacement{*plain, std::nullopt, {EngineShare{(*plain)->id, 1, 0, std::nullopt}}}) : std::nullopt;
+        return plain ? std::optional(ModelPlacement{*plain, std::nullopt, {EngineShare{(*plain)->id, 1, 0, std::nullopt}}, {}})
+                     : std::nullopt;
     }
     if (!mayTakeReserve(demand, now)) {
         return std::nullopt;
@@ -297,9 +300,10 @@
     const absl::Duration expectedThere = expectedCost(EngineStage::Decode);
     std::optional<ModelPlacement> best;
     double bestCost = 0;
-    const auto consider = [&](double cost, const EngineEntry &decode, const std::optional<EngineEntry> &prefill) {
+    const auto consider = [&](double cost, const Candidate &decode, const std::optional<EngineEntry> &prefill) {
         if (!best || cost < bestCost) {
-            best = ModelPlacement{decode, prefill, {}};
+            best = ModelPlacement{
+                decode.engine->entry, prefill, {}, PlacementBasis{decode.memoryPart, decode.load.requests, m_loads.oldestWord(now)}};
             bestCost = cost;
         }
     };
@@ -307,14 +311,14 @@
         for (const Candidate &prefill : prefills) {
             const bool isNear = prefill.engine->entry->dataCentre == decode.engine->entry->dataCentre;
             if (prefill.cost <= longestReadMs) {
-                consider(decode.cost + prefill.cost + (isNear ? 0 : crossTransferPenaltyMs), decode.engine->entry, prefill.engine->entry);
+                consider(decode.cost + prefill.cost + (isNear ? 0 : crossTransferPenaltyMs), decode, prefill.engine->entry);
             }
         }
         const auto tokens = static_cast<double>(decode.load.prefillTokens + demand.promptTokens);
         const double readMs = absl::ToDoubleMilliseconds(decode.engine->health.cost(expectedThere, now) * tokens);
         if (readMs <= longestReadMs && mayReadThere(decode, demand, readMs)) {
             const double harmMs = readThereBaseMs + readTherePerStreamMs * static_cast<double>(decode.load.requests);
-            consider(decode.cost + readMs + harmMs, decode.engine->entry, std::nullopt);
+            consider(decode.cost + readMs + harmMs, decode, std::nullopt);
         }
     }
     if (best) {
@@ -414,9 +418,14 @@
     return likelyAnswerTokens(demand.hintedTokens, m_meanTokens, demand.mostTokens);
 }
 
+double ServicePool::wholeMemory() const
+{
+    return m_model ? std::max(1.0, static_cast<double>((*m_model)->memoryTokens)) : 1.0;
+}
+
 double ServicePool::usableMemory() const
 {
-    return m_model ? std::max(1.0, usableMemoryPart * static_cast<double>((*m_model)->memoryTokens)) : 1.0;
+    return usableMemoryPart * wholeMemory();
 }
 
 std::int64_t ServicePool::peakWith(const EngineLoad &load, const EngineRun *added) const
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -35,12 +35,23 @@
     friend bool operator==(const ModelDemand &, const ModelDemand &) = default;
 };
 
+/// What a placement rests on, for the log.
+struct PlacementBasis
+{
+    double memoryPart = 0; ///< of the decode engine's memory that its runs will hold at their peak, with this one
+    std::int64_t runs = 0; ///< that it had before this one
+    absl::Duration loadsAge; ///< of the oldest word of a peer on what it has placed
+
+    friend bool operator==(const PlacementBasis &, const PlacementBasis &) = default;
+};
+
 /// Where a model call runs: the decode engine, and the prefill engine unless the decode engine reads the prompt itself.
 struct ModelPlacement
 {
     EngineEntry decode;
     std::optional<EngineEntry> prefill;
     std::vector<EngineShare> shares; ///< what was reserved for it
+    PlacementBasis basis;
 
     friend bool operator==(const ModelPlacement &, const ModelPlacement &) = default;
 };
@@ -180,6 +191,7 @@
         const Engine *engine = nullptr;
         EngineLoad load;
         double cost = 0; ///< milliseconds until the call would be served, with penalties
+        double memoryPart = 0; ///< of a decode engine's memory at the peak of its runs, with the call
     };
 
     bool isUsable(const Engine &engine, const std::vector<EngineId> &avoided, absl::Time now) const;
@@ -190,6 +202,7 @@
     double jitter(const EngineEntry &engine, const ModelDemand &demand) const;
     double failurePenalty(const Engine &engine, absl::Time now) const;
     absl::Duration expectedCost(EngineStage stage) const;
+    double wholeMemory() const;
     double usableMemory() const;
     std::int64_t peakWith(const EngineLoad &load, const EngineRun *added) const;
     std::int64_t likelyTokens(const ModelDemand &demand) const;
--- a/packages/transport/tests/exchange/testexchange.cpp
+++ b/packages/transport/tests/exchange/testexchange.cpp
@@ -1,6 +1,7 @@
 #include "transport/connectionpool.h"
 #include "transport/httpexchange.h"
 #include "transport/httplistener.h"
+#include "transport/httpquestion.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -266,4 +267,36 @@
     BOOST_TEST(outcome.status == 200);
 }
 
+BOOST_AUTO_TEST_CASE(aQuestionEndsWithTheWholeAnswerOrTheReasonWhyThereIsNone)
+{
+    const auto ask = [this](const std::string &address, absl::Duration limit) {
+        std::vector<QuestionEnd> ends;
+        HttpQuestion::ask(events, pool, request(address), limit, [&](const QuestionEnd &end) { ends.push_back(end); });
+        runUntil([&] { return !ends.empty(); });
+        BOOST_TEST(ends.size() == 1U);
+        return ends.front();
+    };
+    RawServer answering(events, [](const auto &connection, const std::string &) { connection->write(good); });
+    RawServer breaking(events, [](const auto &connection, const std::string &) { connection->abort(); });
+    RawServer silent(events, [](const auto &, const std::string &) {});
+    constexpr absl::Duration ample = absl::Seconds(20);
+    BOOST_TEST((ask(answering.address(), ample) == QuestionEnd(WholeAnswer{200, "good"})));
+    BOOST_TEST((ask(breaking.address(), ample) == QuestionEnd(Unanswered::NoAnswer)));
+    BOOST_TEST((ask(silent.address(), absl::Milliseconds(20)) == QuestionEnd(Unanswered::TooLate)));
+    BOOST_TEST((ask("127.0.0.1:1", ample) == QuestionEnd(Unanswered::NoConnection)));
+    BOOST_TEST(silent.requests == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aQuestionThatIsGivenUpSaysNothing)
+{
+    RawServer silent(events, [](const auto &, const std::string &) {});
+    bool hasEnded = false;
+    const auto question
+        = HttpQuestion::ask(events, pool, request(silent.address()), absl::Seconds(20), [&](const QuestionEnd &) { hasEnded = true; });
+    runUntil([&] { return silent.requests == 1; });
+    question->cancel();
+    runUntil([&] { return silent.ends == 1; });
+    BOOST_TEST(!hasEnded);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -28,13 +28,28 @@
     return at == std::string::npos ? 0 : std::stoull(target.substr(at + 6));
 }
 
+const std::string pathPrefix = "/objects/";
+
 std::string kindOf(const std::string &target)
 {
-    const std::string prefix = "/objects/";
-    const std::string rest = target.substr(std::min(prefix.size(), target.size()));
+    const std::string rest = target.substr(std::min(pathPrefix.size(), target.size()));
     return rest.substr(0, rest.find_first_of("/?"));
 }
 
+/// Name in a target of one object.
+std::string nameOf(const std::string &target)
+{
+    const std::size_t slash = target.find('/', pathPrefix.size());
+    return slash == std::string::npos ? std::string() : target.substr(slash + 1, target.find('?') - slash - 1);
+}
+
+/// Revision that a call is bound to; 0 if it is bound to none.
+std::uint64_t boundTo(const std::string &target)
+{
+    const std::size_t at = target.find("revision=");
+    return at == std::string::npos ? 0 : std::stoull(target.substr(at + 9));
+}
+
 }
 
 PlatformStoreStandIn::PlatformStoreStandIn()
@@ -74,6 +89,17 @@
     onLoop([&] { change(kind, name, nullptr); });
 }
 
+std::vector<std::string> PlatformStoreStandIn::names(const std::string &kind)
+{
+    std::vector<std::string> found;
+    onLoop([&] {
+        for (const auto &[name, object] : m_objects[kind]) {
+            found.push_back(name);
+        }
+    });
+    return found;
+}
+
 void PlatformStoreStandIn::setDown(bool down)
 {
     onLoop([&] {
@@ -123,10 +149,8 @@
     const std::string kind = kindOf(head.target);
     if (m_down) {
         answerJson(connection, 503, Json::object());
-    } else if (head.method == "POST") {
-        const Json json = Json::parse(body);
-        change(kind, json["metadata"]["name"], &json["spec"]);
-        answerJson(connection, 200, json);
+    } else if (head.method != "GET") {
+        write(connection, head, body);
     } else if (head.target.find("watch=") == std::string::npos) {
         answerList(connection, kind);
     } else if (watchedSince(head.target) < m_forgotten) {
@@ -136,6 +160,40 @@
     }
 }
 
+void PlatformStoreStandIn::write(const HttpServerConnection::Self &connection, const HttpRequestHead &head, const std::string &body)
+{
+    constexpr int ok = 200;
+    constexpr int missing = 404;
+    constexpr int conflict = 409;
+    const std::string kind = kindOf(head.target);
+    const Json json = body.empty() ? Json::object() : Json::parse(body);
+    const std::string name = head.method == "POST" ? json["metadata"]["name"].get<std::string>() : nameOf(head.target);
+    const auto it = m_objects[kind].find(name);
+    const bool isThere = it != m_objects[kind].end();
+    if (isThere ? head.method == "POST" : head.method != "POST") {
+        isThere ? answerObject(connection, conflict, kind, name) : answerJson(connection, missing, Json::object());
+        return;
+    }
+    if (isThere && boundTo(head.target) != 0 && boundTo(head.target) != it->second.revision) {
+        answerObject(connection, conflict, kind, name);
+        return;
+    }
+    if (head.method == "DELETE") {
+        change(kind, name, nullptr);
+        answerJson(connection, ok, Json::object());
+        return;
+    }
+    change(kind, name, &json["spec"]);
+    answerObject(connection, ok, kind, name);
+}
+
+void PlatformStoreStandIn::answerObject(const HttpServerConnection::Self &connection, int status, const std::string &kind,
+                                        const std::string &name)
+{
+    const Object &object = m_objects[kind][name];
+    answerJson(connection, status, objectJson(name, object.spec, object.revision));
+}
+
 void PlatformStoreStandIn::answerList(const HttpServerConnection::Self &connection, const std::string &kind)
 {
     Json items = Json::array();
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -15,7 +15,7 @@
 
 /**
  * \class PlatformStoreStandIn
- * \brief The platform's store as its pages describe it, as far as an entry node uses it: lists, watches, creation.
+ * \brief The platform's store as its pages describe it, as far as an entry node uses it: lists, watches, writes.
  */
 class PlatformStoreStandIn
 {
@@ -35,6 +35,9 @@
     void put(const std::string &kind, const std::string &name, const Json &spec);
     void remove(const std::string &kind, const std::string &name);
 
+    /// Names of the objects of a kind.
+    std::vector<std::string> names(const std::string &kind);
+
     /// Answers every call with 503 while \a down is set.
     void setDown(bool down);
 
@@ -68,6 +71,8 @@
     };
 
     void handle(const HttpServerConnection::Self &connection, const HttpRequestHead &head, const std::string &body);
+    void write(const HttpServerConnection::Self &connection, const HttpRequestHead &head, const std::string &body);
+    void answerObject(const HttpServerConnection::Self &connection, int status, const std::string &kind, const std::string &name);
     void answerList(const HttpServerConnection::Self &connection, const std::string &kind);
     bool answerWatch(const HttpServerConnection::Self &connection, const std::string &kind, std::uint64_t since);
     void change(const std::string &kind, const std::string &name, const Json *spec);
--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -498,4 +498,23 @@
     BOOST_TEST(eventually([&] { return node.hasEnded(); }));
 }
 
+BOOST_AUTO_TEST_CASE(aNodeStandsInTheStoreUntilItLeaves)
+{
+    const auto nodes = [this] {
+        return store.names("apricot-nodes");
+    };
+    const std::vector<std::string> others{"n0"};
+    const std::vector<std::string> all{"n0", "n1"};
+    const Json spec{{"peerAddress", "127.0.0.1:9"}};
+    store.put("apricot-nodes", "n0", spec);
+    store.put("apricot-nodes", "n1", spec); // Of an earlier life that was killed.
+    add("i-1", "desk", "", answerWell);
+    NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    BOOST_TEST((nodes() == all));
+    node.leave();
+    BOOST_TEST(eventually([&] { return nodes() == others; }));
+    BOOST_TEST(eventually([&] { return node.hasEnded(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
