--- a/packages/apricotladderd/entry/celllink.cpp
+++ b/packages/apricotladderd/entry/celllink.cpp
@@ -130,6 +130,7 @@
     m_told = m_loop.now();
     CellHeartbeat heartbeat;
     heartbeat.sender = m_membership.self();
+    heartbeat.sentAt = EventLoop::readClock();
     heartbeat.claims = m_membership.claims();
     heartbeat.enginesRevision = m_hooks.enginesRevision();
     heartbeat.loads = m_context.board.ownLoads();
@@ -174,7 +175,13 @@
         return;
     }
     m_membership.heartbeat(heartbeat.sender, heartbeat.claims, now);
-    m_context.board.setPeerLoads(heartbeat.sender->id, heartbeat.loads, heartbeat.waiting, now);
+    PeerClock &clock = m_clocks[heartbeat.sender->id];
+    clock.heard(heartbeat.sentAt, EventLoop::readClock());
+    std::vector<WaitingCall> waiting = heartbeat.waiting;
+    for (WaitingCall &call : waiting) {
+        call.patienceEnds = clock.toLocal(call.patienceEnds);
+    }
+    m_context.board.setPeerLoads(heartbeat.sender->id, heartbeat.loads, waiting, now);
     m_context.board.setPeerDoubts(heartbeat.sender->id, heartbeat.doubts, now);
     const bool isNewer
         = heartbeat.sender->generation > m_membership.self()->generation || heartbeat.enginesRevision > m_hooks.enginesRevision();
--- a/packages/apricotladderd/entry/celllink.h
+++ b/packages/apricotladderd/entry/celllink.h
@@ -2,6 +2,7 @@
 
 #include "apricotladderd/entry/entrycontext.h"
 #include "coordination/membership.h"
+#include "coordination/peerclock.h"
 #include "protocol/cellmessage.h"
 #include "transport/connectionpool.h"
 #include "transport/eventloop.h"
@@ -74,6 +75,7 @@
     std::unique_ptr<UdpSocket> m_socket;
     std::vector<std::string> m_seeds;
     std::vector<Member> m_nodes;
+    std::map<NodeId, PeerClock> m_clocks; ///< of the peers, to put their waiting calls in order with ours
     std::map<NodeId, MemberState> m_loggedStates;
     TimerId m_soon = 0;
     absl::Time m_told = absl::InfinitePast();
--- a/packages/apricotladderd/entry/eventlog.cpp
+++ b/packages/apricotladderd/entry/eventlog.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/jsonreader.h"
 #include "state/overloaded.h"
+#include "transport/eventloop.h"
 
 #include <absl/time/clock.h>
 
@@ -48,6 +49,7 @@
 EventLog::EventLog(NodeId node, LogLevel least)
     : m_node(std::move(node))
     , m_least(least)
+    , m_start(EventLoop::readClock())
     , m_writer(std::make_unique<PeriodicTask>("log", writeInterval, [this] { flush(); }))
 {
 }
@@ -63,7 +65,7 @@
     if (level < m_least) {
         return;
     }
-    Line line{absl::Now(), level, event, request.text(), fields};
+    Line line{absl::Now(), EventLoop::readClock(), level, event, request.text(), fields};
     const MutexLock lock(m_mutex);
     if (m_waiting.size() >= (level == LogLevel::Info ? mostWaitingInfo : mostWaiting)) {
         ++m_dropped;
@@ -82,6 +84,7 @@
 {
     nlohmann::ordered_json json;
     json["time"] = absl::FormatTime("%Y-%m-%d%ET%H:%M:%E3SZ", line.time, absl::UTCTimeZone());
+    json["upMs"] = absl::ToDoubleMilliseconds(line.steady - m_start);
     json["level"] = levelName(line.level);
     json["node"] = m_node.text();
     json["event"] = line.event;
--- a/packages/apricotladderd/entry/eventlog.h
+++ b/packages/apricotladderd/entry/eventlog.h
@@ -57,7 +57,8 @@
 private:
     struct Line
     {
-        absl::Time time;
+        absl::Time time; ///< of day: it may jump, and differ between VMs
+        absl::Time steady;
         LogLevel level;
         const char *event;
         std::string request;
@@ -69,6 +70,7 @@
 
     NodeId m_node;
     LogLevel m_least;
+    absl::Time m_start; ///< on the steady clock
     mutable Mutex m_mutex;
     std::vector<Line> m_waiting ABSL_GUARDED_BY(m_mutex);
     std::uint64_t m_dropped ABSL_GUARDED_BY(m_mutex) = 0;
--- a/packages/coordination/engineloads.cpp
+++ b/packages/coordination/engineloads.cpp
@@ -65,10 +65,7 @@
     for (const EngineLoad &load : loads) {
         peer.loads[load.engine] = load;
     }
-    peer.waiting.clear();
-    for (const WaitingCall &call : waiting) {
-        peer.waiting.push_back(PeerWaiter{now + absl::Milliseconds(call.patienceMs), call});
-    }
+    peer.waiting = waiting;
     std::erase_if(m_peers, [&](const auto &entry) { return now - entry.second.heard > peerLife; });
 }
 
@@ -102,11 +99,11 @@
     return loads;
 }
 
-std::vector<PeerWaiter> EngineLoads::peerWaiters(absl::Time now) const
+std::vector<WaitingCall> EngineLoads::peerWaiters(absl::Time now) const
 {
-    std::vector<PeerWaiter> found;
+    std::vector<WaitingCall> found;
     for (const auto &[node, peer] : m_peers) {
-        for (const PeerWaiter &it : peer.waiting) {
+        for (const WaitingCall &it : peer.waiting) {
             if (now - peer.heard <= waitingLife && it.patienceEnds > now) {
                 found.push_back(it);
             }
--- a/packages/coordination/engineloads.h
+++ b/packages/coordination/engineloads.h
@@ -24,15 +24,6 @@
     friend bool operator==(const EngineShare &, const EngineShare &) = default;
 };
 
-/// A call of a peer that waits for room.
-struct PeerWaiter
-{
-    absl::Time patienceEnds;
-    WaitingCall call;
-
-    friend bool operator==(const PeerWaiter &, const PeerWaiter &) = default;
-};
-
 /**
  * \class EngineLoads
  * \brief What this node and its peers have placed on the engines of one service, and which engines peers cannot reach.
@@ -67,7 +58,7 @@
     absl::Duration oldestWord(absl::Time now) const;
 
     /// Calls of peers that wait for room, as far as their word is fresh: room is not kept for a node that may be gone.
-    std::vector<PeerWaiter> peerWaiters(absl::Time now) const;
+    std::vector<WaitingCall> peerWaiters(absl::Time now) const;
 
     /// All nodes' load on \a engine.
     EngineLoad total(const EngineId &engine, absl::Time now) const;
@@ -83,7 +74,7 @@
     struct PeerLoads
     {
         absl::flat_hash_map<EngineId, EngineLoad> loads;
-        std::vector<PeerWaiter> waiting;
+        std::vector<WaitingCall> waiting;
         std::vector<EngineId> doubts; ///< engines that it cannot reach
         absl::Time heard;
     };
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -66,7 +66,7 @@
 constexpr std::int64_t spareSlots = 1;
 
 /// Part of an engine's memory that is given away: forecasts are off, and a run that is preempted is read again.
-constexpr double usableMemoryPart = 0.92;
+constexpr double usableMemoryPart = 0.88;
 
 /// Weight of the newest run in what is known of all runs.
 constexpr double newestRunWeight = 0.05;
@@ -394,8 +394,8 @@
         order.push_back(Turn{rankOf(demand.rank), waiter.since + demand.patience, id, demand.promptTokens + demand.madeTokens,
                              likelyTokens(demand) - demand.madeTokens});
     }
-    for (const PeerWaiter &it : m_loads.peerWaiters(now)) {
-        order.push_back(Turn{rankOf(it.call.rank), it.patienceEnds, 0, it.call.promptTokens, it.call.likelyTokens});
+    for (const WaitingCall &it : m_loads.peerWaiters(now)) {
+        order.push_back(Turn{rankOf(it.rank), it.patienceEnds, 0, it.promptTokens, it.likelyTokens});
     }
     std::sort(order.begin(), order.end());
     return order;
@@ -453,12 +453,8 @@
         if (turn.waiter == 0) {
             continue;
         }
-        const absl::Duration left = turn.patienceEnds - now;
-        waiting.push_back(WaitingCall{{},
-                                      m_waiters.at(turn.waiter).demand.rank,
-                                      std::max<std::int64_t>(0, absl::ToInt64Milliseconds(left)),
-                                      turn.promptTokens,
-                                      turn.likelyTokens});
+        const std::int64_t rank = m_waiters.at(turn.waiter).demand.rank;
+        waiting.push_back(WaitingCall{{}, rank, turn.patienceEnds, turn.promptTokens, turn.likelyTokens});
         if (waiting.size() == mostTold) {
             break;
         }
--- a/packages/coordination/tests/entry/testservicepool.cpp
+++ b/packages/coordination/tests/entry/testservicepool.cpp
@@ -312,7 +312,7 @@
 
 WaitingCall waitingAtPeer(std::int64_t rank, absl::Duration patience)
 {
-    return WaitingCall{ServiceName("s"), rank, absl::ToInt64Milliseconds(patience), largePrompt, 500};
+    return WaitingCall{ServiceName("s"), rank, start + patience, largePrompt, 500};
 }
 
 /// A pool with one engine, which a peer has filled, and a call that waits here.
@@ -390,7 +390,7 @@
     const std::vector<WaitingCall> told = pool.ownWaiting(start + absl::Milliseconds(200));
     BOOST_TEST(told.size() == 4U);
     BOOST_TEST(told.at(0).rank == 0);
-    BOOST_TEST(told.at(0).patienceMs == 300);
+    BOOST_TEST((told.at(0).patienceEnds == start + absl::Milliseconds(500)));
     BOOST_TEST(told.at(1).rank == 1);
 }
 
--- a/packages/protocol/cellmessage.cpp
+++ b/packages/protocol/cellmessage.cpp
@@ -21,7 +21,8 @@
 template<class Archive>
 void serialize(Archive &archive, WaitingCall &it)
 {
-    archive(it.service, it.rank, it.patienceMs, it.promptTokens, it.likelyTokens);
+    archive(it.service, it.rank, it.promptTokens, it.likelyTokens);
+    archiveTime(archive, it.patienceEnds);
 }
 
 template<class Archive>
@@ -79,6 +80,7 @@
 template<class Archive>
 void serialize(Archive &archive, CellHeartbeat &it)
 {
+    archiveTime(archive, it.sentAt);
     archive(it.sender, it.claims, it.enginesRevision, it.loads, it.waiting, it.doubts);
 }
 
--- a/packages/protocol/cellmessage.h
+++ b/packages/protocol/cellmessage.h
@@ -5,6 +5,8 @@
 #include "state/error.h"
 #include "state/member.h"
 
+#include <absl/time/time.h>
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -16,6 +18,7 @@
 struct CellHeartbeat
 {
     Member sender;
+    absl::Time sentAt; ///< on the sender's steady clock
     std::vector<MemberClaim> claims;
     std::uint64_t enginesRevision = 0; ///< revision of the store that the sender's engines are from
     std::vector<EngineLoad> loads; ///< all that the sender has placed
--- a/packages/protocol/tests/entry/testcellmessage.cpp
+++ b/packages/protocol/tests/entry/testcellmessage.cpp
@@ -14,10 +14,11 @@
                     .set(&MemberFields::incarnation, 7U)
                     .set(&MemberFields::peerAddress, "10.0.0.1:1")
                     .build();
+    it.sentAt = absl::FromUnixMicros(1234567);
     it.claims = {MemberClaim{NodeId("m"), 3, MemberState::Dead}};
     it.enginesRevision = 99;
     it.loads = {EngineLoad{EngineId("e"), 2, 300, {EngineRun{5, 100, 50, 7}}}};
-    it.waiting = {WaitingCall{ServiceName("s"), 2, 300, 4000, 500}};
+    it.waiting = {WaitingCall{ServiceName("s"), 2, absl::FromUnixMillis(1300), 4000, 500}};
     it.doubts = {EngineId("f")};
     return it;
 }
--- a/packages/state/engineentry.h
+++ b/packages/state/engineentry.h
@@ -3,6 +3,8 @@
 #include "state/immutable.h"
 #include "state/name.h"
 
+#include <absl/time/time.h>
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -59,11 +61,11 @@
 {
     ServiceName service;
     std::int64_t rank = 0; ///< 0 is the most urgent
-    std::int64_t patienceMs = 0; ///< how much longer it waits
+    absl::Time patienceEnds; ///< on the steady clock of its node, or of who was told
     std::int64_t promptTokens = 0;
     std::int64_t likelyTokens = 0; ///< expected length of its answer
 
-    friend auto operator<=>(const WaitingCall &, const WaitingCall &) = default;
+    friend bool operator==(const WaitingCall &, const WaitingCall &) = default;
 };
 
 }
--- a/tests/platform/enginestandin.cpp
+++ b/tests/platform/enginestandin.cpp
@@ -4,9 +4,7 @@
 
 namespace Apricot {
 
-namespace {
-
-HttpResponseHead signedHead(const EngineArrival &arrival, int status, const char *contentType)
+HttpResponseHead PlatformEngineStandIn::signedHead(const EngineArrival &arrival, int status, const char *contentType)
 {
     HttpResponseHead head;
     head.status = status;
@@ -17,8 +15,6 @@
     return head;
 }
 
-}
-
 PlatformEngineStandIn::PlatformEngineStandIn(std::string id, Behaviour behaviour)
     : m_id(std::move(id))
     , m_behaviour(std::move(behaviour))
--- a/tests/platform/enginestandin.h
+++ b/tests/platform/enginestandin.h
@@ -54,6 +54,9 @@
     /// Requests whose caller closed the connection before the answer.
     int left() const;
 
+    /// Head of an answer that an engine signs.
+    static HttpResponseHead signedHead(const EngineArrival &arrival, int status, const char *contentType);
+
     /// Answers as engines do: signed, with the attempt's id.
     static void answer(const HttpServerConnection::Self &connection, const EngineArrival &arrival, int status, const std::string &body);
 
