coordination: Keep memory free by the number of peers; protocol: Pack numbers, one call for a word to all

Cause: on grown sites other nodes hear of a placement after 20 to 60 ms, not 6: a word of 430 bytes to 88 peers keeps a link of 10 Mbit/s busy for 30 ms and takes 88 system calls. Numbers are now packed (a busy node's word is under 190 bytes), and sendmmsg() takes all peers at once.

--- a/packages/apricotladderd/entry/celllink.cpp
+++ b/packages/apricotladderd/entry/celllink.cpp
@@ -137,9 +137,7 @@
     heartbeat.waiting = m_context.board.ownWaiting(m_loop.now());
     heartbeat.doubts = m_context.board.ownDoubts(m_loop.now());
     const std::string bytes = encodeCellHeartbeat(heartbeat);
-    for (const std::string &address : targets()) {
-        m_socket->send(address, bytes);
-    }
+    m_socket->sendToAll(targets(), bytes);
 }
 
 void CellLink::beat()
--- a/packages/apricotladderd/entry/storewatch.cpp
+++ b/packages/apricotladderd/entry/storewatch.cpp
@@ -24,11 +24,8 @@
 constexpr absl::Duration firstBackoff = absl::Milliseconds(150);
 constexpr absl::Duration longestBackoff = absl::Milliseconds(600);
 
-/// Changes that follow each other closely come in one answer, which saves calls: each costs every node one. The more nodes
-/// there are, the longer changes are gathered, but not so long that an engine that leaves would get calls for too long.
-constexpr absl::Duration leastGathering = absl::Milliseconds(200);
-constexpr absl::Duration gatheringPerNode = absl::Milliseconds(6);
-constexpr absl::Duration mostGathering = absl::Milliseconds(800);
+/// Changes that follow each other closely come in one answer, which saves calls: each costs every node one.
+constexpr absl::Duration gatherTime = absl::Milliseconds(250);
 
 }
 
@@ -161,8 +158,7 @@
     if (found.objects.empty()) {
         watch();
     } else {
-        const absl::Duration gathering = leastGathering + gatheringPerNode * static_cast<double>(m_context.nodeCount());
-        m_retry = m_loop.after(std::min(gathering, mostGathering), [this] {
+        m_retry = m_loop.after(gatherTime, [this] {
             m_retry = 0;
             watch();
         });
--- a/packages/coordination/engineloads.cpp
+++ b/packages/coordination/engineloads.cpp
@@ -112,6 +112,12 @@
     return found;
 }
 
+std::size_t EngineLoads::peerCount(absl::Time now) const
+{
+    const auto n = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) { return now - entry.second.heard <= peerLife; });
+    return static_cast<std::size_t>(n);
+}
+
 absl::Duration EngineLoads::oldestWord(absl::Time now) const
 {
     absl::Duration oldest = absl::ZeroDuration();
--- a/packages/coordination/engineloads.h
+++ b/packages/coordination/engineloads.h
@@ -54,6 +54,9 @@
     /// What this node has placed.
     std::vector<EngineLoad> own() const;
 
+    /// Peers whose word counts.
+    std::size_t peerCount(absl::Time now) const;
+
     /// Age of the oldest word of a peer that counts; zero without peers.
     absl::Duration oldestWord(absl::Time now) const;
 
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -65,8 +65,11 @@
 /// Requests that a decode engine is given: all but one of its slots.
 constexpr std::int64_t spareSlots = 1;
 
-/// Part of an engine's memory that is given away: forecasts are off, and a run that is preempted is read again.
-constexpr double usableMemoryPart = 0.88;
+/// Parts of an engine's memory that are kept free, as a run that is preempted is read again: for forecasts that are off, and
+/// for what each peer may have placed there before it was heard of here.
+constexpr double forecastMargin = 0.06;
+constexpr double marginPerPeer = 0.0015;
+constexpr double largestMargin = 0.2;
 
 /// Weight of the newest run in what is known of all runs.
 constexpr double newestRunWeight = 0.05;
@@ -220,7 +223,7 @@
     }
     double free = 0;
     double whole = 0;
-    const double capacity = usableMemory();
+    const double capacity = usableMemory(now);
     for (const Candidate &it : candidates(EngineStage::Decode, {}, now)) {
         whole += capacity;
         free += std::max(0.0, capacity - static_cast<double>(peakWith(it.load, nullptr)));
@@ -267,10 +270,11 @@
 {
     std::vector<Candidate> found = candidates(EngineStage::Decode, demand.avoided, now);
     const EngineRun added{0, demand.promptTokens, likelyTokens(demand), demand.madeTokens};
+    const double usable = usableMemory(now);
     for (Candidate &it : found) {
         const bool slotIsFree = it.load.requests + spareSlots < it.engine->entry->slots;
         const auto peak = static_cast<double>(peakWith(it.load, &added));
-        const double used = peak / usableMemory();
+        const double used = peak / usable;
         it.memoryPart = peak / wholeMemory();
         it.cost = slotIsFree && used <= 1 ? (fullnessPenaltyMs * used + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, now)
                                           : noRoomCost;
@@ -519,9 +523,10 @@
     return m_model ? std::max(1.0, static_cast<double>((*m_model)->memoryTokens)) : 1.0;
 }
 
-double ServicePool::usableMemory() const
+double ServicePool::usableMemory(absl::Time now) const
 {
-    return usableMemoryPart * wholeMemory();
+    const double margin = forecastMargin + marginPerPeer * static_cast<double>(m_loads.peerCount(now));
+    return (1 - std::min(margin, largestMargin)) * wholeMemory();
 }
 
 std::int64_t ServicePool::peakWith(const EngineLoad &load, const EngineRun *added) const
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -233,7 +233,7 @@
     double failurePenalty(const Engine &engine, absl::Time now) const;
     absl::Duration expectedCost(EngineStage stage) const;
     double wholeMemory() const;
-    double usableMemory() const;
+    double usableMemory(absl::Time now) const;
     std::int64_t peakWith(const EngineLoad &load, const EngineRun *added) const;
     std::int64_t likelyTokens(const ModelDemand &demand) const;
     double freeShare(absl::Time now) const;
--- a/packages/coordination/tests/entry/testservicepool.cpp
+++ b/packages/coordination/tests/entry/testservicepool.cpp
@@ -409,4 +409,18 @@
     BOOST_TEST(pool.bearsReading(EngineId("d0"), demand(2000), start));
 }
 
+BOOST_AUTO_TEST_CASE(theMorePeersThereAreTheMoreMemoryIsKeptFree)
+{
+    ServicePool pool = modelPool(1, 1);
+    ModelDemand almostAll = demand(8500);
+    almostAll.expectedTokens = 500;
+    BOOST_TEST(pool.placeModel(almostAll, start).has_value());
+    ServicePool amongMany = modelPool(1, 1);
+    for (int i = 0; i < 80; ++i) {
+        amongMany.setPeerLoads(NodeId("peer" + std::to_string(i)), {}, {}, start);
+    }
+    BOOST_TEST(!amongMany.placeModel(almostAll, start).has_value());
+    BOOST_TEST(amongMany.placeModel(almostAll, start + absl::Seconds(3)).has_value()); // They fell silent.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/protocol/boundedarchive.h
+++ b/packages/protocol/boundedarchive.h
@@ -7,6 +7,7 @@
 #include <cstring>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 namespace Apricot {
 
@@ -79,11 +80,49 @@
     std::string_view m_rest;
 };
 
+/// Whole numbers of more than a byte take as many bytes as they need: most are small, and words between nodes are many.
+template<class T>
+inline constexpr bool isPacked = std::is_integral_v<T> && sizeof(T) > 1;
+
+/// Bits of a byte that hold a part of a packed number; the highest says that more follow.
+inline constexpr int packedBits = 7;
+inline constexpr std::uint8_t moreFollow = 0x80;
+inline constexpr int mostPackedBytes = 10;
+
 template<class T>
 std::enable_if_t<std::is_arithmetic_v<T>> CEREAL_SAVE_FUNCTION_NAME(BoundedOutputArchive &archive, const T &value)
 {
     static_assert(__BYTE_ORDER__ == __ORDER_LITTLE_ENDIAN__, "add byte swapping before building for big-endian machines");
-    archive.writeBytes(&value, sizeof(value));
+    if constexpr (isPacked<T>) {
+        // The sign goes into the lowest bit, so that small negative numbers are short too.
+        auto rest = static_cast<std::uint64_t>(value);
+        if constexpr (std::is_signed_v<T>) {
+            rest = (rest << 1) ^ (value < 0 ? ~std::uint64_t{0} : 0);
+        }
+        for (; rest >= moreFollow; rest >>= packedBits) {
+            const auto byte = static_cast<std::uint8_t>(rest | moreFollow);
+            archive.writeBytes(&byte, 1);
+        }
+        const auto last = static_cast<std::uint8_t>(rest);
+        archive.writeBytes(&last, 1);
+    } else {
+        archive.writeBytes(&value, sizeof(value));
+    }
+}
+
+/// Reads a packed number.
+inline std::uint64_t readPacked(BoundedInputArchive &archive)
+{
+    std::uint64_t value = 0;
+    for (int i = 0; i < mostPackedBytes; ++i) {
+        std::uint8_t byte = 0;
+        archive.readBytes(&byte, 1);
+        value |= static_cast<std::uint64_t>(byte & ~moreFollow) << (i * packedBits);
+        if ((byte & moreFollow) == 0) {
+            return value;
+        }
+    }
+    throw cereal::Exception("a number in the message is too long");
 }
 
 template<class T>
@@ -93,6 +132,13 @@
         std::uint8_t byte = 0;
         archive.readBytes(&byte, 1);
         value = byte != 0;
+    } else if constexpr (isPacked<T>) {
+        const std::uint64_t packed = readPacked(archive);
+        const std::uint64_t plain = std::is_signed_v<T> ? (packed >> 1) ^ (~(packed & 1) + 1) : packed;
+        value = static_cast<T>(plain);
+        if (static_cast<std::uint64_t>(value) != plain) {
+            throw cereal::Exception("a number in the message is too large");
+        }
     } else {
         archive.readBytes(&value, sizeof(value));
     }
--- a/packages/protocol/messagecodec.h
+++ b/packages/protocol/messagecodec.h
@@ -11,7 +11,7 @@
 namespace Apricot {
 
 /// First byte of every message between nodes; raised when the encoding changes.
-inline constexpr std::uint8_t messageEncodingVersion = 2;
+inline constexpr std::uint8_t messageEncodingVersion = 3;
 
 /// Writes a message between nodes.
 template<class Message>
--- a/packages/protocol/tests/entry/testcellmessage.cpp
+++ b/packages/protocol/tests/entry/testcellmessage.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
+
 using namespace Apricot;
 
 namespace {
@@ -71,4 +73,42 @@
     BOOST_TEST(std::holds_alternative<Error>(collect<CellHeartbeat>([&] { return decodeCellHeartbeat(other); })));
 }
 
+BOOST_AUTO_TEST_CASE(theLargestAndSmallestNumbersAreReadBack)
+{
+    CellHeartbeat beat = heartbeat();
+    beat.enginesRevision = std::numeric_limits<std::uint64_t>::max();
+    constexpr std::int64_t least = std::numeric_limits<std::int64_t>::min();
+    constexpr std::int64_t most = std::numeric_limits<std::int64_t>::max();
+    beat.loads = {EngineLoad{EngineId("e"), least, most, {EngineRun{0, -1, 127, 128}}}};
+    const auto read = collect<CellHeartbeat>([&] { return decodeCellHeartbeat(encodeCellHeartbeat(beat)); });
+    BOOST_REQUIRE(std::holds_alternative<CellHeartbeat>(read));
+    BOOST_TEST((std::get<CellHeartbeat>(read) == beat));
+}
+
+BOOST_AUTO_TEST_CASE(aNumberThatDoesNotEndIsRefused)
+{
+    std::string bytes = encodeCellHeartbeat(heartbeat()).substr(0, 1);
+    bytes += std::string(64, '\xff');
+    BOOST_TEST(std::holds_alternative<Error>(collect<CellHeartbeat>([&] { return decodeCellHeartbeat(bytes); })));
+}
+
+// A node's word goes to all peers at each change: at 17 KB a second, 89 nodes and a change in each second it has 190 bytes.
+BOOST_AUTO_TEST_CASE(theWordOfABusyNodeIsShort)
+{
+    CellHeartbeat beat;
+    beat.sender = Member::Builder()
+                      .set(&MemberFields::id, NodeId("edge-somewhere-17"))
+                      .set(&MemberFields::incarnation, 1771926925041U)
+                      .set(&MemberFields::dataCentre, DataCentreName("somewhere"))
+                      .set(&MemberFields::peerAddress, "10.1.0.40:7660")
+                      .set(&MemberFields::callerAddress, "10.1.0.40:8608")
+                      .set(&MemberFields::generation, 18U)
+                      .build();
+    beat.sentAt = absl::FromUnixMillis(100000);
+    beat.enginesRevision = 240;
+    beat.loads = {EngineLoad{EngineId("i-7d85810862"), 2, 0, {EngineRun{5, 5200, 4500, 700}, EngineRun{6, 8100, 3900, 0}}},
+                  EngineLoad{EngineId("i-fee3b219b1"), 1, 8100, {}}};
+    BOOST_TEST(encodeCellHeartbeat(beat).size() < 190U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/transport/tests/udp/testudp.cpp
+++ b/packages/transport/tests/udp/testudp.cpp
@@ -30,4 +30,20 @@
     BOOST_TEST(!UdpSocket("not an address").isOpen());
 }
 
+BOOST_AUTO_TEST_CASE(oneDatagramGoesToAllThatCanBeReached)
+{
+    const UdpSocket sender("127.0.0.1:0");
+    const UdpSocket first("127.0.0.1:0");
+    const UdpSocket second("127.0.0.1:0");
+    BOOST_TEST(!first.receive(absl::ZeroDuration()).has_value());
+    BOOST_TEST(sender.sendToAll({first.localAddress(), "nowhere", "127.0.0.1:0", second.localAddress()}, "hello") == 2U);
+    for (const UdpSocket *it : {&first, &second}) {
+        const std::optional<Datagram> found = it->receive(absl::Seconds(5));
+        BOOST_REQUIRE(found.has_value());
+        BOOST_TEST(found->bytes == "hello");
+    }
+    BOOST_TEST(sender.sendToAll({first.localAddress()}, std::string(UdpSocket::mostBytes + 1, 'x')) == 0U);
+    BOOST_TEST(sender.sendToAll({}, "x") == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/transport/udpsocket.cpp
+++ b/packages/transport/udpsocket.cpp
@@ -49,10 +49,41 @@
     return n == static_cast<ssize_t>(bytes.size());
 }
 
+std::size_t UdpSocket::sendToAll(const std::vector<std::string> &to, const std::string &bytes) const
+{
+    if (bytes.size() > mostBytes) {
+        return 0;
+    }
+    std::vector<sockaddr_in> addresses;
+    for (const std::string &text : to) {
+        if (const std::optional<sockaddr_in> address = parseSocketAddress(text)) {
+            addresses.push_back(*address);
+        }
+    }
+    // sendmmsg() does not change what it sends, though its type allows it to.
+    iovec text{const_cast<char *>(bytes.data()), bytes.size()};
+    std::vector<mmsghdr> messages(addresses.size());
+    for (std::size_t i = 0; i < addresses.size(); ++i) {
+        messages[i].msg_hdr.msg_name = &addresses[i];
+        messages[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+        messages[i].msg_hdr.msg_iov = &text;
+        messages[i].msg_hdr.msg_iovlen = 1;
+    }
+    std::size_t done = 0;
+    std::size_t taken = 0;
+    while (done < messages.size()) {
+        const int n = sendmmsg(m_socket, &messages[done], static_cast<unsigned>(messages.size() - done), MSG_DONTWAIT);
+        // An address that cannot be sent to is passed over: the others get theirs.
+        taken += n > 0 ? static_cast<std::size_t>(n) : 0;
+        done += n > 0 ? static_cast<std::size_t>(n) : 1;
+    }
+    return taken;
+}
+
 std::optional<Datagram> UdpSocket::receive(absl::Duration limit) const
 {
     pollfd wait{m_socket, POLLIN, 0};
-    if (poll(&wait, 1, static_cast<int>(absl::ToInt64Milliseconds(limit))) <= 0) {
+    if (limit > absl::ZeroDuration() && poll(&wait, 1, static_cast<int>(absl::ToInt64Milliseconds(limit))) <= 0) {
         return std::nullopt;
     }
     thread_local std::array<char, mostBytes> buf;
--- a/packages/transport/udpsocket.h
+++ b/packages/transport/udpsocket.h
@@ -51,6 +51,9 @@
     /// Sends one datagram; returns whether the system took it.
     bool send(const std::string &to, const std::string &bytes) const;
 
+    /// Sends the same datagram to all of \a to in as few calls of the system as it takes; returns how many it took.
+    std::size_t sendToAll(const std::vector<std::string> &to, const std::string &bytes) const;
+
     /// Waits at most \a limit for a datagram.
     std::optional<Datagram> receive(absl::Duration limit) const;
 
