entry: Hold signals from the first statement, explain every failure, split the stream call

The soak checks that each call that a node failed is explained by that node's log, unless the node was killed (its last half second of lines goes with it). A refusal for want of room names the age of the peers' words that it rests on.

--- a/packages/apricotladderd/entry/entrymain.cpp
+++ b/packages/apricotladderd/entry/entrymain.cpp
@@ -115,9 +115,6 @@
     FLAGS_logtostdout = true;
     FLAGS_log_prefix = false;
     google::InitGoogleLogging("apricotladderd");
-    signal(SIGPIPE, SIG_IGN);
-    const sigset_t signals = handledSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     EntryNode node(settings);
     if (const std::string problem = node.start(); !problem.empty()) {
         return fail(path + ": " + problem);
@@ -133,6 +130,10 @@
 
 int runEntryNode(int argc, char **argv)
 {
+    // First of all: a signal that comes while the settings are read waits for handleSignals() and does not end the process.
+    signal(SIGPIPE, SIG_IGN);
+    const sigset_t signals = handledSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     cxxopts::Options options = makeOptions();
     try {
         const cxxopts::ParseResult parsed = options.parse(argc, argv);
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -203,7 +203,7 @@
     HttpQuestion::ask(m_control, m_controlPool, std::move(request), peerAnswerTimeout, [this, from = peer->id](const QuestionEnd &end) {
         m_behindSince = absl::InfiniteFuture();
         const auto *answer = std::get_if<WholeAnswer>(&end);
-        if (answer != nullptr && answer->status == statusOk) {
+        if (answer != nullptr && answer->head.status == statusOk) {
             takePeerState(answer->body, from);
         } // Otherwise another heartbeat will bring it up again.
     });
--- a/packages/apricotladderd/entry/nodedirectory.cpp
+++ b/packages/apricotladderd/entry/nodedirectory.cpp
@@ -26,13 +26,13 @@
 int statusOf(const QuestionEnd &end)
 {
     const auto *answer = std::get_if<WholeAnswer>(&end);
-    return answer != nullptr ? answer->status : 0;
+    return answer != nullptr ? answer->head.status : 0;
 }
 
 std::string describe(const QuestionEnd &end)
 {
     return std::visit(Overloaded{
-                          [](const WholeAnswer &it) { return "status " + std::to_string(it.status); },
+                          [](const WholeAnswer &it) { return "status " + std::to_string(it.head.status); },
                           [](Unanswered why) { return std::string(unansweredText(why)); },
                       },
                       end);
--- a/packages/apricotladderd/entry/storewatch.cpp
+++ b/packages/apricotladderd/entry/storewatch.cpp
@@ -89,10 +89,10 @@
         m_listRevision = 0;
     }
     call("list", listRequest(m_kind, after, Freshness::Newest), callTimeout, !m_wasOut, [this](const WholeAnswer &answer) {
-        if (answer.status == statusOk) {
+        if (answer.head.status == statusOk) {
             listAnswered(answer.body);
         } else {
-            failed("list", "status " + std::to_string(answer.status));
+            failed("list", "status " + std::to_string(answer.head.status));
         }
     });
 }
@@ -132,15 +132,15 @@
 
 void StoreWatch::watchAnswered(const WholeAnswer &answer)
 {
-    if (answer.status == statusGone) {
+    if (answer.head.status == statusGone) {
         m_context.metrics.countStoreCall("watch", "history gone");
         m_context.log.add(LogLevel::Warning, "store.historygone", RequestId(),
                           {{"kind", m_kind}, {"revision", static_cast<std::int64_t>(m_revision)}});
         list({});
         return;
     }
-    if (answer.status != statusOk) {
-        failed("watch", "status " + std::to_string(answer.status));
+    if (answer.head.status != statusOk) {
+        failed("watch", "status " + std::to_string(answer.head.status));
         return;
     }
     const auto page = collect<StorePage>([&] { return readStorePage(answer.body); });
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -1,7 +1,9 @@
 #include "apricotladderd/entry/streamcall.h"
 
+#include "apricotladderd/entry/enginerequest.h"
 #include "apricotladderd/entry/erroranswer.h"
 #include "state/abslview.h"
+#include "state/overloaded.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -15,8 +17,6 @@
 
 constexpr int statusOk = 200;
 
-constexpr absl::Duration connectTimeout = absl::Milliseconds(100);
-
 /// How long a call waits for room, in targets. Beyond that its first event would miss the target: it is told to come back
 /// when the burst is over, and then waits longer, as nothing is left to miss but the whole answer.
 constexpr double patienceInTargets = 0.65;
@@ -49,9 +49,6 @@
 /// Time that a further try needs at least.
 constexpr absl::Duration leastTimeForTry = absl::Milliseconds(300);
 
-/// A freed handle is of no further interest after this long.
-constexpr absl::Duration freeHandleTimeout = absl::Milliseconds(500);
-
 }
 
 StreamCall::StreamCall(EntryLoop &loop, HttpServerConnection::Self caller, CallFacts facts, HttpRequestHead head, std::string body)
@@ -61,6 +58,7 @@
     , m_head(std::move(head))
     , m_body(std::move(body))
     , m_reservation(loop.context(), m_facts.service)
+    , m_handle(loop, m_facts.call->promptTokens)
 {
 }
 
@@ -132,7 +130,7 @@
     m_reservation.take(placement);
     if (!placement.prefill || m_streamBegun) {
         startDecode();
-    } else if (m_handle) {
+    } else if (m_handle.isHeld()) {
         // The prompt is read already: only its decode engine was lost.
         m_reservation.letGo((*placement.prefill)->id, m_loop.events().now());
         startDecode();
@@ -165,18 +163,10 @@
 
 ExchangeRequest StreamCall::requestTo(const EngineEntry &engine, const EngineTerms &terms) const
 {
-    ExchangeRequest request;
-    request.address = engine->address;
-    request.key = engine->id.text() + "@" + engine->address;
-    request.bytes = encodeHttpRequest(engineRequest(m_head, terms), m_body);
-    request.connectTimeout = connectTimeout;
+    ExchangeRequest request = exchangeWith(engine, m_head, m_body, terms, m_facts.call->attempt);
     // A generation is worth far more than a handshake: it never meets a connection that its engine has just closed.
     request.mostIdle = absl::ZeroDuration();
     request.keepFor = absl::ZeroDuration();
-    request.isMine = [attempt = m_facts.call->attempt.text()](const HttpResponseHead &head) {
-        const std::string answered = readEngineAnswer(head).attempt;
-        return answered.empty() || answered == attempt;
-    };
     return request;
 }
 
@@ -184,65 +174,65 @@
 {
     const EngineEntry engine = *m_placement->prefill;
     m_stageSince = m_loop.events().now();
-    m_answerHead = {};
-    m_answerBody.clear();
     EngineTerms terms = termsFor(engine);
     terms.prefillOnly = true;
-    const std::shared_ptr<StreamCall> self = shared_from_this();
-    HttpExchange::Callbacks callbacks;
-    callbacks.sent = [self] {
-        self->m_arrivals += self->m_prefillsSent > 0 ? 1 : 0;
-        ++self->m_prefillsSent;
-    };
-    callbacks.head = [self](const HttpResponseHead &head) {
-        self->m_answerHead = head;
-    };
-    callbacks.body = [self](const std::string &part) {
-        self->m_answerBody += part;
-    };
-    callbacks.ended = [self](ExchangeEnd end) {
-        self->prefillEnded(end);
-    };
-    m_exchange = HttpExchange::start(m_loop.events(), m_loop.engines(), requestTo(engine, terms), std::move(callbacks));
-    m_prefillTimer = m_loop.events().after(m_facts.route->target * slowPrefillPart, [self] { self->prefillIsSlow(); });
+    m_prefill = HttpQuestion::ask(m_loop.events(), m_loop.engines(), requestTo(engine, terms), m_facts.route->target * slowPrefillPart,
+                                  [self = shared_from_this()](const QuestionEnd &end) { self->prefillEnded(end); });
 }
 
-void StreamCall::prefillEnded(ExchangeEnd end)
+void StreamCall::prefillEnded(const QuestionEnd &end)
 {
-    m_loop.events().cancel(std::exchange(m_prefillTimer, 0));
-    const EngineEntry engine = *m_placement->prefill;
-    const absl::Time now = m_loop.events().now();
-    if (end != ExchangeEnd::Complete) {
-        const bool isUnsent = end == ExchangeEnd::NotSent;
-        afterFailedPrefill(isUnsent ? EngineResult::Unreachable : EngineResult::Failed, isUnsent ? "unreachable" : "broken");
+    std::visit(Overloaded{
+                   [&](Unanswered why) { prefillUnanswered(why); },
+                   [&](const WholeAnswer &answer) {
+                       notePrefillSent();
+                       prefillAnswered(answer);
+                   },
+               },
+               end);
+}
+
+void StreamCall::notePrefillSent()
+{
+    m_arrivals += m_prefillsSent > 0 ? 1 : 0;
+    ++m_prefillsSent;
+}
+
+void StreamCall::prefillUnanswered(Unanswered why)
+{
+    if (why == Unanswered::NoConnection) {
+        afterFailedPrefill(EngineResult::Unreachable, unansweredText(why));
         return;
     }
-    const std::optional<PrefillHandle> result = m_answerHead.status == statusOk ? readPrefillHandle(m_answerBody) : std::nullopt;
+    notePrefillSent();
+    if (why == Unanswered::TooLate) {
+        m_loop.context().metrics.countTokensReadInVain(static_cast<double>(m_facts.call->promptTokens));
+    }
+    afterFailedPrefill(EngineResult::Failed, unansweredText(why));
+}
+
+void StreamCall::prefillAnswered(const WholeAnswer &answer)
+{
+    const EngineEntry engine = *m_placement->prefill;
+    const std::optional<PrefillHandle> result = answer.head.status == statusOk ? readPrefillHandle(answer.body) : std::nullopt;
     if (!result) {
         m_prefillCounts = true;
-        const bool isRefusal = provesNotRun(m_answerHead.status, readEngineAnswer(m_answerHead));
+        const bool isRefusal = provesNotRun(answer.head.status, readEngineAnswer(answer.head));
         afterFailedPrefill(isRefusal ? EngineResult::Refused : EngineResult::Failed, isRefusal ? "declined" : "failed");
         return;
     }
+    const absl::Time now = m_loop.events().now();
     m_loop.context().board.withPool(m_facts.service, [&](ServicePool &pool) {
         const double units = static_cast<double>(std::max<std::int64_t>(1, m_facts.call->promptTokens));
         pool.noteResult(engine->id, EngineResult::Good, now);
         pool.noteCost(engine->id, units, now - m_stageSince, now);
     });
     m_loop.context().metrics.countAttempt("prefill", "good");
-    m_handle = Handle{engine, result->handle};
-    m_reservation.letGo(engine->id, m_loop.events().now());
+    m_handle.hold(engine, result->handle);
+    m_reservation.letGo(engine->id, now);
     startDecode();
 }
 
-void StreamCall::prefillIsSlow()
-{
-    m_prefillTimer = 0;
-    m_exchange->cancel();
-    m_loop.context().metrics.countTokensReadInVain(static_cast<double>(m_facts.call->promptTokens));
-    afterFailedPrefill(EngineResult::Failed, "slow");
-}
-
 void StreamCall::afterFailedPrefill(EngineResult result, const char *why)
 {
     const EngineEntry engine = *m_placement->prefill;
@@ -303,9 +293,7 @@
     m_answerBody.clear();
     m_isStream = false;
     EngineTerms terms = termsFor(engine);
-    if (m_handle) {
-        terms.kvSource = m_handle->engine->address + "/" + m_handle->name;
-    }
+    terms.kvSource = m_handle.source();
     terms.lastEvent = m_events.lastId();
     const std::shared_ptr<StreamCall> self = shared_from_this();
     HttpExchange::Callbacks callbacks;
@@ -330,9 +318,8 @@
     const EngineAnswerTerms terms = readEngineAnswer(head);
     const bool isGood = head.status == statusOk && terms.isSigned && !terms.isEncoded && !terms.attempt.empty();
     m_isStream = isGood && absl::StartsWithIgnoreCase(abslView(headerValue(head.headers, "Content-Type")), "text/event-stream");
-    if (m_isStream && m_handle) {
-        m_loop.context().metrics.countHandle("taken");
-        m_handle.reset();
+    if (m_isStream) {
+        m_handle.taken();
     }
     // A resumed stream keeps the head of its first engine.
     if (!m_streamBegun) {
@@ -478,10 +465,10 @@
     const bool isDeclined = end == ExchangeEnd::Complete && provesNotRun(m_answerHead.status, terms);
     m_loop.context().metrics.countAttempt("decode", end == ExchangeEnd::NotSent ? "unreachable" : isDeclined ? "declined" : "answered");
     if (end == ExchangeEnd::NotSent || isDeclined) {
-        if (isDeclined && m_handle) {
+        if (isDeclined && m_handle.isHeld()) {
             // The handle lapsed or cannot be fetched: the engine can still read the prompt itself.
-            m_reservation.note(m_handle->engine->id, EngineResult::Failed, m_loop.events().now());
-            freeHandle("declined");
+            m_reservation.note(m_handle.engine()->id, EngineResult::Failed, m_loop.events().now());
+            m_handle.release("declined");
             if (spendRepeat()) {
                 readAtDecodeEngine();
                 return;
@@ -507,7 +494,7 @@
         goOnElsewhere();
         return;
     }
-    freeHandle("unused");
+    m_handle.release("unused");
     if (!mayRelay || promisesNotRun(m_answerHead.status)) {
         refuse(ErrorKind::AnswerIncomplete, std::nullopt);
         return;
@@ -521,9 +508,7 @@
 void StreamCall::timeIsUp()
 {
     m_deadlineTimer = 0;
-    if (m_exchange) {
-        m_exchange->cancel();
-    }
+    cancelExchange();
     if (m_streamBegun) {
         breakOff("its time is up");
         return;
@@ -536,10 +521,18 @@
     if (m_over) {
         return;
     }
+    cancelExchange();
+    finish("caller left", 0);
+}
+
+void StreamCall::cancelExchange()
+{
+    if (m_prefill) {
+        m_prefill->cancel();
+    }
     if (m_exchange) {
         m_exchange->cancel();
     }
-    finish("caller left", 0);
 }
 
 void StreamCall::refuse(ErrorKind kind, std::optional<absl::Duration> comeBack)
@@ -555,24 +548,6 @@
     m_caller->breakOff();
 }
 
-void StreamCall::freeHandle(const char *why)
-{
-    if (!m_handle) {
-        return;
-    }
-    EntryContext &context = m_loop.context();
-    context.metrics.countHandle(why);
-    context.metrics.countTokensReadInVain(static_cast<double>(m_facts.call->promptTokens));
-    ExchangeRequest request;
-    request.address = m_handle->engine->address;
-    request.key = m_handle->engine->id.text() + "@" + m_handle->engine->address;
-    request.bytes = encodeHttpRequest(releaseHandleRequest(m_handle->name), {});
-    HttpQuestion::ask(m_loop.events(), m_loop.engines(), std::move(request), freeHandleTimeout, [](const QuestionEnd &) {
-        // An engine that does not hear of it frees the handle itself when its time is over.
-    });
-    m_handle.reset();
-}
-
 bool StreamCall::spendRepeat()
 {
     EntryContext &context = m_loop.context();
@@ -586,7 +561,6 @@
     EntryContext &context = m_loop.context();
     EventLoop &events = m_loop.events();
     events.cancel(std::exchange(m_deadlineTimer, 0));
-    events.cancel(std::exchange(m_prefillTimer, 0));
     events.cancel(std::exchange(m_silenceTimer, 0));
     events.cancel(std::exchange(m_waitTimer, 0));
     if (m_waiter != 0) {
@@ -595,11 +569,14 @@
         context.loadsChanged();
     }
     m_reservation.letGoAll(m_loop.events().now());
-    freeHandle("unused");
+    m_handle.release("unused");
     const absl::Time now = events.now();
     const bool isGood = status > 0 && status < 500;
     context.metrics.countCall("stream", outcome);
     const bool wasPlaced = m_placedAt != absl::Time();
+    if (!wasPlaced) {
+        m_basis.loadsAge = context.board.withPool(m_facts.service, [&](const ServicePool &pool) { return pool.loadsAge(now); });
+    }
     context.log.add(isGood ? LogLevel::Info : LogLevel::Warning, "call.end", m_facts.call->attempt,
                     {{"route", m_facts.route->name},
                      {"version", static_cast<std::int64_t>(m_facts.desiredVersion)},
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -2,6 +2,7 @@
 
 #include "apricotladderd/entry/callfacts.h"
 #include "apricotladderd/entry/entryloop.h"
+#include "apricotladderd/entry/heldhandle.h"
 #include "apricotladderd/entry/modelreservation.h"
 #include "coordination/attemptdecision.h"
 #include "platform/callheaders.h"
@@ -33,21 +34,16 @@
     void start();
 
 private:
-    /// A prefill whose result was not taken over yet.
-    struct Handle
-    {
-        EngineEntry engine;
-        std::string name;
-    };
-
     ModelDemand demand(absl::Duration patience) const;
     void askForRoom(absl::Duration patience);
     void roomFound(const ModelPlacement &placement);
     void noRoom();
 
     void startPrefill();
-    void prefillEnded(ExchangeEnd end);
-    void prefillIsSlow();
+    void prefillEnded(const QuestionEnd &end);
+    void prefillUnanswered(Unanswered why);
+    void prefillAnswered(const WholeAnswer &answer);
+    void notePrefillSent();
     bool mayPrefillAgain() const;
     void readAtDecodeEngine();
     void afterFailedPrefill(EngineResult result, const char *why);
@@ -68,7 +64,7 @@
     void callerGone();
     void refuse(ErrorKind kind, std::optional<absl::Duration> comeBack);
     void breakOff(const char *why);
-    void freeHandle(const char *why);
+    void cancelExchange();
     bool spendRepeat();
     ExchangeRequest requestTo(const EngineEntry &engine, const EngineTerms &terms) const;
     EngineTerms termsFor(const EngineEntry &engine) const;
@@ -87,8 +83,8 @@
     ModelReservation m_reservation;
     std::vector<EngineId> m_avoided;
     std::shared_ptr<HttpExchange> m_exchange;
-    TimerId m_prefillTimer = 0;
-    std::optional<Handle> m_handle;
+    std::shared_ptr<HttpQuestion> m_prefill;
+    HeldHandle m_handle;
     absl::Time m_stageSince; ///< begin of the present prefill or decode
     EngineId m_lastDecode; ///< that the call was sent to last
     absl::Time m_placedAt;
--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -1,5 +1,6 @@
 #include "apricotladderd/entry/wholecall.h"
 
+#include "apricotladderd/entry/enginerequest.h"
 #include "apricotladderd/entry/erroranswer.h"
 #include "platform/callheaders.h"
 #include "state/overloaded.h"
@@ -11,8 +12,6 @@
 
 namespace {
 
-constexpr absl::Duration connectTimeout = absl::Milliseconds(100);
-
 /// A connection that was idle for longer may be closed by the engine while a request is on its way to it; a request that
 /// must not run twice would then end without a known outcome.
 constexpr absl::Duration mostIdleAtMostOnce = absl::Milliseconds(300);
@@ -75,18 +74,10 @@
     terms.engine = engine->id;
     terms.timeLeft = m_facts.deadline() - now;
     const bool mayRepeat = m_facts.route->repeatability == Repeatability::Idempotent;
-    ExchangeRequest request;
-    request.address = engine->address;
-    request.key = engine->id.text() + "@" + engine->address;
-    request.bytes = encodeHttpRequest(engineRequest(m_head, terms), m_body);
+    ExchangeRequest request = exchangeWith(engine, m_head, m_body, terms, m_facts.call->attempt);
     request.answerHasNoBody = m_head.method == "HEAD";
-    request.connectTimeout = connectTimeout;
     request.mostIdle = mayRepeat ? mostIdleIdempotent : mostIdleAtMostOnce;
     request.keepFor = keepConnectionFor;
-    request.isMine = [attempt = m_facts.call->attempt.text()](const HttpResponseHead &head) {
-        const std::string answered = readEngineAnswer(head).attempt;
-        return answered.empty() || answered == attempt;
-    };
     const std::shared_ptr<WholeCall> self = shared_from_this();
     HttpExchange::Callbacks callbacks;
     callbacks.sent = [self] {
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -170,6 +170,12 @@
         return m_model ? (*m_model)->tokensPerEvent : 1;
     }
 
+    /// Age of the oldest word of a peer on what it has placed.
+    absl::Duration loadsAge(absl::Time now) const
+    {
+        return m_loads.oldestWord(now);
+    }
+
     std::size_t engineCount() const
     {
         return m_engines.size();
--- a/packages/protocol/logjson.cpp
+++ b/packages/protocol/logjson.cpp
@@ -61,7 +61,7 @@
     }
     if (outcome == "NoCapacity" && numberOf(end, "waitedMs") < 0) {
         return absl::StrCat("refused, not run: no decode engine had room for ", jsonInteger(end, "promptTokens"), " prompt tokens within ",
-                            ms);
+                            ms, ", by words of peers up to ", static_cast<std::int64_t>(numberOf(end, "loadsAgeMs")), " ms old");
     }
     if (outcome == "NoCapacity") {
         return absl::StrCat("refused, not run: the engines declined it (", arrivals, " asked, the last one ", engine, ") within ", ms);
--- a/packages/transport/httpquestion.cpp
+++ b/packages/transport/httpquestion.cpp
@@ -29,7 +29,7 @@
     const std::shared_ptr<HttpQuestion> question(new HttpQuestion(loop, std::move(ended)));
     HttpExchange::Callbacks callbacks;
     callbacks.head = [question](const HttpResponseHead &head) {
-        question->m_answer.status = head.status;
+        question->m_answer.head = head;
     };
     callbacks.body = [question](const std::string &part) {
         question->m_answer.body += part;
--- a/packages/transport/httpquestion.h
+++ b/packages/transport/httpquestion.h
@@ -14,7 +14,7 @@
 /// A whole answer.
 struct WholeAnswer
 {
-    int status = 0;
+    HttpResponseHead head;
     std::string body;
 
     friend bool operator==(const WholeAnswer &, const WholeAnswer &) = default;
--- a/tests/soak/soakledger.cpp
+++ b/tests/soak/soakledger.cpp
@@ -76,6 +76,18 @@
     return absl::StrCat("id: ", id, "\ndata: ", attempt, " ", id, "\n\n");
 }
 
+bool isFailureOfNode(const SoakCall &call)
+{
+    return std::visit(Overloaded{
+                          [](const WasNotSent &) { return false; },
+                          [](const WasAnswered &it) { return it.status != statusOk && !it.isSigned; },
+                          // Without a run the connection itself may have failed before a node read anything.
+                          [&](const WasCutOff &) { return !call.runs.empty(); },
+                          [](const WasGivenUp &) { return false; },
+                      },
+                      call.end);
+}
+
 std::vector<std::string> brokenPromises(const SoakCall &call)
 {
     std::vector<std::string> broken = call.strange;
@@ -139,6 +151,17 @@
     return all;
 }
 
+std::vector<SoakCall> SoakLedger::failedByNodes() const
+{
+    std::vector<SoakCall> failed;
+    m_calls.forEach([&](const std::string &, const SoakCall &call) {
+        if (isFailureOfNode(call)) {
+            failed.push_back(call);
+        }
+    });
+    return failed;
+}
+
 std::string SoakLedger::summary() const
 {
     std::map<std::string, int> counts;
--- a/tests/soak/soakledger.h
+++ b/tests/soak/soakledger.h
@@ -58,6 +58,8 @@
     CallKind kind = CallKind::Read;
     std::string target;
     std::string body;
+    std::size_t node = 0; ///< that it was sent to
+    int lifetime = 0; ///< number of that node's process
     bool wasCalm = false; ///< nothing but planned work went on from a while before it until its end
     std::vector<std::string> runs; ///< engines that ran it
     std::vector<std::string> strange; ///< what an engine got that the caller had not sent
@@ -75,6 +77,9 @@
 /// One event of the stream that an engine makes.
 std::string eventOf(const std::string &attempt, int id);
 
+/// Whether the node made the answer that a caller got, or cut it off.
+bool isFailureOfNode(const SoakCall &call);
+
 /// Says which promises were broken to one caller; empty if none.
 std::vector<std::string> brokenPromises(const SoakCall &call);
 
@@ -95,6 +100,9 @@
     /// All broken promises, each with the attempt.
     std::vector<std::string> brokenPromises() const;
 
+    /// Calls that a node has ended itself with an error, or cut off.
+    std::vector<SoakCall> failedByNodes() const;
+
     /// Counts of calls, by how they ended.
     std::string summary() const;
 
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -10,6 +10,7 @@
 #include <absl/time/time.h>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,7 @@
         bool mayEnd = false; ///< it was told to stop or killed
         bool startsAgain = true;
         absl::Time stopAsked = absl::InfiniteFuture();
+        std::set<int> killed; ///< lifetimes that ended by a kill: the last lines of their logs are lost with them
     };
 
     void writeSettings(std::size_t node) const;
@@ -67,6 +69,7 @@
     bool runUntil(const std::function<bool()> &holds, absl::Duration limit);
     bool serves(std::size_t node, CallKind kind);
     void stopNodes();
+    void checkExplained();
 
     std::string m_program;
     std::string m_folder;
--- a/tests/soak/testsoakledger.cpp
+++ b/tests/soak/testsoakledger.cpp
@@ -91,6 +91,15 @@
     BOOST_TEST(ledger.brokenPromises().size() >= 2U);
 }
 
+BOOST_AUTO_TEST_CASE(aFailureIsTheNodesIfNoEngineSignedIt)
+{
+    BOOST_TEST(isFailureOfNode(call(CallKind::Book, {}, WasAnswered{503, false, "full"})));
+    BOOST_TEST(isFailureOfNode(call(CallKind::Draft, {"e"}, WasCutOff{})));
+    BOOST_TEST(!isFailureOfNode(call(CallKind::Book, {"e"}, WasAnswered{500, true, "bad"})));
+    BOOST_TEST(!isFailureOfNode(call(CallKind::Book, {"e"}, WasAnswered{200, true, "good"})));
+    BOOST_TEST(!isFailureOfNode(call(CallKind::Book, {"e"}, WasGivenUp{})));
+}
+
 BOOST_AUTO_TEST_CASE(aSeedGivesTheSameStepsAgain)
 {
     const SoakSize size{3, 7, absl::Seconds(60)};
