--- a/packages/transport/httpquestion.cpp
+++ b/packages/transport/httpquestion.cpp
@@ -26,7 +26,7 @@
 std::shared_ptr<HttpQuestion> HttpQuestion::ask(EventLoop &loop, ConnectionPool &pool, ExchangeRequest request, absl::Duration limit,
                                                 Ended ended)
 {
-    const std::shared_ptr<HttpQuestion> question(new HttpQuestion(loop, std::move(ended)));
+    std::shared_ptr<HttpQuestion> question(new HttpQuestion(loop, std::move(ended)));
     HttpExchange::Callbacks callbacks;
     callbacks.head = [question](const HttpResponseHead &head) {
         question->m_answer.head = head;
