--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -2,7 +2,6 @@
 #include "platform/enginestandin.h"
 #include "platform/storestandin.h"
 #include "transport/httpclient.h"
-#include "transport/socketaddress.h"
 
 #include <absl/time/clock.h>
 
@@ -11,7 +10,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
 
@@ -22,16 +20,13 @@
 /// Far longer than anything here takes; a test that waits so long has failed.
 constexpr absl::Duration longest = absl::Seconds(30);
 
-/// A port that nobody uses at present.
-std::string freeAddress()
+/// The next loopback address that no node of this or another test process has.
+std::string nextIp()
 {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address = *parseSocketAddress("127.0.0.1:0");
-    bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
-    socklen_t length = sizeof(address);
-    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
-    close(descriptor);
-    return socketAddressText(address);
+    static int nodes = 0;
+    const int id = getpid();
+    ++nodes;
+    return "127." + std::to_string(192 + id / 250 % 60) + "." + std::to_string(1 + id % 250) + "." + std::to_string(nodes);
 }
 
 bool eventually(const std::function<bool()> &holds)
@@ -88,11 +83,12 @@
         EntrySettingsFields fields;
         fields.node = NodeId(name);
         fields.dataCentre = DataCentreName("here");
-        fields.callerAddress = freeAddress();
-        fields.readyAddress = freeAddress();
-        fields.discoveryAddress = freeAddress();
-        fields.peerAddress = freeAddress();
-        fields.metricsAddress = freeAddress();
+        const std::string ip = nextIp();
+        fields.callerAddress = ip + ":8144";
+        fields.readyAddress = ip + ":8140";
+        fields.discoveryAddress = ip + ":8143";
+        fields.peerAddress = ip + ":8146";
+        fields.metricsAddress = ip + ":8147";
         fields.storeAddress = store;
         fields.seeds = seeds;
         fields.addressKeepMs = 200;
