entry: One piece for what stood twice, and no code that nobody calls

- servicepool: a Turn holds the WaitingCall that it was a copy of; a node's own turns are no longer sorted together with all peers' calls for each word that it sends; the age of the loads is read once for a placement and not for each better one; one function makes the peak of an engine's runs, with or without the new one.
- streamcall: the three steps of giving a placement up stood four times; giveUpPlacement() does them.
- logjson: readLogLines() reads a log for explain and for the soak.
- statusOk stood in seven files and stands with the answers' type now.
- Gone, as nothing called or read them: WholeCall::headCame(), StreamCall's count of resumptions, ServicePool's engineCount() and waiterCount(), HttpExchange::isOver().

Ruled out: one reader of listed pages for StoreWatch and NodeDirectory, as the one takes pages as they come and the other at the end, which one piece would change; one word for loads and doubts of a peer, as grants would then follow the doubts.

--- a/packages/apricotladder/explaincommand.cpp
+++ b/packages/apricotladder/explaincommand.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <vector>
 
 namespace Apricot {
@@ -18,11 +19,8 @@
             std::cout << *it << ": cannot be read; name the log files of the nodes\n";
             return ExitUsage;
         }
-        for (std::string text; std::getline(file, text);) {
-            if (std::optional<LogLine> line = readLogLine(text)) {
-                lines.push_back(std::move(*line));
-            }
-        }
+        std::vector<LogLine> found = readLogLines(file);
+        std::move(found.begin(), found.end(), std::back_inserter(lines));
     }
     const std::vector<LogLine> story = storyOf(request, std::move(lines));
     if (story.empty()) {
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
 
 constexpr absl::Duration peerAnswerTimeout = absl::Milliseconds(1500);
--- a/packages/apricotladderd/entry/nodedirectory.cpp
+++ b/packages/apricotladderd/entry/nodedirectory.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
 constexpr int statusCreated = 201;
 constexpr int statusConflict = 409;
 constexpr int statusMissing = 404;
--- a/packages/apricotladderd/entry/storewatch.cpp
+++ b/packages/apricotladderd/entry/storewatch.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
 constexpr int statusGone = 410;
 
 /// How long the store may hold a watch.
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-
 /// How long a call waits for room, in targets. Beyond that its first event would miss the target: it is told to come back
 /// when the burst is over, and then waits longer, as nothing is left to miss but the whole answer.
 constexpr double patienceInTargets = 0.65;
@@ -141,6 +139,13 @@
     }
 }
 
+void StreamCall::giveUpPlacement(EngineId failed)
+{
+    m_avoided.push_back(std::move(failed));
+    m_reservation.letGoAll(m_loop.events().now());
+    m_placement.reset();
+}
+
 void StreamCall::noRoom()
 {
     m_waitTimer = 0;
@@ -255,9 +260,7 @@
         return;
     }
     // Reading it at the decode engine would make the streams there pause for longer than their callers bear.
-    m_avoided.push_back(engine->id);
-    m_reservation.letGoAll(m_loop.events().now());
-    m_placement.reset();
+    giveUpPlacement(engine->id);
     askForRoom(m_facts.route->target);
 }
 
@@ -280,9 +283,7 @@
     EntryContext &context = m_loop.context();
     const bool isReady = context.board.withPool(m_facts.service, [&](ServicePool &pool) { return pool.isReady(engine); });
     if (!isReady) {
-        m_avoided.push_back(engine->id);
-        m_reservation.letGoAll(m_loop.events().now());
-        m_placement.reset();
+        giveUpPlacement(engine->id);
         askForRoom(m_facts.route->target);
         return;
     }
@@ -440,9 +441,7 @@
 
 void StreamCall::goOnElsewhere()
 {
-    m_avoided.push_back(m_placement->decode->id);
-    m_reservation.letGoAll(m_loop.events().now());
-    m_placement.reset();
+    giveUpPlacement(m_placement->decode->id);
     if (!mayGoOnElsewhere() || !spendRepeat()) {
         if (m_streamBegun) {
             breakOff("the engine broke off");
@@ -451,7 +450,6 @@
         }
         return;
     }
-    ++m_resumptions;
     m_isStream = false;
     m_loop.context().log.add(LogLevel::Info, "call.resume", m_facts.call->attempt,
                              {{"after", m_events.lastId()}, {"from", m_avoided.back().text()}});
@@ -476,9 +474,7 @@
         }
         m_reservation.note(engine, isDeclined ? EngineResult::Refused : EngineResult::Unreachable, m_loop.events().now());
         const bool mayTry = m_arrivals < m_facts.route->mostAttempts && m_facts.deadline() - m_loop.events().now() > leastTimeForTry;
-        m_avoided.push_back(engine);
-        m_reservation.letGoAll(m_loop.events().now());
-        m_placement.reset();
+        giveUpPlacement(engine);
         if (mayTry && (!isDeclined || spendRepeat())) {
             m_wasSent = false;
             askForRoom(m_facts.route->target);
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -37,6 +37,7 @@
     ModelDemand demand(absl::Duration patience) const;
     void askForRoom(absl::Duration patience);
     void roomFound(const ModelPlacement &placement);
+    void giveUpPlacement(EngineId failed);
     void noRoom();
 
     void startPrefill();
@@ -97,7 +98,6 @@
     std::string m_answerBody; ///< of an answer that is no stream
     bool m_isStream = false;
     bool m_streamBegun = false; ///< the caller has the head and the first event
-    std::size_t m_resumptions = 0;
     SseEvents m_events;
     absl::Time m_lastPiece;
     absl::Duration m_longestPause;
--- a/packages/apricotladderd/entry/wholecall.h
+++ b/packages/apricotladderd/entry/wholecall.h
@@ -28,7 +28,6 @@
 private:
     void tryEngine();
     void send(const EngineEntry &engine);
-    void headCame(const HttpResponseHead &head);
     void exchangeEnded(ExchangeEnd end);
     AttemptEnd readEnd(ExchangeEnd end) const;
     void attemptEnded(const AttemptEnd &end);
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -95,6 +95,16 @@
     return expectedPlainCall;
 }
 
+std::int64_t peakOf(const std::vector<EngineRun> &runs)
+{
+    std::vector<MemoryUse> uses;
+    uses.reserve(runs.size());
+    for (const EngineRun &run : runs) {
+        uses.push_back(MemoryUse{run.promptTokens + run.madeTokens, remainingTokens(run.likelyTokens, run.madeTokens)});
+    }
+    return peakMemory(std::move(uses));
+}
+
 template<class Candidates>
 auto cheapest(Candidates &candidates)
 {
@@ -226,7 +236,7 @@
     const double capacity = usableMemory(now);
     for (const Candidate &it : candidates(EngineStage::Decode, {}, now)) {
         whole += capacity;
-        free += std::max(0.0, capacity - static_cast<double>(peakWith(it.load, nullptr)));
+        free += std::max(0.0, capacity - static_cast<double>(peakOf(it.load.runs)));
     }
     return whole > 0 ? free / whole : 0;
 }
@@ -273,7 +283,9 @@
     const double usable = usableMemory(now);
     for (Candidate &it : found) {
         const bool slotIsFree = it.load.requests + spareSlots < it.engine->entry->slots;
-        const auto peak = static_cast<double>(peakWith(it.load, &added));
+        std::vector<EngineRun> runs = it.load.runs;
+        runs.push_back(added);
+        const auto peak = static_cast<double>(peakOf(runs));
         const double used = peak / usable;
         it.memoryPart = peak / wholeMemory();
         it.cost = slotIsFree && used <= 1 ? (fullnessPenaltyMs * used + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, now)
@@ -301,12 +313,12 @@
     // What was made of an answer is read where it goes on, so the prompt is read there too.
     const std::vector<Candidate> prefills = demand.madeTokens > 0 ? std::vector<Candidate>() : prefillCandidates(demand, now);
     const double longestReadMs = longestReadShare * absl::ToDoubleMilliseconds(demand.target);
+    const absl::Duration loadsAge = m_loads.oldestWord(now);
     std::optional<ModelPlacement> best;
     double bestCost = 0;
     const auto consider = [&](double cost, const Candidate &decode, const std::optional<EngineEntry> &prefill) {
         if (!best || cost < bestCost) {
-            best = ModelPlacement{
-                decode.engine->entry, prefill, {}, PlacementBasis{decode.memoryPart, decode.load.requests, m_loads.oldestWord(now)}};
+            best = ModelPlacement{decode.engine->entry, prefill, {}, PlacementBasis{decode.memoryPart, decode.load.requests, loadsAge}};
             bestCost = cost;
         }
     };
@@ -387,29 +399,42 @@
     m_waiters.erase(waiter);
 }
 
-std::vector<ServicePool::Turn> ServicePool::turns(absl::Time now) const
+std::int64_t ServicePool::countedRank(std::int64_t rank, absl::Time now) const
+{
+    return isBelowFloor(rank, now) ? 0 : rank;
+}
+
+std::vector<ServicePool::Turn> ServicePool::ownTurns(absl::Time now) const
 {
-    const auto rankOf = [&](std::int64_t rank) {
-        return isBelowFloor(rank, now) ? 0 : rank;
-    };
     std::vector<Turn> order;
     for (const auto &[id, waiter] : m_waiters) {
         const ModelDemand &demand = waiter.demand;
-        order.push_back(Turn{rankOf(demand.rank), waiter.since + demand.patience, id, demand.promptTokens + demand.madeTokens,
-                             likelyTokens(demand) - demand.madeTokens});
+        order.push_back(Turn{countedRank(demand.rank, now), id,
+                             WaitingCall{{},
+                                         demand.rank,
+                                         waiter.since + demand.patience,
+                                         demand.promptTokens + demand.madeTokens,
+                                         likelyTokens(demand) - demand.madeTokens}});
     }
+    std::sort(order.begin(), order.end());
+    return order;
+}
+
+std::vector<ServicePool::Turn> ServicePool::allTurns(absl::Time now) const
+{
+    std::vector<Turn> order = ownTurns(now);
     for (const WaitingCall &it : m_loads.peerWaiters(now)) {
-        order.push_back(Turn{rankOf(it.rank), it.patienceEnds, 0, it.promptTokens, it.likelyTokens});
+        order.push_back(Turn{countedRank(it.rank, now), 0, it});
     }
     std::sort(order.begin(), order.end());
     return order;
 }
 
-std::optional<ModelPlacement> ServicePool::roomForPeer(const Turn &turn, absl::Time now)
+std::optional<ModelPlacement> ServicePool::roomForPeer(const WaitingCall &call, absl::Time now)
 {
     ModelDemand demand;
-    demand.promptTokens = turn.promptTokens;
-    demand.expectedTokens = turn.likelyTokens;
+    demand.promptTokens = call.promptTokens;
+    demand.expectedTokens = call.likelyTokens;
     demand.target = absl::InfiniteDuration();
     std::optional<ModelPlacement> chosen = choose(demand, now);
     if (chosen) {
@@ -425,12 +450,12 @@
         return grants;
     }
     std::vector<EngineShare> leftToPeers;
-    for (const Turn &turn : turns(now)) {
+    for (const Turn &turn : allTurns(now)) {
         if (turn.waiter == 0 && leftToPeers.size() >= mostLeftToPeers) {
             break;
         }
         const std::optional<ModelPlacement> placement
-            = turn.waiter == 0 ? roomForPeer(turn, now) : placeModel(m_waiters.at(turn.waiter).demand, now);
+            = turn.waiter == 0 ? roomForPeer(turn.call, now) : placeModel(m_waiters.at(turn.waiter).demand, now);
         if (!placement) {
             break; // A smaller call behind must not keep a large one waiting for ever.
         }
@@ -453,15 +478,11 @@
 std::vector<WaitingCall> ServicePool::ownWaiting(absl::Time now) const
 {
     std::vector<WaitingCall> waiting;
-    for (const Turn &turn : turns(now)) {
-        if (turn.waiter == 0) {
-            continue;
-        }
-        const std::int64_t rank = m_waiters.at(turn.waiter).demand.rank;
-        waiting.push_back(WaitingCall{{}, rank, turn.patienceEnds, turn.promptTokens, turn.likelyTokens});
+    for (const Turn &turn : ownTurns(now)) {
         if (waiting.size() == mostTold) {
             break;
         }
+        waiting.push_back(turn.call);
     }
     return waiting;
 }
@@ -529,18 +550,6 @@
     return (1 - std::min(margin, largestMargin)) * wholeMemory();
 }
 
-std::int64_t ServicePool::peakWith(const EngineLoad &load, const EngineRun *added) const
-{
-    std::vector<MemoryUse> uses;
-    for (const EngineRun &run : load.runs) {
-        uses.push_back(MemoryUse{run.promptTokens + run.madeTokens, remainingTokens(run.likelyTokens, run.madeTokens)});
-    }
-    if (added != nullptr) {
-        uses.push_back(MemoryUse{added->promptTokens + added->madeTokens, remainingTokens(added->likelyTokens, added->madeTokens)});
-    }
-    return peakMemory(std::move(uses));
-}
-
 absl::Duration ServicePool::expectedWait(const ModelDemand &demand, absl::Time now) const
 {
     double ahead = 1;
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -176,16 +176,6 @@
         return m_loads.oldestWord(now);
     }
 
-    std::size_t engineCount() const
-    {
-        return m_engines.size();
-    }
-
-    std::size_t waiterCount() const
-    {
-        return m_waiters.size();
-    }
-
     /// All nodes' load on \a engine.
     EngineLoad totalLoad(const EngineId &engine, absl::Time now) const
     {
@@ -208,16 +198,14 @@
     /// A place in the order in which calls get room: by rank, then by the end of their patience.
     struct Turn
     {
-        std::int64_t rank = 0;
-        absl::Time patienceEnds;
+        std::int64_t rank = 0; ///< as it counts here: a rank that is below its floor comes first
         WaiterId waiter = 0; ///< here; 0: the call waits at a peer
-        std::int64_t promptTokens = 0;
-        std::int64_t likelyTokens = 0;
+        WaitingCall call;
 
         friend bool operator==(const Turn &, const Turn &) = default;
         friend bool operator<(const Turn &left, const Turn &right)
         {
-            return std::tie(left.rank, left.patienceEnds, left.waiter) < std::tie(right.rank, right.patienceEnds, right.waiter);
+            return std::tie(left.rank, left.call.patienceEnds, left.waiter) < std::tie(right.rank, right.call.patienceEnds, right.waiter);
         }
     };
 
@@ -240,15 +228,16 @@
     absl::Duration expectedCost(EngineStage stage) const;
     double wholeMemory() const;
     double usableMemory(absl::Time now) const;
-    std::int64_t peakWith(const EngineLoad &load, const EngineRun *added) const;
     std::int64_t likelyTokens(const ModelDemand &demand) const;
     double freeShare(absl::Time now) const;
     bool isBelowFloor(std::int64_t rank, absl::Time now) const;
     bool mayTakeReserve(const ModelDemand &demand, absl::Time now) const;
     std::optional<ModelPlacement> choose(const ModelDemand &demand, absl::Time now) const;
     void reserve(ModelPlacement *placement, const ModelDemand &demand);
-    std::optional<ModelPlacement> roomForPeer(const Turn &turn, absl::Time now);
-    std::vector<Turn> turns(absl::Time now) const;
+    std::optional<ModelPlacement> roomForPeer(const WaitingCall &call, absl::Time now);
+    std::vector<Turn> ownTurns(absl::Time now) const;
+    std::vector<Turn> allTurns(absl::Time now) const;
+    std::int64_t countedRank(std::int64_t rank, absl::Time now) const;
     double readMsThere(const Candidate &decode, const ModelDemand &demand, absl::Time now) const;
     bool mayReadThere(const Candidate &decode, const ModelDemand &demand, double readMs) const;
     void notePlaced(const ModelDemand &demand, absl::Time now);
--- a/packages/protocol/logjson.cpp
+++ b/packages/protocol/logjson.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Apricot {
 
@@ -93,6 +94,17 @@
     return LogLine{jsonText(json, "time"), jsonText(json, "node"), jsonText(json, "event"), jsonText(json, "request"), json};
 }
 
+std::vector<LogLine> readLogLines(std::istream &log)
+{
+    std::vector<LogLine> lines;
+    for (std::string text; std::getline(log, text);) {
+        if (std::optional<LogLine> line = readLogLine(text)) {
+            lines.push_back(std::move(*line));
+        }
+    }
+    return lines;
+}
+
 std::vector<LogLine> storyOf(const std::string &request, std::vector<LogLine> lines)
 {
     std::stable_sort(lines.begin(), lines.end(), [](const LogLine &left, const LogLine &right) { return left.time < right.time; });
--- a/packages/protocol/logjson.h
+++ b/packages/protocol/logjson.h
@@ -2,6 +2,7 @@
 
 #include "protocol/jsonreader.h"
 
+#include <istream>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,6 +22,9 @@
 /// Reads a line; what stands before its JSON object is left out. Nothing if it holds none of ours.
 std::optional<LogLine> readLogLine(const std::string &text);
 
+/// Reads all lines of ours from a log.
+std::vector<LogLine> readLogLines(std::istream &log);
+
 /// The lines about \a request in order of time, and before each of them the last change that its node made to what it
 /// believes of the engine, the desired state or the store that the line rests on.
 std::vector<LogLine> storyOf(const std::string &request, std::vector<LogLine> lines);
--- a/packages/transport/httpclient.cpp
+++ b/packages/transport/httpclient.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-
 /// How often a streamed call looks whether its receiver still wants it.
 constexpr absl::Duration receiverPoll = absl::Milliseconds(50);
 
--- a/packages/transport/httpexchange.h
+++ b/packages/transport/httpexchange.h
@@ -60,11 +60,6 @@
     /// Stops and resumes reading the answer.
     void setReading(bool reading);
 
-    bool isOver() const
-    {
-        return m_over;
-    }
-
 private:
     HttpExchange(EventLoop &loop, ConnectionPool &pool, ExchangeRequest request, Callbacks callbacks);
 
--- a/packages/transport/httpmessage.h
+++ b/packages/transport/httpmessage.h
@@ -30,6 +30,9 @@
 };
 
 /// First line and headers of an answer.
+/// Status of an answer that is a success with a body.
+inline constexpr int statusOk = 200;
+
 struct HttpResponseHead
 {
     int status = 0;
--- a/tests/soak/soakcallers.cpp
+++ b/tests/soak/soakcallers.cpp
@@ -142,7 +142,7 @@
             finish(it, WasNotSent{});
             return;
         case ExchangeEnd::Broken:
-            finish(it, WasCutOff{it->head.status == 200 ? it->body : std::string()});
+            finish(it, WasCutOff{it->head.status == statusOk ? it->body : std::string()});
             return;
         case ExchangeEnd::Complete:
             finish(it, WasAnswered{it->head.status, !headerValue(it->head.headers, "Apricotladder-Response-Signature").empty(), it->body});
@@ -154,7 +154,7 @@
     const absl::Duration stay = leaves ? absl::Milliseconds(m_random() % longestStayMs) : longestCall;
     it->limit = m_loop.after(stay, [this, it] {
         it->exchange->cancel();
-        finish(it, WasGivenUp{it->head.status == 200 ? it->body : std::string()});
+        finish(it, WasGivenUp{it->head.status == statusOk ? it->body : std::string()});
     });
 }
 
@@ -184,7 +184,7 @@
     if (known.lifetime != call.lifetime) {
         known = KnownRoute{call.lifetime, 0, absl::InfiniteFuture()};
     }
-    if (answer->status == 200 && number > known.number) {
+    if (answer->status == statusOk && number > known.number) {
         known = KnownRoute{call.lifetime, number, m_loop.now()};
     } else if (answer->status == 404 && number <= known.number && call.since > known.since) {
         m_forgotten.push_back(absl::StrCat("node ", call.node, " answered 404 to ", call.sent.target, " after it had served that route"));
--- a/tests/soak/soakledger.cpp
+++ b/tests/soak/soakledger.cpp
@@ -1,6 +1,7 @@
 #include "soak/soakledger.h"
 
 #include "state/overloaded.h"
+#include "transport/httpmessage.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
@@ -11,8 +12,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-
 /// Statuses by which a node says that a call has not run and never will.
 bool promisesNoRun(int status)
 {
--- a/tests/soak/soakplatform.cpp
+++ b/tests/soak/soakplatform.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
 constexpr int slots = 16;
 
 /// An engine serves on for this long after it has said that it leaves.
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -107,7 +107,7 @@
     bool isServed = false;
     std::function<void(const SoakEnd &)> tryAgain = [&, node, kind](const SoakEnd &end) {
         const auto *answer = std::get_if<WasAnswered>(&end);
-        isServed = answer != nullptr && answer->status == 200;
+        isServed = answer != nullptr && answer->status == statusOk;
         if (!isServed) {
             m_loop.after(absl::Milliseconds(200), [&, node, kind] { m_callers->callOnce(kind, node, tryAgain); });
         }
@@ -177,14 +177,10 @@
 
 void SoakRun::checkExplained()
 {
-    std::vector<std::vector<LogLine>> logs(m_nodes.size());
+    std::vector<std::vector<LogLine>> logs;
     for (std::size_t node = 0; node < m_nodes.size(); ++node) {
         std::ifstream file(absl::StrCat(m_folder, "/node-", node, ".log"));
-        for (std::string text; std::getline(file, text);) {
-            if (std::optional<LogLine> line = readLogLine(text)) {
-                logs[node].push_back(std::move(*line));
-            }
-        }
+        logs.push_back(readLogLines(file));
     }
     for (const SoakCall &call : m_ledger.failedByNodes()) {
         if (m_nodes.at(call.node).killed.contains(call.lifetime)) {
