--- a/packages/apricotladderd/entry/calldispatch.cpp
+++ b/packages/apricotladderd/entry/calldispatch.cpp
@@ -60,6 +60,7 @@
                     table->desired()->version,
                     loop.events().now(),
                     isLateRetry(context, *route, call)};
+    context.callCount.fetch_add(1, std::memory_order_relaxed);
     context.withRetryQuota(facts.service, [&](RetryQuota &quota) { quota.recordRequest(facts.arrival); });
     if ((*route)->responseMode == ResponseMode::Stream) {
         std::make_shared<StreamCall>(loop, connection, std::move(facts), std::move(head), std::move(body))->start();
--- a/packages/apricotladderd/entry/enginecatalogue.cpp
+++ b/packages/apricotladderd/entry/enginecatalogue.cpp
@@ -52,7 +52,12 @@
         }
     };
     callbacks.onListed = [this](const std::set<std::string> &names, bool afterOutage) {
-        handleList(names, afterOutage);
+        if (handleList(names, afterOutage)) {
+            recordChange(m_watch->revision());
+        }
+    };
+    callbacks.onWatched = [this](std::uint64_t revision) {
+        recordChange(revision);
     };
     m_watch = std::make_unique<StoreWatch>(loop, pool, context, std::string(Wire::enginesKind), std::move(callbacks));
 }
@@ -74,11 +79,21 @@
     m_watch->refresh();
 }
 
-std::uint64_t EngineCatalogue::revision() const
+void EngineCatalogue::pause()
+{
+    m_watch->pause();
+}
+
+std::uint64_t EngineCatalogue::knownRevision() const
 {
     return std::max(m_watch->revision(), m_peerRevision);
 }
 
+void EngineCatalogue::recordChange(std::uint64_t revision)
+{
+    m_changeRevision = std::max(m_changeRevision, revision);
+}
+
 void EngineCatalogue::cancelRemoval(const EngineId &engine)
 {
     const auto it = m_removals.find(engine);
@@ -103,6 +118,7 @@
     cancelRemoval(id);
     const EngineEntry &entry = std::get<EngineEntry>(read);
     if (m_context.pools.apply(entry, m_loop.now())) {
+        recordChange(object.revision);
         m_context.log.add(LogLevel::Info, "engine", RequestId(),
                           {{"engine", entry->id.text()},
                            {"service", entry->service.text()},
@@ -129,12 +145,13 @@
     }
 }
 
-void EngineCatalogue::handleList(const std::set<std::string> &names, bool afterOutage)
+bool EngineCatalogue::handleList(const std::set<std::string> &names, bool afterOutage)
 {
     if (afterOutage) {
         m_storeRecoveredAt = m_loop.now();
     }
     std::size_t known = 0;
+    bool hasRemoved = false;
     for (const EngineEntry &entry : m_context.pools.entries()) {
         ++known;
         if (names.contains(entry->id.text())) {
@@ -144,17 +161,20 @@
             scheduleRemoval(entry->id);
         } else {
             removeEngine(entry->id, "missing from the store");
+            hasRemoved = true;
         }
     }
     m_context.metrics.setEngines("known", static_cast<double>(known));
+    return hasRemoved;
 }
 
 void EngineCatalogue::updateFromPeer(const CellState &state, const NodeId &from)
 {
-    if (state.enginesRevision <= revision()) {
+    if (state.knownRevision <= knownRevision()) {
         return;
     }
-    m_peerRevision = state.enginesRevision;
+    m_peerRevision = state.knownRevision;
+    recordChange(state.enginesRevision);
     std::set<std::string> names;
     for (const EngineEntry &entry : state.engines) {
         names.insert(entry->id.text());
@@ -164,7 +184,7 @@
     m_context.log.add(LogLevel::Info, "engines.frompeer", RequestId(),
                       {{"from", from.text()},
                        {"engines", static_cast<std::int64_t>(state.engines.size())},
-                       {"revision", static_cast<std::int64_t>(state.enginesRevision)}});
+                       {"revision", static_cast<std::int64_t>(state.knownRevision)}});
 }
 
 }
--- a/packages/apricotladderd/entry/enginecatalogue.h
+++ b/packages/apricotladderd/entry/enginecatalogue.h
@@ -28,16 +28,26 @@
     EngineCatalogue(const EngineCatalogue &) = delete;
     EngineCatalogue &operator=(const EngineCatalogue &) = delete;
 
+    /// Starts or resumes watching the store.
     void start();
 
+    /// Stops watching the store; peers tell this node what changes.
+    void pause();
+
     /// Lists all engines again, because a peer has a newer list of engines.
     void refresh();
 
     /// Replaces the engines by those of a peer if the peer's are newer.
     void updateFromPeer(const CellState &state, const NodeId &from);
 
-    /// Store revision of the known engines, from the store or a peer; 0 before either.
-    std::uint64_t revision() const;
+    /// Store revision up to which changes are known, from the store or a peer; 0 before either.
+    std::uint64_t knownRevision() const;
+
+    /// Store revision of the last change that is known.
+    std::uint64_t changeRevision() const
+    {
+        return m_changeRevision;
+    }
 
     /// Whether the last call to the store was answered.
     bool isConnected() const
@@ -47,9 +57,10 @@
 
 private:
     void handleEntry(const StoreEntry &object);
+    void recordChange(std::uint64_t revision);
     void removeEngine(const EngineId &engine, const char *why);
     void scheduleRemoval(const EngineId &engine);
-    void handleList(const std::set<std::string> &names, bool afterOutage);
+    bool handleList(const std::set<std::string> &names, bool afterOutage);
     void cancelRemoval(const EngineId &engine);
 
     EventLoop &m_loop;
@@ -57,6 +68,7 @@
     std::map<EngineId, TimerId> m_removals; ///< pending removals of engines missing from the store after an outage
     absl::Time m_storeRecoveredAt = absl::InfinitePast(); ///< when the store was last reachable again after an outage
     std::uint64_t m_peerRevision = 0; ///< store revision of the engines received from a peer
+    std::uint64_t m_changeRevision = 0; ///< store revision of the last change that is known
     std::set<std::string> m_loggedMalformed; ///< malformed entries that were logged
     std::unique_ptr<StoreWatch> m_watch; ///< declared last: its callbacks use the other members
 };
--- a/packages/apricotladderd/entry/entrycontext.h
+++ b/packages/apricotladderd/entry/entrycontext.h
@@ -2,7 +2,6 @@
 
 #include "apricotladderd/entry/entrymetrics.h"
 #include "apricotladderd/entry/eventlog.h"
-#include "coordination/membership.h"
 #include "coordination/retryquota.h"
 #include "coordination/routetable.h"
 #include "coordination/servicepoolmap.h"
@@ -24,6 +23,7 @@
     Serving,
     Leaving, ///< no longer returned by discovery; calls are still served
     Closing, ///< new streams are refused, because the process would end before they do
+    Ending, ///< the grace period is over: the calls that are left are ended
 };
 
 /**
@@ -78,10 +78,24 @@
         });
     }
 
-    /// Number of nodes that share the bound on retries.
-    std::size_t nodeCount() const
+    /// Whether the retry quota of \a service allows another retry at \a now.
+    bool allowsRetry(const ServiceName &service, absl::Time now)
     {
-        return knownNodes.load(std::memory_order_relaxed);
+        const double share = retryHeadroomShare.load(std::memory_order_relaxed);
+        return withRetryQuota(service, [&](RetryQuota &quota) { return quota.allows(share, now); });
+    }
+
+    /// Spends one retry of the quota of \a service if it allows one; returns whether it did.
+    bool trySpendRetry(const ServiceName &service, absl::Time now)
+    {
+        const double share = retryHeadroomShare.load(std::memory_order_relaxed);
+        return withRetryQuota(service, [&](RetryQuota &quota) { return quota.trySpend(share, now); });
+    }
+
+    /// The outcome to log for a call whose connection to the caller was closed.
+    const char *disconnectCause() const
+    {
+        return phase.load(std::memory_order_relaxed) == LeavePhase::Ending ? "node stopped" : "caller left";
     }
 
     EntrySettings settings;
@@ -91,9 +105,10 @@
     ServicePoolMap pools;
     ShardedMap<ServiceName, std::optional<RetryQuota>, 8> retryQuotas;
     ShardedMap<std::string, absl::Duration, 8> maxTimeLeft; ///< per route: the longest time left of any call on its arrival
-    std::atomic<std::size_t> knownNodes{1};
+    std::atomic<double> retryHeadroomShare{1}; ///< this node's share of the retry headroom, 0 to 1
+    std::atomic<std::uint64_t> callCount{0}; ///< calls received since the start
     std::atomic<LeavePhase> phase{LeavePhase::Serving};
-    std::function<void()> onLoadsChanged; ///< schedules a heartbeat to the peers; any thread may call it
+    std::function<void()> onLoadsChanged; ///< schedules a load report to the peers; any thread may call it
 };
 
 }
--- a/packages/apricotladderd/entry/entryloop.cpp
+++ b/packages/apricotladderd/entry/entryloop.cpp
@@ -63,6 +63,11 @@
     m_events.post([this] { m_listener->stopAccepting(); });
 }
 
+void EntryLoop::endCalls()
+{
+    m_events.post([this] { m_listener->abortConnections(); });
+}
+
 WaiterId EntryLoop::addWaiter(const PlacementCallback &callback)
 {
     const WaiterId id = (m_index << loopIndexShift) | ++m_lastWaiterId;
--- a/packages/apricotladderd/entry/entryloop.h
+++ b/packages/apricotladderd/entry/entryloop.h
@@ -43,6 +43,9 @@
     /// Stops accepting connections and closes idle ones; calls in progress continue. Any thread may call it.
     void closeListener();
 
+    /// Resets all connections to callers and ends their calls, each with its last log line. Any thread may call it.
+    void endCalls();
+
     /// Number of open connections to callers; any thread may call it.
     std::size_t callerCount() const
     {
--- a/packages/apricotladderd/entry/entrymetrics.cpp
+++ b/packages/apricotladderd/entry/entrymetrics.cpp
@@ -39,6 +39,7 @@
     , m_desiredVersion(gauges(*m_registry, "apricotladder_entry_desired_version", "Version of the desired state in force here").Add({}))
     , m_engines(gauges(*m_registry, "apricotladder_entry_engines", "Engines known here, by state"))
     , m_members(gauges(*m_registry, "apricotladder_entry_members_alive", "Nodes that are held alive").Add({}))
+    , m_activeNodes(gauges(*m_registry, "apricotladder_entry_nodes_active", "Nodes that callers are directed to").Add({}))
     , m_linesDropped(gauges(*m_registry, "apricotladder_entry_log_lines_dropped", "Log lines dropped since the start").Add({}))
 {
 }
@@ -98,6 +99,11 @@
     m_members.Set(alive);
 }
 
+void EntryMetrics::setActiveNodes(double count)
+{
+    m_activeNodes.Set(count);
+}
+
 void EntryMetrics::setLinesDropped(double lines)
 {
     m_linesDropped.Set(lines);
--- a/packages/apricotladderd/entry/entrymetrics.h
+++ b/packages/apricotladderd/entry/entrymetrics.h
@@ -32,6 +32,7 @@
     void setDesiredVersion(double version);
     void setEngines(const std::string &state, double count);
     void setMembers(double alive);
+    void setActiveNodes(double count);
     void setLinesDropped(double lines);
 
 private:
@@ -46,6 +47,7 @@
     prometheus::Gauge &m_desiredVersion;
     prometheus::Family<prometheus::Gauge> &m_engines;
     prometheus::Gauge &m_members;
+    prometheus::Gauge &m_activeNodes;
     prometheus::Gauge &m_linesDropped;
 };
 
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -5,6 +5,8 @@
 #include "platform/storeobjects.h"
 #include "platform/wirenames.h"
 
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
@@ -20,8 +22,12 @@
 
 constexpr absl::Duration peerResponseTimeout = absl::Milliseconds(1500);
 
-/// Minimum interval between requests for a peer's state.
+/// Minimum interval between requests for a peer's state. A node that takes no calls may know changes of engines later.
 constexpr absl::Duration peerSyncInterval = absl::Milliseconds(300);
+constexpr absl::Duration standbySyncInterval = absl::Seconds(1);
+
+/// A node that has started asks the store if no peer has sent it the state of the deployment by then.
+constexpr absl::Duration firstPeerTimeout = absl::Milliseconds(400);
 
 /// A node that can reach the store but stays behind its peers for this long lists again, as its watch may have stalled.
 constexpr absl::Duration maxTimeBehind = absl::Milliseconds(700);
@@ -29,13 +35,27 @@
 /// Time after which a leaving node refuses new streams, because they might not finish before it exits.
 constexpr absl::Duration closingDelay = absl::Seconds(3);
 
-/// Margin before the end of the grace period: calls still in progress by then are abandoned.
+/// Margin before the end of the grace period: calls still in progress by then are ended.
 constexpr absl::Duration shutdownMargin = absl::Milliseconds(400);
 constexpr absl::Duration leaveCheckInterval = absl::Milliseconds(100);
 
 /// Path at which peers request all engines and the desired state that this node knows.
 constexpr const char *cellStatePath = "/cell-state";
 
+/// Query of that path: the version of the desired state that the requesting node has, and which the response may leave out.
+constexpr const char *generationQuery = "?generation=";
+
+/// Returns the version that \a target gives in its query; 0 if it has none.
+std::uint64_t requestedGeneration(const std::string &target)
+{
+    std::uint64_t generation = 0;
+    const std::size_t query = target.find(generationQuery);
+    if (query != std::string::npos) {
+        (void)absl::SimpleAtoi(target.substr(query + std::string_view(generationQuery).size()), &generation);
+    }
+    return generation;
+}
+
 }
 
 EntryNode::EntryNode(const EntrySettings &settings)
@@ -47,16 +67,19 @@
     const auto incarnation = static_cast<std::uint64_t>(absl::ToUnixMillis(absl::Now()));
     PeerLink::Hooks hooks;
     hooks.enginesRevision = [this] {
-        return m_engines->revision();
+        return m_engines->changeRevision();
     };
-    hooks.onPeerNewer = [this](const Member &peer) {
-        syncWithPeer(peer);
+    hooks.onPeerVersions = [this](const PeerVersions &peer) {
+        handlePeerVersions(peer);
+    };
+    hooks.onTick = [this] {
+        updateStoreUse();
     };
     m_engines = std::make_unique<EngineCatalogue>(m_controlLoop, m_controlPool, m_context);
     m_peerLink = std::make_unique<PeerLink>(m_controlLoop, m_context, incarnation, std::move(hooks));
     m_nodeDirectory = std::make_unique<NodeDirectory>(m_controlLoop, m_controlPool, m_context, *m_peerLink);
     m_context.onLoadsChanged = [this] {
-        m_controlLoop.post([this] { m_peerLink->scheduleHeartbeat(); });
+        m_controlLoop.post([this] { m_peerLink->scheduleLoadReport(); });
     };
 }
 
@@ -95,6 +118,8 @@
     if (!serve(settings->readyAddress, [this](const HttpRequestHead &it) { return handleReadiness(it); })) {
         return listenError("readyAddress", settings->readyAddress);
     }
+    m_startedAt = m_controlLoop.now();
+    watchDesiredState();
     if (!serve(settings->peerAddress, [this](const HttpRequestHead &it) { return handlePeerRequest(it); }) || !m_peerLink->start()) {
         return listenError("peerAddress", settings->peerAddress);
     }
@@ -113,8 +138,6 @@
     for (const std::unique_ptr<EntryLoop> &loop : m_loops) {
         m_threads.emplace_back("entry", [raw = loop.get()] { raw->run(); });
     }
-    startWatches();
-    m_nodeDirectory->start();
     m_controlLoop.run();
     for (const std::unique_ptr<EntryLoop> &loop : m_loops) {
         loop->stop();
@@ -122,10 +145,31 @@
     m_threads.clear();
 }
 
-void EntryNode::startWatches()
+bool EntryNode::needsStore() const
 {
-    watchDesiredState();
-    m_engines->start();
+    const bool isConfigured = m_context.routes.current()->desired()->version > 0 && m_engines->knownRevision() > 0;
+    if (!isConfigured) {
+        return m_controlLoop.now() - m_startedAt >= firstPeerTimeout;
+    }
+    return m_peerLink->isActive() && m_peerLink->isSettled();
+}
+
+void EntryNode::updateStoreUse()
+{
+    if (needsStore()) {
+        m_desiredWatch->start();
+        m_engines->start();
+    } else if (m_peerLink->isSettled()) {
+        m_desiredWatch->pause();
+        m_engines->pause();
+    }
+    // Nodes are listed in the store so that a node without living seeds finds the others: a few of them suffice.
+    const bool isAlone = m_peerLink->members().size() == 1 && m_controlLoop.now() - m_startedAt >= firstPeerTimeout;
+    if (isAlone || (m_peerLink->isActive() && m_peerLink->isSettled())) {
+        m_nodeDirectory->start();
+    } else {
+        m_nodeDirectory->pause();
+    }
 }
 
 void EntryNode::watchDesiredState()
@@ -140,7 +184,6 @@
     };
     m_desiredWatch
         = std::make_unique<StoreWatch>(m_controlLoop, m_controlPool, m_context, std::string(Wire::configKind), std::move(callbacks));
-    m_desiredWatch->start();
 }
 
 void EntryNode::handleDesiredState(const StoreEntry &object)
@@ -173,40 +216,62 @@
                        {"source", std::string(source)}});
 }
 
-void EntryNode::syncWithPeer(const Member &peer)
+void EntryNode::handlePeerVersions(const PeerVersions &peer)
 {
+    const std::uint64_t generation = m_context.routes.current()->desired()->version;
+    const auto isBehind = [&](const PeerVersions &other) {
+        return other.generation > generation || other.enginesRevision > m_engines->knownRevision();
+    };
+    if (!isBehind(m_newestVersions)) {
+        m_behindSince = absl::InfiniteFuture();
+    }
+    if (!isBehind(peer)) {
+        return;
+    }
     const absl::Time now = m_controlLoop.now();
     m_behindSince = std::min(m_behindSince, now);
-    const bool storeReachable = m_desiredWatch->isConnected() && m_engines->isConnected();
-    const bool waitsForWatch = storeReachable && now - m_behindSince < maxTimeBehind;
-    if (waitsForWatch || now - m_lastPeerSync < peerSyncInterval) {
+    m_newestVersions.generation = std::max(m_newestVersions.generation, peer.generation);
+    m_newestVersions.enginesRevision = std::max(m_newestVersions.enginesRevision, peer.enginesRevision);
+    const bool isUrgent = m_peerLink->isActive() || peer.generation > generation;
+    if (now - m_lastPeerSync < (isUrgent ? peerSyncInterval : standbySyncInterval)) {
         return;
     }
-    m_lastPeerSync = now;
-    if (storeReachable) {
-        m_behindSince = absl::InfiniteFuture();
-        if (peer->generation > m_peerLink->membership().self()->generation) {
-            m_desiredWatch->refresh();
-        } else {
-            m_engines->refresh();
-        }
-        return;
+    const bool storeReachable = m_desiredWatch->isConnected() && m_engines->isConnected();
+    if (!storeReachable) {
+        fetchPeerState(peer);
+    } else if (now - m_behindSince >= maxTimeBehind) {
+        refreshFromStore(peer);
+    }
+}
+
+void EntryNode::refreshFromStore(const PeerVersions &peer)
+{
+    m_lastPeerSync = m_controlLoop.now();
+    m_behindSince = absl::InfiniteFuture();
+    if (peer.generation > m_context.routes.current()->desired()->version) {
+        m_desiredWatch->refresh();
+    } else {
+        m_engines->refresh();
     }
+}
+
+void EntryNode::fetchPeerState(const PeerVersions &peer)
+{
+    m_lastPeerSync = m_controlLoop.now();
     HttpRequestHead head;
     head.method = "GET";
-    head.target = cellStatePath;
+    head.target = absl::StrCat(cellStatePath, generationQuery, m_context.routes.current()->desired()->version);
     head.headers.push_back(HttpHeader{"Host", "peer"});
     ExchangeRequest request;
-    request.address = peer->peerAddress;
-    request.poolKey = peer->peerAddress;
+    request.address = peer.peerAddress;
+    request.poolKey = peer.peerAddress;
     request.encodedRequest = encodeHttpRequest(head, {});
     HttpFetch::start(m_controlLoop, m_controlPool, std::move(request), peerResponseTimeout,
-                     [this, from = peer->id](const FetchResult &result) {
-                         m_behindSince = absl::InfiniteFuture();
+                     [this, from = peer.node](const FetchResult &result) {
                          const auto *response = std::get_if<FullResponse>(&result);
                          if (response != nullptr && response->head.status == statusOk) {
                              applyPeerState(response->body, from);
-                         } // On failure, the next heartbeat of a peer with newer state triggers another request.
+                         } // On failure, the next message of a peer with newer state triggers another request.
                      });
 }
 
@@ -222,12 +287,13 @@
         applyDesiredState(found.desired, "peer");
     }
     m_engines->updateFromPeer(found, from);
+    m_peerLink->addListedNodes(found.members);
 }
 
 bool EntryNode::isReady() const
 {
     return m_context.phase.load(std::memory_order_relaxed) == LeavePhase::Serving && m_context.routes.current()->desired()->version > 0
-        && m_engines->revision() > 0;
+        && m_engines->knownRevision() > 0;
 }
 
 LocalResponse EntryNode::handleDiscovery(const HttpRequestHead &requestHead)
@@ -236,7 +302,7 @@
         return LocalResponse{404, "text/plain", "unknown path; this port answers discovery requests only\n"};
     }
     const AddressAnswer chosen
-        = chooseAddresses(m_peerLink->servingMembers(), callerDataCentre(requestHead.target), ++m_discoveryRotation, maxDiscoveryAddresses);
+        = chooseAddresses(m_peerLink->activeNodes(), callerDataCentre(requestHead.target), ++m_discoveryRotation, maxDiscoveryAddresses);
     if (chosen->addresses.empty()) {
         return LocalResponse{statusUnavailable, "text/plain", "no node is ready\n"};
     }
@@ -252,13 +318,18 @@
 
 LocalResponse EntryNode::handlePeerRequest(const HttpRequestHead &requestHead)
 {
-    if (requestHead.target != cellStatePath) {
+    if (!absl::StartsWith(requestHead.target, cellStatePath)) {
         return LocalResponse{404, "text/plain", "unknown path\n"};
     }
     CellState state;
-    state.desired = m_context.routes.current()->desired();
-    state.enginesRevision = m_engines->revision();
+    const DesiredState desired = m_context.routes.current()->desired();
+    if (desired->version > requestedGeneration(requestHead.target)) {
+        state.desired = desired;
+    }
+    state.enginesRevision = m_engines->changeRevision();
+    state.knownRevision = m_engines->knownRevision();
     state.engines = m_context.pools.entries();
+    state.members = m_peerLink->members();
     return LocalResponse{statusOk, "application/octet-stream", encodeCellState(state)};
 }
 
@@ -283,7 +354,11 @@
     m_context.log.add(LogLevel::Info, "stop", RequestId(), {{"callers", static_cast<std::int64_t>(callerCount())}});
     m_peerLink->setLeaving();
     m_nodeDirectory->leave();
-    m_controlLoop.after(closingDelay, [this] { m_context.phase.store(LeavePhase::Closing); });
+    m_controlLoop.after(closingDelay, [this] {
+        if (m_context.phase.load() == LeavePhase::Leaving) {
+            m_context.phase.store(LeavePhase::Closing);
+        }
+    });
     const absl::Duration keepTime = absl::Milliseconds(m_context.settings->addressKeepMs);
     m_controlLoop.after(keepTime + leaveCheckInterval, [this] { closeWhenDone(m_leaveStart); });
 }
@@ -293,14 +368,27 @@
     for (const std::unique_ptr<EntryLoop> &loop : m_loops) {
         loop->closeListener();
     }
+    const bool isDone = callerCount() == 0 && !m_nodeDirectory->isLeaving();
     const absl::Duration grace = absl::Seconds(m_context.settings->graceS);
-    if (callerCount() == 0 || m_controlLoop.now() - leaveStart > grace - shutdownMargin) {
+    const bool isGraceOver = m_controlLoop.now() - leaveStart > grace - shutdownMargin;
+    if (isDone || (isGraceOver && m_context.phase.load() == LeavePhase::Ending)) {
         finish();
         return;
     }
+    if (isGraceOver) {
+        endCalls();
+    }
     m_controlLoop.after(leaveCheckInterval, [this, leaveStart] { closeWhenDone(leaveStart); });
 }
 
+void EntryNode::endCalls()
+{
+    m_context.phase.store(LeavePhase::Ending);
+    for (const std::unique_ptr<EntryLoop> &loop : m_loops) {
+        loop->endCalls();
+    }
+}
+
 void EntryNode::finish()
 {
     m_context.log.add(
--- a/packages/apricotladderd/entry/entrynode.h
+++ b/packages/apricotladderd/entry/entrynode.h
@@ -67,14 +67,18 @@
     using RequestHandler = std::function<LocalResponse(const HttpRequestHead &)>;
 
     bool serve(const std::string &address, RequestHandler handler);
-    void startWatches();
     void watchDesiredState();
+    void updateStoreUse();
+    bool needsStore() const;
     void handleDesiredState(const StoreEntry &object);
     void applyDesiredState(const DesiredState &desired, const char *source);
-    void syncWithPeer(const Member &peer);
+    void handlePeerVersions(const PeerVersions &peer);
+    void refreshFromStore(const PeerVersions &peer);
+    void fetchPeerState(const PeerVersions &peer);
     void applyPeerState(const std::string &body, const NodeId &from);
     void beginLeaving();
     void closeWhenDone(absl::Time leaveStart);
+    void endCalls();
     void finish();
     bool isReady() const;
     LocalResponse handleDiscovery(const HttpRequestHead &requestHead);
@@ -94,7 +98,9 @@
     std::unique_ptr<EngineCatalogue> m_engines;
     std::vector<std::unique_ptr<HttpListener>> m_servers;
     absl::Time m_lastPeerSync = absl::InfinitePast(); ///< when a peer was last asked for its state
-    absl::Time m_behindSince = absl::InfiniteFuture();
+    absl::Time m_startedAt = absl::InfiniteFuture();
+    absl::Time m_behindSince = absl::InfiniteFuture(); ///< since when a peer has had something newer
+    PeerVersions m_newestVersions; ///< the newest versions that a peer has told
     std::uint64_t m_discoveryRotation = 0;
     absl::Time m_leaveStart = absl::InfiniteFuture();
 };
--- a/packages/apricotladderd/entry/nodedirectory.cpp
+++ b/packages/apricotladderd/entry/nodedirectory.cpp
@@ -49,8 +49,30 @@
 
 void NodeDirectory::start()
 {
-    registerSelf();
-    list({});
+    if (std::exchange(m_isStarted, true) || m_hasLeft) {
+        return;
+    }
+    if (m_ownRevision == 0 && !m_isRegistering) {
+        registerSelf();
+    }
+    if (m_listTimer == 0) {
+        list({});
+    }
+}
+
+void NodeDirectory::pause()
+{
+    m_isStarted = false;
+}
+
+void NodeDirectory::listLater()
+{
+    m_listTimer = m_loop.after(listInterval, [this] {
+        m_listTimer = 0;
+        if (m_isStarted) {
+            list({});
+        }
+    });
 }
 
 void NodeDirectory::send(const HttpRequestHead &head, const std::string &body, HttpFetch::ResultHandler onResult)
@@ -65,8 +87,9 @@
 void NodeDirectory::registerSelf()
 {
     const std::string &name = m_context.settings->node.text();
-    const std::string body = createBody(name, nodeSpec(m_peerLink.membership().self()));
+    const std::string body = createBody(name, nodeSpec(m_peerLink.self()));
     m_registeredAt = absl::InfiniteFuture();
+    m_isRegistering = true;
     send(createRequest(Wire::nodesKind), body, [this, name, body](const FetchResult &created) {
         if (statusOf(created) != statusConflict) {
             handleRegistration("create", created);
@@ -81,9 +104,16 @@
 {
     const int status = statusOf(result);
     m_context.metrics.countStoreCall(call, status == 0 ? "failed" : std::to_string(status));
+    m_isRegistering = false;
     if (status == statusOk || status == statusCreated) {
         m_registeredAt = m_loop.now();
         m_ownRevision = std::max(m_ownRevision, writtenRevision(std::get<FullResponse>(result).body));
+    }
+    if (m_hasLeft) {
+        removeSelf();
+        return;
+    }
+    if (status == statusOk || status == statusCreated) {
         return;
     }
     m_context.log.add(LogLevel::Warning, "store.registerfailed", RequestId(), {{"call", std::string(call)}, {"why", describe(result)}});
@@ -106,9 +136,6 @@
 {
     const bool isGood = statusOf(result) == statusOk;
     m_context.metrics.countStoreCall("list", isGood ? "good" : "failed");
-    const auto listLater = [this] {
-        m_loop.after(listInterval, [this] { list({}); });
-    };
     if (!isGood) {
         m_context.log.add(LogLevel::Warning, "nodes.notlisted", RequestId(), {{"why", describe(result)}});
         listLater();
@@ -154,7 +181,7 @@
             m_ownRevision = std::max(m_ownRevision, it.revision);
         }
     }
-    m_peerLink.setNodes(nodes);
+    m_peerLink.addListedNodes(nodes);
     if (m_hasLeft) {
         return;
     }
@@ -169,7 +196,7 @@
 
 void NodeDirectory::removeStaleNodes()
 {
-    for (const StoredNode &it : m_staleNodes.update(m_stored, m_peerLink.membership().members(), m_context.settings->node, m_loop.now())) {
+    for (const StoredNode &it : m_staleNodes.update(m_stored, m_peerLink.members(), m_context.settings->node, m_loop.now())) {
         const std::string name = it.node->id.text();
         send(removeRequest(Wire::nodesKind, name, it.revision), {}, [this, name](const FetchResult &result) {
             m_context.metrics.countStoreCall("remove", describe(result));
@@ -183,13 +210,24 @@
 void NodeDirectory::leave()
 {
     m_hasLeft = true;
+    m_isLeaving = true;
+    // A registration that the store has not answered yet may still be applied; the object is removed after its answer.
+    if (!m_isRegistering) {
+        removeSelf();
+    }
+}
+
+void NodeDirectory::removeSelf()
+{
     // Conditional on the revision: a delayed removal must not delete the object that this node's next incarnation has written.
     if (m_ownRevision == 0) {
+        m_isLeaving = false;
         return;
     }
     const std::string &name = m_context.settings->node.text();
     send(removeRequest(Wire::nodesKind, name, m_ownRevision), {}, [this](const FetchResult &result) {
         const int status = statusOf(result);
+        m_isLeaving = false;
         m_context.metrics.countStoreCall("remove", describe(result));
         if (status != statusOk && status != statusNotFound) {
             m_context.log.add(
--- a/packages/apricotladderd/entry/peerlink.cpp
+++ b/packages/apricotladderd/entry/peerlink.cpp
@@ -1,9 +1,10 @@
 #include "apricotladderd/entry/peerlink.h"
 
+#include "state/overloaded.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <set>
 #include <sys/epoll.h>
 #include <utility>
 
@@ -11,9 +12,15 @@
 
 namespace {
 
-/// Delay in which load changes are batched into one heartbeat.
+/// Delay in which load changes are batched into one report.
 constexpr absl::Duration batchDelay = absl::Milliseconds(4);
 
+/// Time constant of the rate of calls that a node announces.
+constexpr absl::Duration callRateTimeConstant = absl::Seconds(2);
+
+/// Time after its start in which a node learns the other nodes.
+constexpr absl::Duration settlingTime = absl::Milliseconds(1500);
+
 /// Maximum number of datagrams read per wake-up.
 constexpr int maxDatagramsPerWakeup = 32;
 
@@ -25,22 +32,43 @@
 
 Member selfMember(const EntrySettings &settings, std::uint64_t incarnation)
 {
+    constexpr double millisPerCore = 1000;
     return Member::Builder()
         .set(&MemberFields::id, settings->node)
         .set(&MemberFields::incarnation, incarnation)
         .set(&MemberFields::dataCentre, settings->dataCentre)
         .set(&MemberFields::peerAddress, settings->peerAddress)
         .set(&MemberFields::callerAddress, settings->callerAddress)
+        .set(&MemberFields::processorMillis, static_cast<std::int64_t>(settings->processorShare * millisPerCore))
         .build();
 }
 
+bool isAlive(const Member &node)
+{
+    return node->state == MemberState::Alive;
+}
+
+/// Returns the nodes that could serve callers. If there is none, nodes that are only suspect are better than none.
+std::vector<Member> servingNodes(const std::vector<Member> &members)
+{
+    std::vector<Member> alive;
+    std::vector<Member> suspect;
+    for (const Member &node : members) {
+        if (node->generation > 0 && !node->leaving && node->state != MemberState::Dead) {
+            (isAlive(node) ? alive : suspect).push_back(node);
+        }
+    }
+    return alive.empty() ? suspect : alive;
+}
+
 }
 
 PeerLink::PeerLink(EventLoop &loop, EntryContext &context, std::uint64_t incarnation, Hooks hooks)
     : m_loop(loop)
     , m_context(context)
     , m_hooks(std::move(hooks))
-    , m_membership(selfMember(context.settings, incarnation))
+    , m_view(selfMember(context.settings, incarnation))
+    , m_ownCalls(callRateTimeConstant)
 {
     setSeeds(context.settings->seeds);
 }
@@ -51,11 +79,17 @@
     if (!m_socket->isOpen()) {
         return false;
     }
+    m_startedAt = m_loop.now();
     m_loop.watch(m_socket->descriptor(), EPOLLIN, [this](std::uint32_t) { receive(); });
     handleTick();
     return true;
 }
 
+bool PeerLink::isSettled() const
+{
+    return m_loop.now() - m_startedAt >= settlingTime;
+}
+
 void PeerLink::setSeeds(const std::vector<std::string> &seeds)
 {
     // The configured seeds name another port of their nodes; the peer port is the same on all nodes.
@@ -66,88 +100,89 @@
     }
 }
 
-void PeerLink::setNodes(const std::vector<Member> &nodes)
+void PeerLink::addListedNodes(const std::vector<Member> &nodes)
 {
-    m_nodes = nodes;
+    m_view.addListed(nodes);
 }
 
 void PeerLink::setDesiredVersion(std::uint64_t version)
 {
-    m_membership.setGeneration(version);
-    scheduleHeartbeat();
+    m_view.setGeneration(version);
+    updateRoles(m_view.members());
+    sendGossip(m_view.gossipTargets(m_seeds, m_random));
 }
 
 void PeerLink::setLeaving()
 {
-    m_membership.setLeaving();
-    sendHeartbeat();
-}
-
-std::vector<Member> PeerLink::servingMembers() const
-{
-    std::vector<Member> found;
-    for (const Member &member : m_membership.members()) {
-        if (member->generation > 0) {
-            found.push_back(member);
-        }
+    m_view.setLeaving();
+    // All nodes give addresses to callers, so all of them have to know.
+    std::vector<std::string> all;
+    for (const Member &node : m_view.members()) {
+        all.push_back(node->peerAddress);
     }
-    return found;
+    sendGossip(all);
 }
 
-void PeerLink::scheduleHeartbeat()
+void PeerLink::scheduleLoadReport()
 {
-    if (m_heartbeatTimer == 0) {
-        m_heartbeatTimer = m_loop.after(batchDelay, [this] {
-            m_heartbeatTimer = 0;
-            sendHeartbeat();
+    if (m_reportTimer == 0) {
+        m_reportTimer = m_loop.after(batchDelay, [this] {
+            m_reportTimer = 0;
+            sendLoadReport();
         });
     }
 }
 
-std::vector<std::string> PeerLink::heartbeatTargets() const
+void PeerLink::sendGossip(const std::vector<std::string> &targets)
 {
-    std::set<std::string> known{m_membership.self()->peerAddress};
-    std::vector<std::string> found;
-    const auto add = [&](const std::string &address) {
-        if (known.insert(address).second) {
-            found.push_back(address);
-        }
-    };
-    for (const Member &member : m_membership.members()) {
-        add(member->peerAddress);
-    }
-    for (const Member &node : m_nodes) {
-        add(node->peerAddress);
-    }
-    for (const std::string &seed : m_seeds) {
-        add(seed);
-    }
-    return found;
+    MembershipGossip gossip = m_view.makeGossip(m_random);
+    gossip.enginesRevision = m_hooks.enginesRevision();
+    m_socket->sendToAll(targets, encodeCellMessage(gossip));
 }
 
-void PeerLink::sendHeartbeat()
+void PeerLink::sendLoadReport()
 {
-    m_lastHeartbeat = m_loop.now();
-    CellHeartbeat heartbeat;
-    heartbeat.sender = m_membership.self();
-    heartbeat.sentAt = EventLoop::readSteadyClock();
-    heartbeat.claims = m_membership.claims();
-    heartbeat.enginesRevision = m_hooks.enginesRevision();
-    heartbeat.engineLoads = m_context.pools.ownLoads();
-    heartbeat.waitingCalls = m_context.pools.ownWaitingCalls(m_loop.now());
-    heartbeat.unreachableEngines = m_context.pools.unreachableEngines(m_loop.now());
-    const std::string bytes = encodeCellHeartbeat(heartbeat);
-    m_socket->sendToAll(heartbeatTargets(), bytes);
+    m_lastReport = m_loop.now();
+    LoadReport report;
+    report.engineLoads = m_context.pools.ownLoads();
+    report.waitingCalls = m_context.pools.ownWaitingCalls(m_loop.now());
+    report.unreachableEngines = m_context.pools.unreachableEngines(m_loop.now());
+    const bool isEmpty = report.engineLoads.empty() && report.waitingCalls.empty() && report.unreachableEngines.empty();
+    if (isEmpty && !m_isActive && !m_hasReportedLoad) {
+        return;
+    }
+    m_hasReportedLoad = !isEmpty;
+    report.sender = m_view.self()->id;
+    report.senderLiveness = m_view.ownLiveness();
+    report.generation = m_view.self()->generation;
+    report.enginesRevision = m_hooks.enginesRevision();
+    report.sentAt = EventLoop::readSteadyClock();
+    std::vector<std::string> targets;
+    for (const Member &node : m_activeNodes) {
+        if (node->id != m_view.self()->id) {
+            targets.push_back(node->peerAddress);
+        }
+    }
+    m_socket->sendToAll(targets, encodeCellMessage(report));
 }
 
 void PeerLink::handleTick()
 {
-    m_membership.tick(m_loop.now());
-    recordMembers();
-    if (m_loop.now() - m_lastHeartbeat >= MembershipTimes::heartbeatInterval / 2) {
-        sendHeartbeat();
+    const absl::Time now = m_loop.now();
+    const std::uint64_t calls = m_context.callCount.load(std::memory_order_relaxed);
+    m_ownCalls.add(static_cast<double>(calls - std::exchange(m_countedCalls, calls)), now);
+    m_view.setCallsPerSecond(m_ownCalls.perSecond(now));
+    m_view.tick(now);
+    m_allCalls.record(m_view.totalCallsPerSecond(), now);
+    const std::vector<Member> members = m_view.members();
+    updateRoles(members);
+    recordMembers(members);
+    sendGossip(m_view.gossipTargets(m_seeds, m_random));
+    if (now - m_lastReport >= ClusterViewLimits::gossipInterval / 2) {
+        sendLoadReport();
     }
-    m_loop.after(MembershipTimes::heartbeatInterval, [this] { handleTick(); });
+    m_hooks.onTick();
+    m_loop.after(ClusterViewLimits::gossipInterval, [this] { handleTick(); });
 }
 
 void PeerLink::receive()
@@ -157,44 +192,91 @@
         if (!datagram) {
             return;
         }
-        const auto heartbeat = toVariant<CellHeartbeat>([&] { return decodeCellHeartbeat(datagram->bytes); });
-        if (const auto *error = std::get_if<Error>(&heartbeat)) {
-            m_context.log.add(LogLevel::Warning, "peer.malformed", RequestId(), {{"from", datagram->from}, {"why", error->message}});
-            continue;
-        }
-        handleHeartbeat(std::get<CellHeartbeat>(heartbeat));
+        const auto message = toVariant<CellMessage>([&] { return decodeCellMessage(datagram->bytes); });
+        std::visit(
+            Overloaded{
+                [&](const Error &error) {
+                    m_context.log.add(LogLevel::Warning, "peer.malformed", RequestId(), {{"from", datagram->from}, {"why", error.message}});
+                },
+                [&](const CellMessage &received) { std::visit([this](const auto &it) { handle(it); }, received); },
+            },
+            message);
+    }
+}
+
+void PeerLink::handle(const MembershipGossip &gossip)
+{
+    const NodeId &sender = gossip.sender->id;
+    if (sender == m_view.self()->id) {
+        return;
+    }
+    const bool wasAlive = m_view.isAlive(sender);
+    m_view.handleGossip(gossip, m_loop.now());
+    if (!wasAlive) {
+        // A node that has just started or returned learns the state of the deployment at once.
+        sendGossip({gossip.sender->peerAddress});
     }
+    m_hooks.onPeerVersions(PeerVersions{sender, gossip.sender->peerAddress, gossip.sender->generation, gossip.enginesRevision});
 }
 
-void PeerLink::handleHeartbeat(const CellHeartbeat &heartbeat)
+void PeerLink::handle(const LoadReport &report)
 {
     const absl::Time now = m_loop.now();
-    if (heartbeat.sender->id == m_membership.self()->id) {
+    if (report.sender == m_view.self()->id) {
         return;
     }
-    m_membership.handleHeartbeat(heartbeat.sender, heartbeat.claims, now);
-    PeerClock &clock = m_peerClocks[heartbeat.sender->id];
-    clock.addSample(heartbeat.sentAt, EventLoop::readSteadyClock());
-    std::vector<WaitingCall> waiting = heartbeat.waitingCalls;
+    m_view.handleLiveness(report.senderLiveness, now);
+    PeerClock &clock = m_peerClocks[report.sender];
+    clock.addSample(report.sentAt, EventLoop::readSteadyClock());
+    std::vector<WaitingCall> waiting = report.waitingCalls;
     for (WaitingCall &call : waiting) {
         call.waitDeadline = clock.toLocal(call.waitDeadline);
     }
-    m_context.pools.setPeerLoads(heartbeat.sender->id, heartbeat.engineLoads, waiting, now);
-    m_context.pools.setPeerUnreachableEngines(heartbeat.sender->id, heartbeat.unreachableEngines, now);
-    const bool isNewer
-        = heartbeat.sender->generation > m_membership.self()->generation || heartbeat.enginesRevision > m_hooks.enginesRevision();
-    if (isNewer) {
-        m_hooks.onPeerNewer(heartbeat.sender);
+    m_context.pools.setPeerLoads(report.sender, report.engineLoads, waiting, now);
+    m_context.pools.setPeerUnreachableEngines(report.sender, report.unreachableEngines, now);
+    const auto address = m_peerAddresses.find(report.sender);
+    if (address != m_peerAddresses.end()) {
+        m_hooks.onPeerVersions(PeerVersions{report.sender, address->second, report.generation, report.enginesRevision});
     }
 }
 
-void PeerLink::recordMembers()
+void PeerLink::updateRoles(const std::vector<Member> &members)
+{
+    updateActiveNodes(members);
+    updateRetryShare(members);
+}
+
+void PeerLink::updateActiveNodes(const std::vector<Member> &members)
+{
+    m_activeNodes = chooseActiveNodes(servingNodes(members), m_allCalls.current(m_loop.now()));
+    m_peerAddresses.clear();
+    for (const Member &node : m_activeNodes) {
+        m_peerAddresses[node->id] = node->peerAddress;
+    }
+    const bool isActive = m_peerAddresses.contains(m_view.self()->id);
+    if (isActive != m_isActive) {
+        m_isActive = isActive;
+        m_context.log.add(LogLevel::Info, isActive ? "node.active" : "node.standby", RequestId(),
+                          {{"active", static_cast<std::int64_t>(m_activeNodes.size())},
+                           {"members", static_cast<std::int64_t>(members.size())},
+                           {"callsPerSecond", m_allCalls.current(m_loop.now())}});
+    }
+}
+
+void PeerLink::updateRetryShare(const std::vector<Member> &members)
+{
+    // Nodes that cannot reach each other choose active nodes separately: each part only uses the share of its nodes.
+    const auto alive = static_cast<double>(std::count_if(members.begin(), members.end(), isAlive));
+    const double reachable = alive / static_cast<double>(members.size());
+    // A node that has just started may not know most of the others yet.
+    const std::size_t sharers = isSettled() ? m_activeNodes.size() : std::max(m_activeNodes.size(), ActiveNodeRules().minCount);
+    const double share = m_isActive ? reachable / static_cast<double>(sharers) : 0;
+    m_context.retryHeadroomShare.store(share, std::memory_order_relaxed);
+}
+
+void PeerLink::recordMembers(const std::vector<Member> &members)
 {
-    const std::vector<Member> members = m_membership.members();
-    m_context.knownNodes.store(members.size(), std::memory_order_relaxed);
-    std::size_t alive = 0;
     for (const Member &member : members) {
-        alive += member->state == MemberState::Alive ? 1 : 0;
         const auto [it, isNew] = m_loggedStates.emplace(member->id, member->state);
         if (isNew || it->second != member->state) {
             it->second = member->state;
@@ -205,7 +287,8 @@
                                {"leaving", member->leaving}});
         }
     }
-    m_context.metrics.setMembers(static_cast<double>(alive));
+    m_context.metrics.setMembers(static_cast<double>(std::count_if(members.begin(), members.end(), isAlive)));
+    m_context.metrics.setActiveNodes(static_cast<double>(m_activeNodes.size()));
 }
 
 }
--- a/packages/apricotladderd/entry/peerlink.h
+++ b/packages/apricotladderd/entry/peerlink.h
@@ -1,86 +1,130 @@
 #pragma once
 
 #include "apricotladderd/entry/entrycontext.h"
-#include "coordination/membership.h"
+#include "coordination/activenodes.h"
+#include "coordination/clusterview.h"
+#include "coordination/decayingrate.h"
 #include "coordination/peerclock.h"
 #include "protocol/cellmessage.h"
-#include "transport/connectionpool.h"
 #include "transport/eventloop.h"
-#include "transport/httpexchange.h"
 #include "transport/udpsocket.h"
 
+#include <absl/random/random.h>
 #include <absl/time/time.h>
 
 #include <functional>
+#include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace Apricot {
 
+/// The versions of what a peer knows.
+struct PeerVersions
+{
+    NodeId node;
+    std::string peerAddress; ///< "IP:port"
+    std::uint64_t generation = 0; ///< version of its desired state
+    std::uint64_t enginesRevision = 0; ///< revision of the last change of the engines
+
+    friend bool operator==(const PeerVersions &, const PeerVersions &) = default;
+};
+
 /**
  * \class PeerLink
- * \brief Exchanges heartbeats with the other nodes: which nodes are alive, what each has placed on the engines, which peers have newer
- * state.
+ * \brief Exchanges datagrams with the other nodes: gossip on which nodes are alive, and load reports between the active nodes.
  */
 class PeerLink
 {
 public:
-    /// Connects the heartbeats to the rest of the node.
+    /// Connects the link to the rest of the node.
     struct Hooks
     {
-        /// Returns the store revision of the engines that this node knows.
+        /// Returns the revision of the last change of the engines that this node knows.
         std::function<std::uint64_t()> enginesRevision;
 
-        /// Called when \a peer has a newer desired state or newer engines than this node.
-        std::function<void(const Member &peer)> onPeerNewer;
+        /// Called when a peer has told its versions.
+        std::function<void(const PeerVersions &peer)> onPeerVersions;
+
+        /// Called after each gossip interval, when the active nodes have been determined anew.
+        std::function<void()> onTick;
     };
 
     PeerLink(EventLoop &loop, EntryContext &context, std::uint64_t incarnation, Hooks hooks);
 
-    /// Starts sending and receiving heartbeats; returns whether the peer address could be bound.
+    /// Starts sending and receiving; returns whether the peer address could be bound.
     bool start();
 
-    /// Replaces the nodes that are listed in the store; they get heartbeats too.
-    void setNodes(const std::vector<Member> &nodes);
+    /// Adds nodes that the store or a peer has listed.
+    void addListedNodes(const std::vector<Member> &nodes);
 
-    /// Replaces the seed addresses, which get heartbeats even before any member is known.
+    /// Replaces the seed addresses, which get gossip even before any node is known.
     void setSeeds(const std::vector<std::string> &seeds);
 
     void setDesiredVersion(std::uint64_t version);
     void setLeaving();
 
-    /// Schedules a heartbeat to all peers. Changes in quick succession share one heartbeat.
-    void scheduleHeartbeat();
+    /// Schedules a load report to the active nodes. Changes in quick succession share one report.
+    void scheduleLoadReport();
+
+    const Member &self() const
+    {
+        return m_view.self();
+    }
+
+    /// Returns the nodes for which there was a sign of life, this one included.
+    std::vector<Member> members() const
+    {
+        return m_view.members();
+    }
 
-    const Membership &membership() const
+    /// Returns the nodes that callers are directed to.
+    const std::vector<Member> &activeNodes() const
     {
-        return m_membership;
+        return m_activeNodes;
     }
 
-    /// Nodes that discovery may return to callers.
-    std::vector<Member> servingMembers() const;
+    /// Whether this node has run long enough to know the others.
+    bool isSettled() const;
+
+    /// Whether callers are directed to this node.
+    bool isActive() const
+    {
+        return m_isActive;
+    }
 
 private:
     void handleTick();
-    void sendHeartbeat();
+    void sendGossip(const std::vector<std::string> &targets);
+    void sendLoadReport();
     void receive();
-    void handleHeartbeat(const CellHeartbeat &heartbeat);
-    void recordMembers();
-    std::vector<std::string> heartbeatTargets() const;
+    void handle(const MembershipGossip &gossip);
+    void handle(const LoadReport &report);
+    void updateRoles(const std::vector<Member> &members);
+    void updateActiveNodes(const std::vector<Member> &members);
+    void updateRetryShare(const std::vector<Member> &members);
+    void recordMembers(const std::vector<Member> &members);
 
     EventLoop &m_loop;
     EntryContext &m_context;
     Hooks m_hooks;
-    Membership m_membership;
+    ClusterView m_view;
     std::unique_ptr<UdpSocket> m_socket;
+    absl::InsecureBitGen m_random;
     std::vector<std::string> m_seeds;
-    std::vector<Member> m_nodes;
+    std::vector<Member> m_activeNodes;
+    bool m_isActive = false;
+    bool m_hasReportedLoad = false; ///< the last load report was not empty, so the peers must learn when the load has ended
+    std::uint64_t m_countedCalls = 0; ///< calls up to the last tick
+    DecayingRate m_ownCalls;
+    PeakRate m_allCalls; ///< calls of all nodes
     std::map<NodeId, PeerClock> m_peerClocks; ///< of the peers, to order their waiting calls among this node's
+    std::map<NodeId, std::string> m_peerAddresses; ///< "IP:port" of each active peer
     std::map<NodeId, MemberState> m_loggedStates;
-    TimerId m_heartbeatTimer = 0;
-    absl::Time m_lastHeartbeat = absl::InfinitePast();
+    absl::Time m_startedAt = absl::InfiniteFuture();
+    TimerId m_reportTimer = 0;
+    absl::Time m_lastReport = absl::InfinitePast();
 };
 
 }
--- a/packages/apricotladderd/entry/storewatch.cpp
+++ b/packages/apricotladderd/entry/storewatch.cpp
@@ -27,6 +27,17 @@
 /// call.
 constexpr absl::Duration batchDelay = absl::Milliseconds(250);
 
+/// Returns the revision of the last change in \a page.
+std::uint64_t lastChange(const StorePage &page)
+{
+    std::uint64_t last = 0;
+    for (const StoreEntry &object : page.objects) {
+        // The revision of a removed object is that of its last state; its removal came later.
+        last = std::max(last, object.deleted ? page.revision : object.revision);
+    }
+    return last;
+}
+
 }
 
 StoreWatch::StoreWatch(EventLoop &loop, ConnectionPool &pool, EntryContext &context, std::string kind, Callbacks callbacks)
@@ -41,24 +52,36 @@
 
 StoreWatch::~StoreWatch()
 {
-    if (m_fetch) {
-        m_fetch->cancel();
-    }
-    m_loop.cancel(m_nextCallTimer);
+    cancelCalls();
 }
 
 void StoreWatch::start()
 {
-    list({});
+    if (!m_started) {
+        m_started = true;
+        list({});
+    }
+}
+
+void StoreWatch::pause()
+{
+    cancelCalls();
+    m_started = false;
+    m_connected = false;
 }
 
 void StoreWatch::refresh()
+{
+    cancelCalls();
+    list({});
+}
+
+void StoreWatch::cancelCalls()
 {
     if (m_fetch) {
         m_fetch->cancel();
     }
     m_loop.cancel(std::exchange(m_nextCallTimer, 0));
-    list({});
 }
 
 void StoreWatch::sendCall(const char *callName, const HttpRequestHead &head, absl::Duration timeout, bool mayReuseConnection,
@@ -153,6 +176,9 @@
     for (const StoreEntry &object : found.objects) {
         notifyChange(object);
     }
+    if (!found.objects.empty()) {
+        m_callbacks.onWatched(lastChange(found));
+    }
     m_revision = std::max(m_revision, found.revision);
     handleSuccess();
     if (found.objects.empty()) {
--- a/packages/apricotladderd/entry/storewatch.h
+++ b/packages/apricotladderd/entry/storewatch.h
@@ -28,6 +28,10 @@
         std::function<void(const StoreEntry &)> onChanged;
         std::function<void(const std::string &name)> onRemoved;
 
+        /// Called after the changes of a watch: \a revision is that of the last one.
+        std::function<void(std::uint64_t revision)> onWatched = [](std::uint64_t) {
+        };
+
         /// Called after a complete list: an object not among \a names does not exist. \a afterOutage: a call has failed before it.
         std::function<void(const std::set<std::string> &names, bool afterOutage)> onListed;
     };
@@ -38,8 +42,18 @@
     StoreWatch(const StoreWatch &) = delete;
     StoreWatch &operator=(const StoreWatch &) = delete;
 
+    /// Starts or resumes watching, with a list.
     void start();
 
+    /// Stops watching; what is known stays known.
+    void pause();
+
+    /// Whether start() was called, and not pause() after it.
+    bool isStarted() const
+    {
+        return m_started;
+    }
+
     /// Lists all objects again, because a peer has newer objects.
     void refresh();
 
@@ -56,6 +70,7 @@
     }
 
 private:
+    void cancelCalls();
     void list(const std::string &after);
     void handleListResponse(const std::string &body);
     void watch();
@@ -76,6 +91,7 @@
     std::uint64_t m_revision = 0;
     std::set<std::string> m_listedNames;
     std::uint64_t m_listRevision = 0;
+    bool m_started = false;
     bool m_connected = false;
     bool m_failedSinceList = false; ///< a call has failed since the last complete list
     bool m_wasConnected = false;
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -64,7 +64,7 @@
 
 void StreamCall::start()
 {
-    if (m_loop.context().phase.load(std::memory_order_relaxed) == LeavePhase::Closing) {
+    if (m_loop.context().phase.load(std::memory_order_relaxed) >= LeavePhase::Closing) {
         refuse(ErrorKind::Draining, shortRetryAfter);
         return;
     }
@@ -441,9 +441,8 @@
 bool StreamCall::canResumeOnOtherEngine()
 {
     const absl::Time now = m_loop.events().now();
-    EntryContext &context = m_loop.context();
     return m_facts.route->resumable && m_sentAttempts < m_facts.route->maxAttempts && m_facts.deadline() - now > minAttemptTime
-        && context.withRetryQuota(m_facts.service, [&](RetryQuota &quota) { return quota.allows(context.nodeCount(), now); });
+        && m_loop.context().allowsRetry(m_facts.service, now);
 }
 
 void StreamCall::resumeOnOtherEngine()
@@ -530,7 +529,7 @@
         return;
     }
     cancelExchange();
-    finish("caller left", 0);
+    finish(m_loop.context().disconnectCause(), 0);
 }
 
 void StreamCall::cancelExchange()
@@ -558,9 +557,7 @@
 
 bool StreamCall::trySpendRetry()
 {
-    EntryContext &context = m_loop.context();
-    return context.withRetryQuota(m_facts.service,
-                                  [&](RetryQuota &quota) { return quota.trySpend(context.nodeCount(), m_loop.events().now()); });
+    return m_loop.context().trySpendRetry(m_facts.service, m_loop.events().now());
 }
 
 void StreamCall::finish(const char *outcome, int status)
--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -156,8 +156,7 @@
     facts.maxAttempts = m_facts.route->maxAttempts;
     facts.hasAlternative
         = context.pools.withPool(m_facts.service, [&](ServicePool &pool) { return pool.hasAlternative(m_excludedEngines); });
-    facts.retryLimitAllows
-        = context.withRetryQuota(m_facts.service, [&](RetryQuota &quota) { return quota.allows(context.nodeCount(), now); });
+    facts.retryLimitAllows = context.allowsRetry(m_facts.service, now);
     facts.timeAllows = m_facts.deadline() - now > minAttemptTime;
     facts.mayHaveRun = m_mayHaveRun;
     return facts;
@@ -170,9 +169,7 @@
                    [&](const RelayAnswer &) { relayResponse(); },
                    [&](const TryNextEngine &next) {
                        if (next.isRetry) {
-                           context.withRetryQuota(m_facts.service, [&](RetryQuota &quota) {
-                               return quota.trySpend(context.nodeCount(), m_loop.events().now());
-                           });
+                           context.trySpendRetry(m_facts.service, m_loop.events().now());
                        }
                        context.log.add(LogLevel::Info, "call.repeat", m_facts.call->requestId,
                                        {{"engine", m_engine->id.text()}, {"counts", next.isRetry}, {"arrivals", m_sentAttempts}});
@@ -241,7 +238,7 @@
     }
     m_exchange->cancel();
     releaseEngine(std::nullopt); // A caller that disconnects is no evidence about the engine.
-    finish("caller left", 0);
+    finish(m_loop.context().disconnectCause(), 0);
 }
 
 void WholeCall::finish(const char *outcome, int status)
--- a/packages/coordination/retryquota.cpp
+++ b/packages/coordination/retryquota.cpp
@@ -1,7 +1,5 @@
 #include "coordination/retryquota.h"
 
-#include <algorithm>
-
 namespace Apricot {
 
 namespace {
@@ -33,7 +31,7 @@
     ++bucketAt(now).requests;
 }
 
-bool RetryQuota::allows(std::size_t nodes, absl::Time now)
+bool RetryQuota::allows(double headroomShare, absl::Time now)
 {
     const std::int64_t index = bucketAt(now).index;
     std::int64_t requests = 0;
@@ -44,13 +42,13 @@
             retries += bucket.retries;
         }
     }
-    const double headroom = m_limit.headroom / static_cast<double>(std::max<std::size_t>(1, nodes));
+    const double headroom = m_limit.headroom * headroomShare;
     return static_cast<double>(retries + 1) <= usedFraction * (m_limit.ratio * static_cast<double>(requests) + headroom);
 }
 
-bool RetryQuota::trySpend(std::size_t nodes, absl::Time now)
+bool RetryQuota::trySpend(double headroomShare, absl::Time now)
 {
-    if (!allows(nodes, now)) {
+    if (!allows(headroomShare, now)) {
         return false;
     }
     ++bucketAt(now).retries;
--- a/packages/coordination/retryquota.h
+++ b/packages/coordination/retryquota.h
@@ -22,7 +22,7 @@
  * \class RetryQuota
  * \brief This node's part of the retry limit of one service.
  *
- * Every node keeps to its part of the headroom and to the ratio of its own requests. The limit therefore holds for all nodes
+ * Every node keeps to its share of the headroom and to the ratio of its own requests. The limit therefore holds for all nodes
  * together even if some of them cannot communicate.
  */
 class RetryQuota
@@ -33,11 +33,12 @@
     /// Counts a request, which raises the number of retries that the ratio allows.
     void recordRequest(absl::Time now);
 
-    /// Spends one retry if this node's part of the limit, as one of \a nodes, allows it; returns whether it did.
-    bool trySpend(std::size_t nodes, absl::Time now);
+    /// Spends one retry if this node's part of the limit, with \a headroomShare (0 to 1) of the headroom, allows it; returns whether
+    /// it did.
+    bool trySpend(double headroomShare, absl::Time now);
 
     /// Whether trySpend() would succeed.
-    bool allows(std::size_t nodes, absl::Time now);
+    bool allows(double headroomShare, absl::Time now);
 
 private:
     static constexpr std::size_t bucketCount = 20;
--- a/packages/coordination/tests/entry/testretryquota.cpp
+++ b/packages/coordination/tests/entry/testretryquota.cpp
@@ -28,7 +28,7 @@
             quota.recordRequest(now);
             ++requests[step];
             for (int i = 0; i < 5; ++i) { // every node asks for more retries than the limit allows
-                retries[step] += quota.trySpend(nodes, now) ? 1 : 0;
+                retries[step] += quota.trySpend(1.0 / nodes, now) ? 1 : 0;
             }
         }
     }
@@ -47,15 +47,15 @@
 BOOST_AUTO_TEST_CASE(someRetriesAreAllowedWithoutTraffic)
 {
     RetryQuota quota(limit);
-    BOOST_TEST(quota.trySpend(8, start));
+    BOOST_TEST(quota.trySpend(1.0 / 8, start));
 }
 
 BOOST_AUTO_TEST_CASE(spentRetriesAreAvailableAgainAfterTheWindow)
 {
     RetryQuota quota(limit);
-    while (quota.trySpend(8, start)) { }
-    BOOST_TEST(!quota.allows(8, start + absl::Seconds(9)));
-    BOOST_TEST(quota.allows(8, start + absl::Seconds(12)));
+    while (quota.trySpend(1.0 / 8, start)) { }
+    BOOST_TEST(!quota.allows(1.0 / 8, start + absl::Seconds(9)));
+    BOOST_TEST(quota.allows(1.0 / 8, start + absl::Seconds(12)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/protocol/cellmessage.cpp
+++ b/packages/protocol/cellmessage.cpp
@@ -78,26 +78,53 @@
 }
 
 template<class Archive>
-void serialize(Archive &archive, CellHeartbeat &it)
+void serialize(Archive &archive, NodeLiveness &it)
+{
+    archive(it.node, it.heartbeat, it.callsPerSecond, it.serving, it.leaving);
+}
+
+/// Reads or writes \a liveness. Its heartbeat number is sent as the difference to \a base, which is short.
+template<class Archive>
+void archiveRelative(Archive &archive, NodeLiveness &liveness, std::uint64_t base)
+{
+    auto difference = static_cast<std::int64_t>(liveness.heartbeat - base);
+    archive(liveness.node, difference, liveness.callsPerSecond, liveness.serving, liveness.leaving);
+    liveness.heartbeat = base + static_cast<std::uint64_t>(difference);
+}
+
+template<class Archive>
+void serialize(Archive &archive, MembershipGossip &it)
+{
+    archive(it.sender, it.senderLiveness, it.enginesRevision, it.introductions);
+    cereal::size_type count = it.others.size();
+    archive(cereal::make_size_tag(count));
+    it.others.resize(count);
+    for (NodeLiveness &other : it.others) {
+        archiveRelative(archive, other, it.senderLiveness.heartbeat);
+    }
+}
+
+template<class Archive>
+void serialize(Archive &archive, LoadReport &it)
 {
     archiveTime(archive, it.sentAt);
-    archive(it.sender, it.claims, it.enginesRevision, it.engineLoads, it.waitingCalls, it.unreachableEngines);
+    archive(it.sender, it.senderLiveness, it.generation, it.enginesRevision, it.engineLoads, it.waitingCalls, it.unreachableEngines);
 }
 
 template<class Archive>
 void serialize(Archive &archive, CellState &it)
 {
-    archive(it.desired, it.enginesRevision, it.engines);
+    archive(it.desired, it.enginesRevision, it.knownRevision, it.engines, it.members);
 }
 
-std::string encodeCellHeartbeat(const CellHeartbeat &heartbeat)
+std::string encodeCellMessage(const CellMessage &message)
 {
-    return encodeMessage(heartbeat);
+    return encodeMessage(message);
 }
 
-Result<CellHeartbeat> decodeCellHeartbeat(std::string_view bytes)
+Result<CellMessage> decodeCellMessage(std::string_view bytes)
 {
-    return decodeMessage<CellHeartbeat>(bytes, "heartbeat");
+    return decodeMessage<CellMessage>(bytes, "peer message");
 }
 
 std::string encodeCellState(const CellState &state)
--- a/packages/protocol/cellmessage.h
+++ b/packages/protocol/cellmessage.h
@@ -3,44 +3,50 @@
 #include "state/desiredstate.h"
 #include "state/engineentry.h"
 #include "state/error.h"
-#include "state/member.h"
+#include "state/liveness.h"
 
 #include <absl/time/time.h>
 
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace Apricot {
 
-/// Heartbeat of an entry node to its peers: its own state, what it claims about other nodes, and the load that it has placed
-/// on engines.
-struct CellHeartbeat
+/// What an entry node that takes calls tells the others that do: the load that it has placed on engines.
+struct LoadReport
 {
-    Member sender;
+    NodeId sender;
+    NodeLiveness senderLiveness;
+    std::uint64_t generation = 0; ///< version of the sender's desired state
+    std::uint64_t enginesRevision = 0; ///< revision of the last change of the engines that the sender knows
     absl::Time sentAt; ///< sending time on the sender's steady clock
-    std::vector<MemberClaim> claims;
-    std::uint64_t enginesRevision = 0; ///< store revision of the sender's list of engines
     std::vector<EngineLoad> engineLoads; ///< load that the sender has placed, for each engine
     std::vector<WaitingCall> waitingCalls; ///< the first calls that wait for capacity at the sender
     std::vector<EngineId> unreachableEngines; ///< engines that the sender cannot reach
 
-    friend bool operator==(const CellHeartbeat &, const CellHeartbeat &) = default;
+    friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
 
-/// Desired state and engines, as a node without access to the store fetches them from a peer.
+/// A datagram between entry nodes.
+using CellMessage = std::variant<MembershipGossip, LoadReport>;
+
+/// Desired state and engines, as a node that does not watch the store fetches them from a peer.
 struct CellState
 {
-    DesiredState desired;
-    std::uint64_t enginesRevision = 0;
+    DesiredState desired; ///< version 0 if the requesting node already has it
+    std::uint64_t enginesRevision = 0; ///< revision of the last change of the engines
+    std::uint64_t knownRevision = 0; ///< revision up to which all changes are contained
     std::vector<EngineEntry> engines;
+    std::vector<Member> members; ///< the nodes that the responding node knows
 
     friend bool operator==(const CellState &, const CellState &) = default;
 };
 
-std::string encodeCellHeartbeat(const CellHeartbeat &heartbeat);
-Result<CellHeartbeat> decodeCellHeartbeat(std::string_view bytes);
+std::string encodeCellMessage(const CellMessage &message);
+Result<CellMessage> decodeCellMessage(std::string_view bytes);
 
 std::string encodeCellState(const CellState &state);
 Result<CellState> decodeCellState(std::string_view bytes);
--- a/packages/protocol/entrysettingsjson.cpp
+++ b/packages/protocol/entrysettingsjson.cpp
@@ -35,6 +35,8 @@
         {"repeatHeadroom", "number", "repeats", false, "20", 0, 1000000,
          "Retries that are always allowed within the window, over all nodes."},
         {"repeatWindowS", "number", "s", false, "10", 1, 600, "Time window of the retry limit."},
+        {"processorShare", "number", "cores", false, "1", 0, 1000,
+         "Processor cores that the node may use. Callers are directed to the nodes with the most, as many as the load needs."},
         {"logLevel", "text", "", false, "info", 0, 0, "Minimum severity that is logged: info, warning or error."},
     };
     return specs;
@@ -61,6 +63,7 @@
         .set(&EntrySettingsFields::repeatRatio, jsonNumber(parsed, "repeatRatio", defaults.repeatRatio))
         .set(&EntrySettingsFields::repeatHeadroom, jsonNumber(parsed, "repeatHeadroom", defaults.repeatHeadroom))
         .set(&EntrySettingsFields::repeatWindowS, jsonNumber(parsed, "repeatWindowS", defaults.repeatWindowS))
+        .set(&EntrySettingsFields::processorShare, jsonNumber(parsed, "processorShare", defaults.processorShare))
         .set(&EntrySettingsFields::logLevel, jsonText(parsed, "logLevel", defaults.logLevel))
         .build();
 }
--- a/packages/protocol/logjson.cpp
+++ b/packages/protocol/logjson.cpp
@@ -61,6 +61,10 @@
     if (outcome == "caller left") {
         return absl::StrCat("the caller closed its connection after ", ms, "; ", sentAttempts, " engine(s) had the call");
     }
+    if (outcome == "node stopped") {
+        return absl::StrCat("the node's grace period ended after ", ms, " of the call; ", sentAttempts,
+                            " engine(s) had the call, which may have run");
+    }
     if (outcome == "NoCapacity" && numberOf(callEnd, "waitedMs") < 0) {
         return absl::StrCat("refused, not run: no decode engine had capacity for ", jsonInteger(callEnd, "promptTokens"),
                             " prompt tokens within ", ms, ", according to heartbeats of peers up to ",
--- a/packages/protocol/statearchive.h
+++ b/packages/protocol/statearchive.h
@@ -77,7 +77,8 @@
 template<class Archive>
 void serialize(Archive &archive, MemberFields &it)
 {
-    archive(it.id, it.incarnation, it.leaving, it.dataCentre, it.peerAddress, it.datagramAddress, it.callerAddress, it.generation);
+    archive(it.id, it.incarnation, it.leaving, it.dataCentre, it.peerAddress, it.datagramAddress, it.callerAddress, it.generation,
+            it.processorMillis);
     archiveEnum(archive, it.state, MemberState::Dead);
 }
 
--- a/packages/protocol/tests/entry/testcellmessage.cpp
+++ b/packages/protocol/tests/entry/testcellmessage.cpp
@@ -8,16 +8,29 @@
 
 namespace {
 
-CellHeartbeat heartbeat()
+MembershipGossip gossip()
 {
-    CellHeartbeat it;
+    MembershipGossip it;
     it.sender = Member::Builder()
                     .set(&MemberFields::id, NodeId("n"))
                     .set(&MemberFields::incarnation, 7U)
                     .set(&MemberFields::peerAddress, "10.0.0.1:1")
+                    .set(&MemberFields::processorMillis, 120)
                     .build();
+    it.senderLiveness = NodeLiveness{5, 17, 3, true, false};
+    it.enginesRevision = 99;
+    it.others = {NodeLiveness{6, 18, 0, true, true}};
+    it.introductions = {it.sender.with(&MemberFields::state, MemberState::Suspect)};
+    return it;
+}
+
+LoadReport report()
+{
+    LoadReport it;
+    it.sender = NodeId("n");
+    it.senderLiveness = NodeLiveness{5, 17, 3, true, false};
+    it.generation = 12;
     it.sentAt = absl::FromUnixMicros(1234567);
-    it.claims = {MemberClaim{NodeId("m"), 3, MemberState::Dead}};
     it.enginesRevision = 99;
     it.engineLoads = {EngineLoad{EngineId("e"), 2, 300, {EngineRun{5, 100, 50, 7}}}};
     it.waitingCalls = {WaitingCall{ServiceName("s"), 2, absl::FromUnixMillis(1300), 4000, 500}};
@@ -44,7 +57,7 @@
     EngineEntryFields engine;
     engine.id = EngineId("e");
     engine.stage = EngineStage::Decode;
-    return CellState{DesiredState(desired), 55, {EngineEntry(engine)}};
+    return CellState{DesiredState(desired), 55, 60, {EngineEntry(engine)}, {gossip().sender}};
 }
 
 }
@@ -53,9 +66,11 @@
 
 BOOST_AUTO_TEST_CASE(messagesSurviveARoundTrip)
 {
-    const auto beat = toVariant<CellHeartbeat>([] { return decodeCellHeartbeat(encodeCellHeartbeat(heartbeat())); });
-    BOOST_REQUIRE(std::holds_alternative<CellHeartbeat>(beat));
-    BOOST_TEST((std::get<CellHeartbeat>(beat) == heartbeat()));
+    for (const CellMessage &sent : {CellMessage(gossip()), CellMessage(report())}) {
+        const auto received = toVariant<CellMessage>([&] { return decodeCellMessage(encodeCellMessage(sent)); });
+        BOOST_REQUIRE(std::holds_alternative<CellMessage>(received));
+        BOOST_TEST((std::get<CellMessage>(received) == sent));
+    }
     const auto cell = toVariant<CellState>([] { return decodeCellState(encodeCellState(state())); });
     BOOST_REQUIRE(std::holds_alternative<CellState>(cell));
     BOOST_TEST((std::get<CellState>(cell) == state()));
@@ -63,53 +78,56 @@
 
 BOOST_AUTO_TEST_CASE(truncatedAndModifiedBytesAreRejected)
 {
-    const std::string whole = encodeCellHeartbeat(heartbeat());
-    for (std::size_t n = 0; n < whole.size(); ++n) {
-        BOOST_TEST(std::holds_alternative<Error>(toVariant<CellHeartbeat>([&] { return decodeCellHeartbeat(whole.substr(0, n)); })));
+    for (const CellMessage &sent : {CellMessage(gossip()), CellMessage(report())}) {
+        const std::string whole = encodeCellMessage(sent);
+        const auto isRejected = [](const std::string &bytes) {
+            return std::holds_alternative<Error>(toVariant<CellMessage>([&] { return decodeCellMessage(bytes); }));
+        };
+        for (std::size_t n = 0; n < whole.size(); ++n) {
+            BOOST_TEST(isRejected(whole.substr(0, n)));
+        }
+        BOOST_TEST(isRejected(whole + "x"));
+        std::string other = whole;
+        other[0] = static_cast<char>(other[0] + 1);
+        BOOST_TEST(isRejected(other));
+        std::string unknownKind = whole;
+        unknownKind[1] = 9;
+        BOOST_TEST(isRejected(unknownKind));
     }
-    BOOST_TEST(std::holds_alternative<Error>(toVariant<CellHeartbeat>([&] { return decodeCellHeartbeat(whole + "x"); })));
-    std::string other = whole;
-    other[0] = static_cast<char>(other[0] + 1);
-    BOOST_TEST(std::holds_alternative<Error>(toVariant<CellHeartbeat>([&] { return decodeCellHeartbeat(other); })));
 }
 
 BOOST_AUTO_TEST_CASE(extremeNumbersSurviveARoundTrip)
 {
-    CellHeartbeat beat = heartbeat();
+    LoadReport beat = report();
     beat.enginesRevision = std::numeric_limits<std::uint64_t>::max();
     constexpr std::int64_t min = std::numeric_limits<std::int64_t>::min();
     constexpr std::int64_t max = std::numeric_limits<std::int64_t>::max();
     beat.engineLoads = {EngineLoad{EngineId("e"), min, max, {EngineRun{0, -1, 127, 128}}}};
-    const auto read = toVariant<CellHeartbeat>([&] { return decodeCellHeartbeat(encodeCellHeartbeat(beat)); });
-    BOOST_REQUIRE(std::holds_alternative<CellHeartbeat>(read));
-    BOOST_TEST((std::get<CellHeartbeat>(read) == beat));
+    const auto read = toVariant<CellMessage>([&] { return decodeCellMessage(encodeCellMessage(beat)); });
+    BOOST_REQUIRE(std::holds_alternative<CellMessage>(read));
+    BOOST_TEST((std::get<CellMessage>(read) == CellMessage(beat)));
 }
 
 BOOST_AUTO_TEST_CASE(anUnterminatedVarintIsRejected)
 {
-    std::string bytes = encodeCellHeartbeat(heartbeat()).substr(0, 1);
+    std::string bytes = encodeCellMessage(report()).substr(0, 2);
     bytes += std::string(64, '\xff');
-    BOOST_TEST(std::holds_alternative<Error>(toVariant<CellHeartbeat>([&] { return decodeCellHeartbeat(bytes); })));
+    BOOST_TEST(std::holds_alternative<Error>(toVariant<CellMessage>([&] { return decodeCellMessage(bytes); })));
 }
 
-// A node sends a heartbeat to all peers at each change. With 89 nodes, one change per second and a budget of 17 KB/s, a heartbeat
+// A node sends a report to all active nodes at each change. With 89 of them, one change per second and a budget of 17 KB/s, a report
 // may have 190 bytes.
-BOOST_AUTO_TEST_CASE(theHeartbeatOfABusyNodeIsShort)
+BOOST_AUTO_TEST_CASE(theLoadReportOfABusyNodeIsShort)
 {
-    CellHeartbeat beat;
-    beat.sender = Member::Builder()
-                      .set(&MemberFields::id, NodeId("edge-somewhere-17"))
-                      .set(&MemberFields::incarnation, 1771926925041U)
-                      .set(&MemberFields::dataCentre, DataCentreName("somewhere"))
-                      .set(&MemberFields::peerAddress, "10.1.0.40:7660")
-                      .set(&MemberFields::callerAddress, "10.1.0.40:8608")
-                      .set(&MemberFields::generation, 18U)
-                      .build();
-    beat.sentAt = absl::FromUnixMillis(100000);
-    beat.enginesRevision = 240;
-    beat.engineLoads = {EngineLoad{EngineId("i-7d85810862"), 2, 0, {EngineRun{5, 5200, 4500, 700}, EngineRun{6, 8100, 3900, 0}}},
+    LoadReport busy;
+    busy.sender = NodeId("edge-somewhere-17");
+    busy.senderLiveness = NodeLiveness{0x9f86d081884c7d65U, 1771926925041U, 12, true, false};
+    busy.generation = 18;
+    busy.sentAt = absl::FromUnixMillis(100000);
+    busy.enginesRevision = 240;
+    busy.engineLoads = {EngineLoad{EngineId("i-7d85810862"), 2, 0, {EngineRun{5, 5200, 4500, 700}, EngineRun{6, 8100, 3900, 0}}},
                         EngineLoad{EngineId("i-fee3b219b1"), 1, 8100, {}}};
-    BOOST_TEST(encodeCellHeartbeat(beat).size() < 190U);
+    BOOST_TEST(encodeCellMessage(busy).size() < 190U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/protocol/tests/log/testlog.cpp
+++ b/packages/protocol/tests/log/testlog.cpp
@@ -60,6 +60,8 @@
                != std::string::npos);
     BOOST_TEST(causeForOutcome("AnswerIncomplete", R"("engine":"e","ms":9)").find("may have run") != std::string::npos);
     BOOST_TEST(causeForOutcome("EngineUnreachable", R"("engine":"e")").find("tried was e") != std::string::npos);
+    BOOST_TEST(causeForOutcome("node stopped", R"("engine":"e","arrivals":1,"ms":40)").find("grace period ended after 40 ms")
+               != std::string::npos);
     BOOST_TEST(causeForOutcome("caller left", R"("engine":"e","arrivals":1,"ms":40)").find("after 40 ms; 1 engine(s)")
                != std::string::npos);
     BOOST_TEST(causeForOutcome("the engine broke off", R"("decode":"e","ms":40)").find("the engine broke off (engine e)")
--- a/packages/state/member.h
+++ b/packages/state/member.h
@@ -36,6 +36,7 @@
     std::string datagramAddress; ///< "IP:port" to which the local node sends datagrams; differs from peerAddress after a rebind
     std::string callerAddress; ///< "IP:port" for callers, HTTP
     std::uint64_t generation = 0; ///< number of the configuration that is active on the node
+    std::int64_t processorMillis = 0; ///< processor time that the node may use, ms per second; 0: not known
 
     friend auto operator<=>(const MemberFields &, const MemberFields &) = default;
 };
--- a/packages/transport/httplistener.cpp
+++ b/packages/transport/httplistener.cpp
@@ -49,6 +49,11 @@
 HttpListener::~HttpListener()
 {
     // The callbacks of each connection refer to it, so clearing the set alone would not destroy the connections.
+    abortConnections();
+}
+
+void HttpListener::abortConnections()
+{
     const std::vector<HttpServerConnection::Ptr> connections(m_connections.begin(), m_connections.end());
     for (const HttpServerConnection::Ptr &it : connections) {
         it->abortAsPeerClosed();
--- a/packages/transport/httplistener.h
+++ b/packages/transport/httplistener.h
@@ -54,6 +54,9 @@
     /// Stops accepting connections and closes those without a request in progress.
     void stopAccepting();
 
+    /// Resets all open connections and handles this like a disconnect of their clients.
+    void abortConnections();
+
     /// Returns the number of open connections. Thread-safe.
     std::size_t connectionCount() const
     {
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -113,6 +113,25 @@
     });
 }
 
+void PlatformStoreStandIn::setHoldsWrites(bool holds)
+{
+    runOnLoop([&] {
+        m_holdsWrites = holds;
+        if (!holds) {
+            for (const HeldWrite &it : std::exchange(m_heldWrites, {})) {
+                handleWrite(it.connection, it.head, it.body);
+            }
+        }
+    });
+}
+
+std::size_t PlatformStoreStandIn::heldWriteCount()
+{
+    std::size_t n = 0;
+    runOnLoop([&] { n = m_heldWrites.size(); });
+    return n;
+}
+
 void PlatformStoreStandIn::compactHistory()
 {
     runOnLoop([&] {
@@ -150,6 +169,8 @@
     const std::string kind = kindOf(head.target);
     if (m_isUnavailable) {
         respondJson(connection, 503, Json::object());
+    } else if (head.method != "GET" && m_holdsWrites) {
+        m_heldWrites.push_back(HeldWrite{connection, head, body});
     } else if (head.method != "GET") {
         handleWrite(connection, head, body);
     } else if (head.target.find("watch=") == std::string::npos) {
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -41,6 +41,12 @@
     /// Sets whether every call gets 503. Aborts the pending watches.
     void setUnavailable(bool unavailable);
 
+    /// Sets whether the answers to writes are held back. A write is carried out when its answer is released.
+    void setHoldsWrites(bool holds);
+
+    /// Number of writes that are held back.
+    std::size_t heldWriteCount();
+
     /// Discards the event history, so that watches from an earlier revision get 410. Aborts the pending watches.
     void compactHistory();
 
@@ -64,6 +70,13 @@
         Json json;
     };
 
+    struct HeldWrite
+    {
+        HttpServerConnection::Ptr connection;
+        HttpRequestHead head;
+        std::string body;
+    };
+
     struct PendingWatch
     {
         HttpServerConnection::Ptr connection;
@@ -88,6 +101,8 @@
     std::uint64_t m_revision = 10;
     std::uint64_t m_compactedRevision = 0; ///< events before this revision are discarded
     bool m_isUnavailable = false;
+    bool m_holdsWrites = false;
+    std::vector<HeldWrite> m_heldWrites;
     std::atomic<int> m_callCount{0};
     Thread m_thread;
 };
--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -524,4 +524,18 @@
     BOOST_TEST(eventually([&] { return node.hasEnded(); }));
 }
 
+/// A node that is told to leave before the store has answered its registration still removes its object.
+BOOST_AUTO_TEST_CASE(aNodeThatLeavesDuringItsRegistrationRemovesItsObject)
+{
+    store.setHoldsWrites(true);
+    addEngine("i-1", "desk", "", respondSuccessfully);
+    NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return store.heldWriteCount() == 1; }));
+    node.leave();
+    BOOST_REQUIRE(eventually([&] { return !node.isReady(); }));
+    store.setHoldsWrites(false);
+    BOOST_TEST(eventually([&] { return node.hasEnded(); }));
+    BOOST_TEST(store.names("apricot-nodes").empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
