entry: Bound the answers of engines that never end

Found by looking: an engine in trouble may send a body without end. A whole answer was collected up to the parser's limit of 64 MB, more than the memory of a VM of 88 MB, and bytes of a stream that complete no event likewise, searched from the start at each part.

--- a/packages/apricotladderd/entry/entrycontext.h
+++ b/packages/apricotladderd/entry/entrycontext.h
@@ -107,6 +107,7 @@
     ShardedMap<std::string, absl::Duration, 8> maxTimeLeft; ///< per route: the longest time left of any call on its arrival
     std::atomic<double> retryHeadroomShare{1}; ///< this node's share of the retry headroom, 0 to 1
     std::atomic<std::uint64_t> callCount{0}; ///< calls received since the start
+    std::atomic<std::size_t> bufferedAnswerBytes{0}; ///< of all calls; \see AnswerBuffer
     std::atomic<LeavePhase> phase{LeavePhase::Serving};
     std::function<void()> onLoadsChanged; ///< schedules a load report to the peers; any thread may call it
 };
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -43,6 +43,9 @@
 constexpr double stallTimeoutInGaps = 3;
 constexpr absl::Duration minStallTimeout = absl::Milliseconds(900);
 
+/// Longest event of a stream: an engine in trouble may send bytes without end that complete no event.
+constexpr std::size_t maxEventBytes = 1U << 20;
+
 /// Bytes not yet sent to the caller above which reading from the engine pauses.
 constexpr std::size_t maxUnsentBytes = 256 * 1024;
 
@@ -59,6 +62,7 @@
     , m_body(std::move(body))
     , m_reservation(loop.context(), m_facts.service)
     , m_kvHandle(loop, m_facts.call->promptTokens)
+    , m_responseBody(loop.context().bufferedAnswerBytes)
 {
 }
 
@@ -341,13 +345,24 @@
 void StreamCall::handleDecodeBody(const std::string &chunk)
 {
     if (!m_isStream) {
-        m_responseBody += chunk;
+        if (!m_responseBody.append(chunk)) {
+            cutOffEngine();
+        }
         return;
     }
     const std::string events = m_events.feed(chunk);
     if (!events.empty()) {
         forwardEvents(events);
     }
+    if (m_events.pendingBytes() > maxEventBytes && !m_finished) {
+        cutOffEngine();
+    }
+}
+
+void StreamCall::cutOffEngine()
+{
+    m_exchange->cancel();
+    handleDecodeOutcome(ExchangeOutcome::Incomplete);
 }
 
 void StreamCall::forwardEvents(const std::string &events)
@@ -392,8 +407,7 @@
     if (!m_streamStarted || m_finished || !canResumeOnOtherEngine()) {
         return;
     }
-    m_exchange->cancel();
-    handleDecodeOutcome(ExchangeOutcome::Incomplete);
+    cutOffEngine();
 }
 
 void StreamCall::handleDecodeOutcome(ExchangeOutcome outcome)
@@ -507,7 +521,7 @@
         return;
     }
     const HttpResponseHead head = callerResponse(m_responseHead);
-    const std::string body = std::move(m_responseBody);
+    const std::string body = m_responseBody.take();
     finish("answered", head.status);
     m_caller->respond(head, body);
 }
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "apricotladderd/entry/answerbuffer.h"
 #include "apricotladderd/entry/callfacts.h"
 #include "apricotladderd/entry/entryloop.h"
 #include "apricotladderd/entry/modelreservation.h"
@@ -54,6 +55,7 @@
     void handleDecodeBody(const std::string &chunk);
     void handleDecodeOutcome(ExchangeOutcome outcome);
     void forwardEvents(const std::string &events);
+    void cutOffEngine();
     void handleStall();
     void armStallTimer();
     void handleStreamOutcome(ExchangeOutcome outcome);
@@ -95,7 +97,7 @@
     bool m_wasSent = false; ///< whether the current decode request was sent
 
     HttpResponseHead m_responseHead;
-    std::string m_responseBody; ///< body of a response that is not a stream
+    AnswerBuffer m_responseBody; ///< body of a response that is not a stream
     bool m_isStream = false;
     bool m_streamStarted = false; ///< the caller has received the head and the first event
     SseEventSplitter m_events;
--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -38,6 +38,7 @@
     , m_facts(std::move(facts))
     , m_head(std::move(head))
     , m_body(std::move(body))
+    , m_responseBody(m_loop.context().bufferedAnswerBytes)
 {
 }
 
@@ -89,7 +90,7 @@
         self->m_responseHead = head;
     };
     callbacks.onBody = [self](const std::string &chunk) {
-        self->m_responseBody += chunk;
+        self->handleBody(chunk);
     };
     callbacks.onEnded = [self](ExchangeOutcome outcome) {
         self->handleExchangeOutcome(outcome);
@@ -120,6 +121,14 @@
     return Answered{m_responseHead.status};
 }
 
+void WholeCall::handleBody(const std::string &chunk)
+{
+    if (!m_responseBody.append(chunk)) {
+        m_exchange->cancel();
+        handleExchangeOutcome(ExchangeOutcome::Incomplete);
+    }
+}
+
 void WholeCall::handleExchangeOutcome(ExchangeOutcome outcome)
 {
     if (!m_finished) {
@@ -219,7 +228,7 @@
 void WholeCall::relayResponse()
 {
     const HttpResponseHead head = callerResponse(m_responseHead);
-    const std::string body = std::move(m_responseBody);
+    const std::string body = m_responseBody.take();
     finish("answered", head.status);
     m_caller->respond(head, body);
 }
--- a/packages/apricotladderd/entry/wholecall.h
+++ b/packages/apricotladderd/entry/wholecall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "apricotladderd/entry/answerbuffer.h"
 #include "apricotladderd/entry/callfacts.h"
 #include "apricotladderd/entry/entryloop.h"
 #include "coordination/attemptdecision.h"
@@ -28,6 +29,7 @@
 private:
     void startAttempt();
     void send(const EngineEntry &engine);
+    void handleBody(const std::string &chunk);
     void handleExchangeOutcome(ExchangeOutcome outcome);
     AttemptOutcome classifyOutcome(ExchangeOutcome outcome) const;
     void handleAttemptOutcome(const AttemptOutcome &outcome);
@@ -55,7 +57,7 @@
     bool m_wasSent = false; ///< whether the current attempt was sent
     bool m_mayHaveRun = false; ///< whether an earlier attempt may have run
     HttpResponseHead m_responseHead;
-    std::string m_responseBody;
+    AnswerBuffer m_responseBody;
     TimerId m_deadlineTimer = 0;
     TimerId m_overdueTimer = 0;
     bool m_finished = false;
--- a/packages/coordination/activenodes.cpp
+++ b/packages/coordination/activenodes.cpp
@@ -1,6 +1,7 @@
 #include "coordination/activenodes.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <tuple>
 
@@ -37,19 +38,23 @@
 
 std::vector<Member> chooseActiveNodes(const std::vector<Member> &candidates, double callsPerSecond, const ActiveNodeRules &rules)
 {
+    if (candidates.size() <= rules.smallDeployment) {
+        return candidates;
+    }
     const std::map<DataCentreName, std::vector<Member>> groups = byDataCentre(candidates);
     const double neededMillis = callsPerSecond * rules.processorMsPerCall;
-    double chosenMillis = 0;
+    std::int64_t smallest = std::numeric_limits<std::int64_t>::max();
     std::vector<Member> chosen;
     for (std::size_t round = 0; chosen.size() < candidates.size(); ++round) {
         for (const auto &[name, nodes] : groups) {
             if (round < nodes.size()) {
                 chosen.push_back(nodes[round]);
-                chosenMillis += static_cast<double>(processorMillis(nodes[round]));
+                smallest = std::min(smallest, processorMillis(nodes[round]));
             }
         }
         // Whole rounds only, so that no data centre has fewer nodes than another one while it has spare nodes.
-        if (chosen.size() >= rules.minCount && chosenMillis >= neededMillis) {
+        const double carriedMillis = static_cast<double>(chosen.size()) * static_cast<double>(smallest);
+        if (chosen.size() >= rules.minCount && carriedMillis >= neededMillis) {
             break;
         }
     }
--- a/packages/protocol/sseeventsplitter.cpp
+++ b/packages/protocol/sseeventsplitter.cpp
@@ -14,13 +14,15 @@
 constexpr std::string_view blankLine = "\n\n";
 constexpr std::string_view crlfBlankLine = "\r\n\r\n";
 
-/// Returns the position after the last complete event in \a text; 0 if there is none.
-std::size_t endOfCompleteEvents(std::string_view text)
+/// Returns the position after the last complete event in \a text; 0 if there is none. The part before \a searchedTo contains none.
+std::size_t endOfCompleteEvents(std::string_view text, std::size_t searchedTo)
 {
-    const std::size_t lf = text.rfind(blankLine);
-    const std::size_t crlf = text.rfind(crlfBlankLine);
-    const std::size_t lfEnd = lf == std::string_view::npos ? 0 : lf + blankLine.size();
-    const std::size_t crlfEnd = crlf == std::string_view::npos ? 0 : crlf + crlfBlankLine.size();
+    const std::size_t start = searchedTo - std::min(searchedTo, crlfBlankLine.size() - 1);
+    const std::string_view added = text.substr(start);
+    const std::size_t lf = added.rfind(blankLine);
+    const std::size_t crlf = added.rfind(crlfBlankLine);
+    const std::size_t lfEnd = lf == std::string_view::npos ? 0 : start + lf + blankLine.size();
+    const std::size_t crlfEnd = crlf == std::string_view::npos ? 0 : start + crlf + crlfBlankLine.size();
     return std::max(lfEnd, crlfEnd);
 }
 
@@ -28,8 +30,9 @@
 
 std::string SseEventSplitter::feed(std::string_view bytes)
 {
+    const std::size_t searchedTo = m_pending.size();
     m_pending.append(bytes);
-    const std::size_t end = endOfCompleteEvents(m_pending);
+    const std::size_t end = endOfCompleteEvents(m_pending, searchedTo);
     std::string complete = m_pending.substr(0, end);
     m_pending.erase(0, end);
     recordEvents(complete);
--- a/packages/transport/httpfetch.cpp
+++ b/packages/transport/httpfetch.cpp
@@ -4,6 +4,13 @@
 
 namespace Apricot {
 
+namespace {
+
+/// Longest response: several times the largest page of a list.
+constexpr std::size_t maxBodyBytes = 8U << 20;
+
+}
+
 const char *fetchErrorText(FetchError error)
 {
     switch (error) {
@@ -33,6 +40,9 @@
     };
     callbacks.onBody = [fetch](const std::string &part) {
         fetch->m_response.body += part;
+        if (fetch->m_response.body.size() > maxBodyBytes) {
+            fetch->finish(FetchError::NoResponse);
+        }
     };
     callbacks.onEnded = [fetch](ExchangeOutcome outcome) {
         if (outcome == ExchangeOutcome::Complete) {
--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -401,6 +401,59 @@
     BOOST_TEST(engines.at(0)->receivedRequests().size() == 1U); // The route is not resumable, so the call must not run twice.
 }
 
+/// Sends bytes that complete no event until the connection is closed, and counts them.
+void sendWithoutEnd(EventLoop &loop, const HttpServerConnection::Ptr &connection, const std::shared_ptr<std::atomic<std::size_t>> &sent)
+{
+    constexpr std::size_t partBytes = 256U << 10;
+    constexpr absl::Duration pause = absl::Milliseconds(2);
+    if (connection->isClosed()) {
+        return;
+    }
+    if (connection->unsentBytes() < partBytes) {
+        connection->sendChunk(std::string(partBytes, 'x'));
+        *sent += partBytes;
+    }
+    loop.after(pause, [&loop, connection, sent] { sendWithoutEnd(loop, connection, sent); });
+}
+
+/// An engine in trouble sends a body that never ends: the call ends, the connection is closed, and the node keeps within its memory.
+BOOST_AUTO_TEST_CASE(anAnswerWithoutEndIsCutOff)
+{
+    const auto sent = std::make_shared<std::atomic<std::size_t>>(0);
+    const auto sendForever = [sent](EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request) {
+        PlatformEngineStandIn::beginEventStream(connection, request, 1, 0);
+        sendWithoutEnd(loop, connection, sent);
+    };
+    addEngine("i-1", "desk", "", sendForever);
+    addEngine("d-1", "model", "decode", sendForever);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    constexpr std::size_t maxSentBytes = 12U << 20; // The longest answer, and what the sockets of both sides can hold.
+    BOOST_TEST(node.call("/book/x", "POST", "b").status == 502);
+    BOOST_TEST(*sent < maxSentBytes);
+    *sent = 0;
+    BOOST_TEST((node.call("/draft/x", "POST", "prompt").status == 502));
+    BOOST_TEST(*sent < maxSentBytes);
+}
+
+/// The head of an answer never ends.
+BOOST_AUTO_TEST_CASE(aHeadWithoutEndIsCutOff)
+{
+    const auto sendLongHead = [](EventLoop &, const HttpServerConnection::Ptr &connection, const ReceivedRequest &) {
+        HttpResponseHead head;
+        head.status = 200;
+        constexpr std::size_t headBytes = 8U << 20;
+        head.headers.push_back(HttpHeader{"X-Filler", std::string(headBytes, 'x')});
+        connection->respond(std::move(head), {});
+    };
+    addEngine("i-1", "desk", "", sendLongHead);
+    addEngine("d-1", "model", "decode", sendLongHead);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    BOOST_TEST(node.call("/book/x", "POST", "b").status == 502);
+    BOOST_TEST(node.call("/draft/x", "POST", "prompt").status == 502);
+}
+
 BOOST_AUTO_TEST_CASE(resumesStreamAfterLastEvent)
 {
     const auto breakOrResume = [](EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request) {
