--- a/packages/apricotladderd/entry/calldispatch.cpp
+++ b/packages/apricotladderd/entry/calldispatch.cpp
@@ -25,13 +25,11 @@
                             limits->headerTimeout, limits->idleTimeout};
 }
 
-bool isLateRetry(EntryContext &context, const Route &route, const RoutedCall &call)
+bool isLateRetry(EntryContext &context, const Route &route, const RoutedCall &call, absl::Time now)
 {
     const absl::Duration timeLeft = call->timeLeft.value_or(absl::InfiniteDuration());
-    const absl::Duration usualTimeLeft = context.maxTimeLeft.update(route->name, [&](absl::Duration &maxTimeLeft) {
-        maxTimeLeft = std::max(maxTimeLeft, call->timeLeft.value_or(absl::ZeroDuration()));
-        return maxTimeLeft;
-    });
+    const absl::Duration usualTimeLeft = context.maxTimeLeft.update(
+        route->name, [&](RecentMaximum &maximum) { return maximum.record(call->timeLeft.value_or(absl::ZeroDuration()), now); });
     return timeLeft < usualTimeLeft * lateTimeLeftFraction && usualTimeLeft - timeLeft > route->targetLatency;
 }
 
@@ -59,7 +57,7 @@
                     chooseService(*route, loop.random()),
                     table->desired()->version,
                     loop.events().now(),
-                    isLateRetry(context, *route, call)};
+                    isLateRetry(context, *route, call, loop.events().now())};
     context.callCount.fetch_add(1, std::memory_order_relaxed);
     context.withRetryQuota(facts.service, [&](RetryQuota &quota) { quota.recordRequest(facts.arrival); });
     if ((*route)->responseMode == ResponseMode::Stream) {
--- a/packages/apricotladderd/entry/entrycontext.h
+++ b/packages/apricotladderd/entry/entrycontext.h
@@ -2,6 +2,7 @@
 
 #include "apricotladderd/entry/entrymetrics.h"
 #include "apricotladderd/entry/eventlog.h"
+#include "coordination/recentmaximum.h"
 #include "coordination/retryquota.h"
 #include "coordination/routetable.h"
 #include "coordination/servicepoolmap.h"
@@ -104,7 +105,7 @@
     CurrentRoutes routes;
     ServicePoolMap pools;
     ShardedMap<ServiceName, std::optional<RetryQuota>, 8> retryQuotas;
-    ShardedMap<std::string, absl::Duration, 8> maxTimeLeft; ///< per route: the longest time left of any call on its arrival
+    ShardedMap<std::string, RecentMaximum, 8> maxTimeLeft; ///< per route: the longest time left of the recent calls on their arrival
     std::atomic<double> retryHeadroomShare{1}; ///< this node's share of the retry headroom, 0 to 1
     std::atomic<std::uint64_t> callCount{0}; ///< calls received since the start
     std::atomic<std::size_t> bufferedAnswerBytes{0}; ///< of all calls; \see AnswerBuffer
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -257,7 +257,7 @@
                              {{"engine", engine->id.text()}, {"why", std::string(why)}});
     m_reservation.release(engine->id, m_loop.events().now());
     // A prefill alone does not count as running the call, so a refusal that reports "not run" is still correct here.
-    if (m_prefillFailureCounts && !trySpendRetry()) {
+    if (std::exchange(m_prefillFailureCounts, false) && !trySpendRetry()) {
         refuse(ErrorKind::NoCapacity, shortRetryAfter);
         return;
     }
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -463,6 +463,9 @@
         }
         const std::optional<ModelPlacement> placement
             = entry.waiter == 0 ? reserveForPeer(entry.call, now) : placeModel(m_waiters.at(entry.waiter).demand, now);
+        if (!placement && entry.waiter != 0 && !m_waiters.at(entry.waiter).demand.excludedEngines.empty()) {
+            continue; // The call may wait for other engines than those further back.
+        }
         if (!placement) {
             break; // Smaller calls further back must not starve a large one.
         }
--- a/packages/coordination/tests/entry/testservicepool.cpp
+++ b/packages/coordination/tests/entry/testservicepool.cpp
@@ -423,4 +423,17 @@
     BOOST_TEST(withManyPeers.placeModel(almostAll, start + absl::Seconds(3)).has_value()); // Their reports have expired.
 }
 
+/// The first call of the queue has failed at the engine that is free: it waits for another one, and those behind it need not wait.
+BOOST_AUTO_TEST_CASE(aCallThatExcludesTheFreeEngineDoesNotHoldUpOthers)
+{
+    ServicePool pool = modelPool(1, 1);
+    ModelDemand picky = demand(1000);
+    picky.excludedEngines = {EngineId("d0")};
+    pool.addWaiter(1, picky, start);
+    pool.addWaiter(2, demand(1000), start + absl::Milliseconds(1));
+    const std::vector<Grant> grants = pool.grantCapacity(start + absl::Milliseconds(2));
+    BOOST_REQUIRE(grants.size() == 1U);
+    BOOST_TEST(grants.front().waiter == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
