transport: Do not handle a request whose client has already left

The connection is now checked before the request is handed on. aRequestIsNotHandledAfterItsClientHasLeft failed before (2 requests handled instead of 1).

--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -101,6 +101,9 @@
     m_requestKeepsAlive = head.keepAlive;
     m_responseHasNoBody = head.method == "HEAD";
     m_requestInProgress = true;
+    if (m_connection->isClosedByPeer()) {
+        return; // A busy node may read a request after its client has left; the end of the connection is reported next.
+    }
     m_hooks->onRequest(shared_from_this(), std::move(head), std::move(body));
 }
 
--- a/packages/transport/tcpconnection.cpp
+++ b/packages/transport/tcpconnection.cpp
@@ -221,6 +221,13 @@
     return m_descriptor >= 0 && recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
 }
 
+bool TcpConnection::isClosedByPeer() const
+{
+    char byte = 0;
+    const ssize_t n = m_descriptor < 0 ? 1 : recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno == ECONNRESET);
+}
+
 void TcpConnection::setReading(bool reading)
 {
     m_reading = reading;
--- a/packages/transport/tcpconnection.h
+++ b/packages/transport/tcpconnection.h
@@ -90,6 +90,9 @@
     /// Whether the connection is open and there is nothing to read, neither data nor the end of the stream.
     bool isIdle() const;
 
+    /// Whether the peer has closed or reset the connection, and all data before that has been read.
+    bool isClosedByPeer() const;
+
 private:
     TcpConnection(EventLoop &loop, int descriptor);
 
--- a/packages/transport/tests/exchange/testexchange.cpp
+++ b/packages/transport/tests/exchange/testexchange.cpp
@@ -5,14 +5,30 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <arpa/inet.h>
 #include <functional>
+#include <netinet/in.h>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 using namespace Apricot;
 
 namespace {
 
+/// Returns a blocking socket that is connected to \a port on this host.
+int connectTo(int port)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0);
+    return descriptor;
+}
+
 /// Result of an exchange.
 struct ExchangeResult
 {
@@ -254,6 +270,30 @@
     BOOST_TEST(listener.connectionCount() == 0U);
 }
 
+/// A client gave up while the server was busy: its request and the end of its connection are read at the same time.
+BOOST_AUTO_TEST_CASE(aRequestIsNotHandledAfterItsClientHasLeft)
+{
+    int requests = 0;
+    HttpListener::Hooks hooks;
+    hooks.onRequest = [&](const HttpServerConnection::Ptr &connection, const HttpRequestHead &, const std::string &) {
+        ++requests;
+        connection->respond(HttpResponseHead(), {});
+    };
+    HttpListener listener(events, "127.0.0.1:0", AddressSharing::Exclusive, std::move(hooks));
+    const std::string text = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    const auto sendRequest = [&] {
+        const int client = connectTo(listener.port());
+        BOOST_REQUIRE(send(client, text.data(), text.size(), 0) == static_cast<ssize_t>(text.size()));
+        return client;
+    };
+    close(sendRequest());
+    const int waiting = sendRequest();
+    runUntil([&] { return requests > 0; });
+    runUntil([&] { return listener.connectionCount() == 1; });
+    BOOST_TEST(requests == 1);
+    close(waiting);
+}
+
 BOOST_AUTO_TEST_CASE(anAbortedStreamIsNotComplete)
 {
     HttpListener::Hooks hooks;
