tests: Play standby nodes and malformed input at each port of a node

nodesThatAreNotActiveLearnChangesFromPeers: 14 real nodes, 12 watches at the store (6 active nodes of 2 kinds), all nodes serve a new route and stop using a leaving engine. malformedInputAtAnyPortEndsNothing: bytes that are no message at the caller, readiness, discovery, peer (TCP and UDP) and metrics ports.

--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -125,6 +125,16 @@
     });
 }
 
+std::size_t PlatformStoreStandIn::watchCount()
+{
+    std::size_t n = 0;
+    runOnLoop([&] {
+        std::erase_if(m_pendingWatches, [](const PendingWatch &it) { return it.connection->isClosed(); });
+        n = m_pendingWatches.size();
+    });
+    return n;
+}
+
 std::size_t PlatformStoreStandIn::heldWriteCount()
 {
     std::size_t n = 0;
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -44,6 +44,9 @@
     /// Sets whether the answers to writes are held back. A write is carried out when its answer is released.
     void setHoldsWrites(bool holds);
 
+    /// Number of watches that wait for a change.
+    std::size_t watchCount();
+
     /// Number of writes that are held back.
     std::size_t heldWriteCount();
 
--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -1,12 +1,17 @@
 #include "apricotladderd/entry/entrynode.h"
+#include "coordination/activenodes.h"
 #include "platform/enginestandin.h"
 #include "platform/storestandin.h"
+#include "protocol/cellmessage.h"
 #include "transport/httpclient.h"
+#include "transport/socketaddress.h"
+#include "transport/udpsocket.h"
 
 #include <absl/time/clock.h>
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -42,6 +47,20 @@
     return true;
 }
 
+/// Sends \a bytes to \a address over TCP and closes the connection.
+void sendRaw(const std::string &address, const std::string &bytes)
+{
+    EventLoop loop;
+    const auto connection = TcpConnection::connect(loop, *parseSocketAddress(address), TcpTimeouts(), TcpConnection::Callbacks());
+    connection->write(bytes);
+    bool isOver = false;
+    loop.after(absl::Milliseconds(20), [&] { isOver = true; });
+    while (!isOver) {
+        loop.runOnce();
+    }
+    connection->abort();
+}
+
 Json route(const std::string &prefix, const std::string &type, const std::string &service, int attempts, int timeoutMs = 20000)
 {
     return Json{{"name", "r" + prefix},
@@ -591,4 +610,70 @@
     BOOST_TEST(store.names("apricot-nodes").empty());
 }
 
+/// Only the active nodes watch the store; the others learn a new desired state and a leaving engine from them.
+BOOST_AUTO_TEST_CASE(nodesThatAreNotActiveLearnChangesFromPeers)
+{
+    constexpr std::size_t nodeCount = 14;
+    constexpr std::size_t kindsWatched = 2;
+    addEngine("i-1", "desk", "", respondSuccessfully);
+    PlatformEngineStandIn &leaving = addEngine("i-2", "desk", "", respondSuccessfully);
+    std::vector<std::unique_ptr<NodeUnderTest>> nodes;
+    std::vector<std::string> seeds;
+    for (std::size_t i = 0; i < nodeCount; ++i) {
+        nodes.push_back(std::make_unique<NodeUnderTest>("n" + std::to_string(i), store.address(), seeds));
+        seeds.push_back(nodes.back()->settings()->peerAddress);
+    }
+    const auto all = [&](const std::function<bool(const NodeUnderTest &)> &condition) {
+        return std::all_of(nodes.begin(), nodes.end(), [&](const auto &it) { return condition(*it); });
+    };
+    BOOST_REQUIRE(eventually([&] { return all([](const NodeUnderTest &it) { return it.isReady(); }); }));
+    BOOST_TEST(eventually([&] { return store.watchCount() == ActiveNodeRules().minCount * kindsWatched; }));
+    store.put("config", "main", desiredState(3, Json::array({route("/new/", "idempotent", "desk", 1)})));
+    BOOST_TEST(eventually([&] { return all([](const NodeUnderTest &it) { return it.call("/new/x").status == 200; }); }));
+    publishEngine(leaving, "desk", "", "draining");
+    const auto receivesCalls = [&] {
+        const std::size_t before = leaving.receivedRequests().size();
+        all([](const NodeUnderTest &it) { return it.call("/read/x").status == 200 && it.call("/read/y").status == 200; });
+        return leaving.receivedRequests().size() > before;
+    };
+    BOOST_TEST(eventually([&] { return !receivesCalls(); }));
+}
+
+/// Bytes that are no message, at each port of a node.
+BOOST_AUTO_TEST_CASE(malformedInputAtAnyPortEndsNothing)
+{
+    addEngine("i-1", "desk", "", respondSuccessfully);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    const EntrySettings &settings = node.settings();
+    const std::string zeroes(5000, '\0');
+    const std::string longLine = "GET /" + std::string(100000, 'a');
+    for (const std::string &address : {settings->callerAddress, settings->readyAddress, settings->discoveryAddress, settings->peerAddress,
+                                       settings->metricsAddress}) {
+        for (const std::string &bytes : {zeroes, longLine, std::string("GET /\xff\xfe HTTP/1.1\r\nHost\r\n\r\n"),
+                                         std::string("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n")}) {
+            sendRaw(address, bytes);
+        }
+    }
+    for (const char *target : {"/cell-state?generation=99999999999999999999999", "/cell-state?generation=x", "/cell-stateful"}) {
+        BOOST_TEST(node.fetch(settings->peerAddress, target).status > 0);
+    }
+    LoadReport report;
+    report.sender = NodeId("n2");
+    report.engineLoads = {EngineLoad{EngineId("unknown"), -5, -7, {EngineRun{1, -1, -1, -1}}}};
+    report.waitingCalls = {WaitingCall{ServiceName("unknown"), -1, absl::InfiniteFuture(), -1, -1}};
+    const std::string valid = encodeCellMessage(report);
+    const UdpSocket peer("127.0.0.1:0");
+    for (std::size_t n = 0; n < valid.size(); ++n) {
+        peer.send(settings->peerAddress, valid.substr(0, n));
+        std::string changed = valid;
+        changed[n] = static_cast<char>(changed[n] ^ 0xff);
+        peer.send(settings->peerAddress, changed);
+    }
+    peer.send(settings->peerAddress, valid);
+    BOOST_TEST(node.call("/read/x").status == 200);
+    BOOST_TEST(node.isReady());
+    BOOST_TEST(!node.hasEnded());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
