coordination: Try an ejected engine with one call, and back off from one that keeps refusing

An ejected engine is empty, so as soon as its ejection ended all calls of that moment were placed there and lost 250 ms and, later, their KV handle (0.5 s); when it was back it refused for another second, and each refusal cost a prefill. The log lacked these attempts; call.decodefailed now tells them.

Change: after an ejection one call tries the engine, the others avoid it until the result; refusals eject for 40 ms, doubling to 640 ms until a call is accepted; a call whose decode engine became unreachable during its prefill is placed again without the attempt; an expired KV handle is not offered, and its expiry no longer counts as a failure of the prefill engine.

--- a/packages/apricotladderd/entry/ownedkvhandle.cpp
+++ b/packages/apricotladderd/entry/ownedkvhandle.cpp
@@ -20,9 +20,9 @@
 {
 }
 
-void OwnedKvHandle::set(const EngineEntry &engine, const std::string &name)
+void OwnedKvHandle::set(const EngineEntry &engine, const std::string &name, absl::Time expiry)
 {
-    m_handle = Handle{engine, name};
+    m_handle = Handle{engine, name, expiry};
 }
 
 std::string OwnedKvHandle::source() const
--- a/packages/apricotladderd/entry/ownedkvhandle.h
+++ b/packages/apricotladderd/entry/ownedkvhandle.h
@@ -3,6 +3,8 @@
 #include "apricotladderd/entry/entryloop.h"
 #include "state/engineentry.h"
 
+#include <absl/time/time.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,14 +21,20 @@
 public:
     OwnedKvHandle(EntryLoop &loop, std::int64_t promptTokens);
 
-    /// Stores that \a engine holds a KV cache under the handle \a name.
-    void set(const EngineEntry &engine, const std::string &name);
+    /// Stores that \a engine holds a KV cache under the handle \a name until \a expiry.
+    void set(const EngineEntry &engine, const std::string &name, absl::Time expiry);
 
     bool hasHandle() const
     {
         return m_handle.has_value();
     }
 
+    /// Whether the engine should still hold the KV cache at \a now.
+    bool isFresh(absl::Time now) const
+    {
+        return m_handle && now < m_handle->expiry;
+    }
+
     /// The engine that holds the KV cache. May be called only while hasHandle() is true.
     const EngineEntry &engine() const
     {
@@ -47,6 +55,7 @@
     {
         EngineEntry engine;
         std::string name;
+        absl::Time expiry;
     };
 
     EntryLoop &m_loop;
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -135,13 +135,14 @@
     m_reservation.adopt(placement);
     if (!placement.prefill || m_streamStarted) {
         startDecode();
-    } else if (m_kvHandle.hasHandle()) {
+    } else if (m_kvHandle.isFresh(m_placedAt)) {
         // The prefill is complete and only its decode engine was lost: the newly placed prefill engine is not needed.
         m_reservation.release((*placement.prefill)->id, m_loop.events().now());
         startDecode();
     } else if (m_sentPrefills > 0 && !trySpendRetry()) {
         refuse(ErrorKind::NoCapacity, shortRetryAfter);
     } else {
+        m_kvHandle.release("expired");
         startPrefill();
     }
 }
@@ -237,13 +238,14 @@
         return;
     }
     const absl::Time now = m_loop.events().now();
-    m_loop.context().pools.withPool(m_facts.service, [&](ServicePool &pool) {
+    const absl::Duration lifetime = m_loop.context().pools.withPool(m_facts.service, [&](ServicePool &pool) {
         const double units = static_cast<double>(std::max<std::int64_t>(1, m_facts.call->promptTokens));
         pool.recordResult(engine->id, EngineResult::Succeeded, now);
         pool.recordCost(engine->id, units, now - m_stageStart, now);
+        return pool.handleLifetime();
     });
     m_loop.context().metrics.countAttempt("prefill", "good");
-    m_kvHandle.set(engine, result->handle);
+    m_kvHandle.set(engine, result->handle, now + lifetime);
     m_reservation.release(engine->id, now);
     startDecode();
 }
@@ -291,13 +293,15 @@
 {
     const EngineEntry engine = m_placement->decode;
     EntryContext &context = m_loop.context();
-    const bool isReady = context.pools.withPool(m_facts.service, [&](ServicePool &pool) { return pool.isReady(engine); });
-    if (!isReady) {
+    const absl::Time now = m_loop.events().now();
+    const bool isUsable = context.pools.withPool(
+        m_facts.service, [&](ServicePool &pool) { return pool.isReady(engine) && pool.isReachable(engine->id, now); });
+    if (!isUsable) {
         abandonPlacement(engine->id);
         requestPlacement(m_facts.route->targetLatency);
         return;
     }
-    m_stageStart = m_loop.events().now();
+    m_stageStart = now;
     m_lastDecodeEngine = engine->id;
     m_wasSent = false;
     m_responseHead = {};
@@ -330,6 +334,7 @@
     const bool isGood = head.status == statusOk && info.isSigned && !info.isEncoded && !info.requestId.empty();
     m_isStream = isGood && absl::StartsWithIgnoreCase(abslView(headerValue(head.headers, "Content-Type")), "text/event-stream");
     if (m_isStream) {
+        m_loop.context().pools.withPool(m_facts.service, [&](ServicePool &pool) { pool.recordAccepted(m_placement->decode->id); });
         m_kvHandle.markFetched();
     }
     // A resumed stream keeps the response head of its first engine.
@@ -486,9 +491,19 @@
                                               : isDeclined                    ? "declined"
                                                                               : "answered");
     if (outcome == ExchangeOutcome::NotSent || isDeclined) {
+        m_loop.context().log.add(LogLevel::Info, "call.decodefailed", m_facts.call->requestId,
+                                 {{"engine", engine.text()},
+                                  {"why", std::string(isDeclined ? "declined" : "no connection could be established")},
+                                  {"status", std::int64_t{m_responseHead.status}},
+                                  {"hasHandle", m_kvHandle.hasHandle()},
+                                  {"sincePlacedMs", absl::ToDoubleMilliseconds(m_loop.events().now() - m_placedAt)},
+                                  {"memoryPart", m_basis.memoryFraction},
+                                  {"runsThere", m_basis.runCount}});
         if (isDeclined && m_kvHandle.hasHandle()) {
-            // The KV handle has expired or cannot be fetched: the engine can still compute the prefill itself.
-            m_reservation.recordResult(m_kvHandle.engine()->id, EngineResult::Failed, m_loop.events().now());
+            // The KV cache cannot be fetched: the engine can still compute the prefill itself.
+            if (m_kvHandle.isFresh(m_loop.events().now())) {
+                m_reservation.recordResult(m_kvHandle.engine()->id, EngineResult::Failed, m_loop.events().now());
+            }
             m_kvHandle.release("declined");
             if (trySpendRetry()) {
                 startLocalPrefill();
--- a/packages/coordination/enginehealth.cpp
+++ b/packages/coordination/enginehealth.cpp
@@ -26,8 +26,13 @@
 constexpr absl::Duration minEjectionTime = absl::Milliseconds(600);
 constexpr absl::Duration maxEjectionTime = absl::Seconds(4);
 
-/// A full engine may have capacity again after a few tokens.
-constexpr absl::Duration refusalEjectionTime = absl::Milliseconds(40);
+/// Duration of the ejection after a refusal, which doubles up to the maximum while the engine accepts nothing: a full engine may have
+/// capacity again after a few tokens, one that was unreachable may still be busy with the requests of before.
+constexpr absl::Duration minRefusalEjectionTime = absl::Milliseconds(40);
+constexpr absl::Duration maxRefusalEjectionTime = absl::Milliseconds(640);
+
+/// A trial without a result ends after this time.
+constexpr absl::Duration maxTrialTime = absl::Seconds(1);
 
 double decayFactor(absl::Duration elapsed, absl::Duration halfLife)
 {
@@ -50,16 +55,31 @@
     m_unreachableUntil = now + m_ejectionTime;
 }
 
+void EngineHealth::recordAttempt(absl::Time now)
+{
+    if (m_ejectionTime > absl::ZeroDuration()) {
+        m_trialUntil = now + maxTrialTime;
+    }
+}
+
+void EngineHealth::recordAccepted()
+{
+    m_ejectionTime = absl::ZeroDuration();
+    m_refusalEjectionTime = absl::ZeroDuration();
+    m_ejectedUntil = absl::InfinitePast();
+    m_unreachableUntil = absl::InfinitePast();
+    m_trialUntil = absl::InfinitePast();
+}
+
 void EngineHealth::recordResult(EngineResult result, absl::Time now)
 {
     decay(now);
+    m_trialUntil = absl::InfinitePast();
     switch (result) {
     case EngineResult::Succeeded:
         m_successes += 1;
         m_consecutiveFailures = 0;
-        m_ejectionTime = absl::ZeroDuration();
-        m_ejectedUntil = absl::InfinitePast();
-        m_unreachableUntil = absl::InfinitePast();
+        recordAccepted();
         break;
     case EngineResult::Failed:
         m_failures += 1;
@@ -72,7 +92,11 @@
         eject(now);
         break;
     case EngineResult::Refused:
-        m_ejectedUntil = std::max(m_ejectedUntil, now + refusalEjectionTime);
+        // Calls that were sent at the same time are refused at the same time.
+        if (now >= m_ejectedUntil) {
+            m_refusalEjectionTime = std::clamp(m_refusalEjectionTime * 2, minRefusalEjectionTime, maxRefusalEjectionTime);
+            m_ejectedUntil = now + m_refusalEjectionTime;
+        }
         break;
     }
 }
--- a/packages/coordination/enginehealth.h
+++ b/packages/coordination/enginehealth.h
@@ -24,6 +24,13 @@
     /// Records the result of an attempt at the engine.
     void recordResult(EngineResult result, absl::Time now);
 
+    /// Records that an attempt at the engine begins. After an ejection, it is a trial: until its result, the engine stays ejected for
+    /// all other calls.
+    void recordAttempt(absl::Time now);
+
+    /// Records that the engine has accepted a call.
+    void recordAccepted();
+
     /// Records that \a units of work took \a duration.
     void recordCost(double units, absl::Duration duration, absl::Time now);
 
@@ -37,10 +44,10 @@
     /// Returns the fraction of the recent attempts that failed, 0 to 1.
     double failureFraction(absl::Time now) const;
 
-    /// Whether the engine is ejected after failed connections, consecutive failures or a refusal.
+    /// Whether the engine is ejected after failed connections, consecutive failures or a refusal, or because a trial is in progress.
     bool isEjected(absl::Time now) const
     {
-        return now < m_ejectedUntil || now < m_unreachableUntil;
+        return now < m_ejectedUntil || now < m_unreachableUntil || now < m_trialUntil;
     }
 
     /// Whether the engine is ejected because no connection can be established or because of consecutive failures.
@@ -59,8 +66,10 @@
     double m_failures = 0;
     absl::Time m_decayed = absl::UnixEpoch();
     absl::Duration m_ejectionTime;
+    absl::Duration m_refusalEjectionTime;
     absl::Time m_unreachableUntil = absl::InfinitePast();
     absl::Time m_ejectedUntil = absl::InfinitePast(); ///< end of the ejection after a refusal
+    absl::Time m_trialUntil = absl::InfinitePast(); ///< latest end of the trial in progress
     int m_consecutiveFailures = 0;
 };
 
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -227,6 +227,7 @@
     }
     const EngineEntry chosen = cheapest(found)->engine->entry;
     add(EngineReservation{chosen->id, 1, 0, std::nullopt});
+    recordAttempt(chosen->id, now);
     return chosen;
 }
 
@@ -376,6 +377,10 @@
     if (chosen) {
         reserve(&*chosen, demand);
         recordPlacement(demand, now);
+        recordAttempt(chosen->decode->id, now);
+        if (chosen->prefill) {
+            recordAttempt((*chosen->prefill)->id, now);
+        }
     }
     return chosen;
 }
@@ -512,6 +517,28 @@
     }
 }
 
+void ServicePool::recordAttempt(const EngineId &engine, absl::Time now)
+{
+    const auto it = m_engines.find(engine);
+    if (it != m_engines.end()) {
+        it->second.health.recordAttempt(now);
+    }
+}
+
+void ServicePool::recordAccepted(const EngineId &engine)
+{
+    const auto it = m_engines.find(engine);
+    if (it != m_engines.end()) {
+        it->second.health.recordAccepted();
+    }
+}
+
+bool ServicePool::isReachable(const EngineId &engine, absl::Time now) const
+{
+    const auto it = m_engines.find(engine);
+    return it != m_engines.end() && !it->second.health.isUnreachable(now);
+}
+
 void ServicePool::recordCost(const EngineId &engine, double units, absl::Duration duration, absl::Time now)
 {
     const auto it = m_engines.find(engine);
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -139,6 +139,12 @@
     /// Records the result of an attempt at an engine.
     void recordResult(const EngineId &engine, EngineResult result, absl::Time now);
 
+    /// Records that \a engine has accepted a call.
+    void recordAccepted(const EngineId &engine);
+
+    /// Whether \a engine is known, and not ejected because no connection to it could be established.
+    bool isReachable(const EngineId &engine, absl::Time now) const;
+
     /// Records that \a units of work took \a duration at an engine.
     void recordCost(const EngineId &engine, double units, absl::Duration duration, absl::Time now);
 
@@ -173,6 +179,12 @@
         return m_model ? (*m_model)->tokensPerEvent : 1;
     }
 
+    /// Returns how long an engine keeps the result of a prefill.
+    absl::Duration handleLifetime() const
+    {
+        return m_model ? (*m_model)->handleLifetime : absl::ZeroDuration();
+    }
+
     /// Returns the age of the oldest peer load report in use; zero without peers.
     absl::Duration loadsAge(absl::Time now) const
     {
@@ -243,6 +255,7 @@
     std::int64_t effectiveRank(std::int64_t rank, absl::Time now) const;
     double localPrefillMs(const Candidate &decode, const ModelDemand &demand, absl::Time now) const;
     bool fitsLocalPrefill(const Candidate &decode, const ModelDemand &demand, double prefillMs) const;
+    void recordAttempt(const EngineId &engine, absl::Time now);
     void recordPlacement(const ModelDemand &demand, absl::Time now);
 
     std::optional<ModelEngineSpec> m_model;
--- a/packages/coordination/tests/entry/testservicepool.cpp
+++ b/packages/coordination/tests/entry/testservicepool.cpp
@@ -436,4 +436,76 @@
     BOOST_TEST(grants.front().waiter == 2U);
 }
 
+/// Two of six decode engines go dark in a burst. An ejected engine is empty, so it looks best as soon as its ejection ends: only one
+/// call may try it, or all calls of that moment lose the time of a failed connection.
+BOOST_AUTO_TEST_CASE(anEjectedEngineIsTriedByOneCallAtATime)
+{
+    ServicePool pool = modelPool(4, 6);
+    const auto isDark = [](const EngineId &engine) {
+        return engine == EngineId("d0") || engine == EngineId("d1");
+    };
+    for (const char *id : {"d2", "d3", "d4", "d5"}) {
+        pool.add(EngineReservation{EngineId(id), 1, 0, EngineRun{1000, 4000, 500, 0}});
+    }
+    constexpr absl::Duration connectTimeout = absl::Milliseconds(250);
+    constexpr absl::Duration interval = absl::Milliseconds(20);
+    std::map<absl::Time, EngineId> failures; // by the time when the connection attempt ends
+    int lost = 0;
+    for (absl::Duration at = absl::ZeroDuration(); at < absl::Seconds(3); at += interval) {
+        const absl::Time now = start + at;
+        while (!failures.empty() && failures.begin()->first <= now) {
+            pool.recordResult(failures.begin()->second, EngineResult::Unreachable, now);
+            failures.erase(failures.begin());
+        }
+        const std::optional<ModelPlacement> placement = pool.placeModel(demand(500), now);
+        if (!placement) {
+            continue;
+        }
+        pool.recordResult((*placement->prefill)->id, EngineResult::Succeeded, now);
+        if (isDark(placement->decode->id)) {
+            ++lost;
+            failures.emplace(now + connectTimeout + absl::Microseconds(lost), placement->decode->id);
+        }
+        for (const EngineReservation &reservation : placement->reservations) {
+            pool.release(reservation);
+        }
+    }
+    // Each engine: the calls of the first connect timeout, then one call after each ejection (0.6 s, 1.2 s).
+    const auto firstCalls = 2 * static_cast<int>(connectTimeout / interval + 1);
+    BOOST_TEST(lost <= firstCalls + 2 * 2);
+}
+
+BOOST_AUTO_TEST_CASE(anEngineThatAnswersAgainIsUsedByAll)
+{
+    ServicePool pool = modelPool(1, 1);
+    const EngineId engine("d0");
+    pool.recordResult(engine, EngineResult::Unreachable, start);
+    const absl::Time later = start + absl::Seconds(1);
+    BOOST_TEST(!pool.isReachable(engine, start));
+    BOOST_TEST(pool.isReachable(engine, later));
+    BOOST_TEST(pool.placeModel(demand(500), later).has_value());
+    BOOST_TEST(!pool.placeModel(demand(500), later).has_value());
+    pool.recordAccepted(engine);
+    BOOST_TEST(pool.placeModel(demand(500), later).has_value());
+}
+
+/// An engine that was unreachable is back, and still busy with the requests of before: it refuses for a second what looks like a good
+/// placement. Each refusal costs a prefill, so the calls back off.
+BOOST_AUTO_TEST_CASE(anEngineThatKeepsRefusingIsAskedLessAndLess)
+{
+    EngineHealth health;
+    int asked = 0;
+    for (absl::Duration at = absl::ZeroDuration(); at < absl::Seconds(1); at += absl::Milliseconds(5)) {
+        if (!health.isEjected(start + at)) {
+            ++asked;
+            health.recordResult(EngineResult::Refused, start + at);
+        }
+    }
+    BOOST_TEST(asked <= 5);
+    const absl::Time later = start + absl::Seconds(2);
+    health.recordAccepted();
+    health.recordResult(EngineResult::Refused, later);
+    BOOST_TEST(!health.isEjected(later + absl::Milliseconds(50)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
