entry: Do not repeat a declined call at an engine that keeps declining

The second attempt spent the retry quota for nothing. It is now left out once an engine has refused repeatedly and accepted nothing since. anEngineThatKeepsRefusingIsAskedLessAndLess checks the state.

--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -505,7 +505,10 @@
                 m_reservation.recordResult(m_kvHandle.engine()->id, EngineResult::Failed, m_loop.events().now());
             }
             m_kvHandle.release("declined");
-            if (trySpendRetry()) {
+            // An engine that declines one call after the other is full, so it would decline this one again.
+            const bool isFull
+                = m_loop.context().pools.withPool(m_facts.service, [&](const ServicePool &pool) { return pool.isRefusing(engine); });
+            if (!isFull && trySpendRetry()) {
                 startLocalPrefill();
                 return;
             }
--- a/packages/coordination/enginehealth.cpp
+++ b/packages/coordination/enginehealth.cpp
@@ -101,6 +101,11 @@
     }
 }
 
+bool EngineHealth::isRefusing() const
+{
+    return m_refusalEjectionTime > minRefusalEjectionTime;
+}
+
 void EngineHealth::recordCost(double units, absl::Duration duration, absl::Time now)
 {
     if (units <= 0) {
--- a/packages/coordination/enginehealth.h
+++ b/packages/coordination/enginehealth.h
@@ -50,6 +50,9 @@
         return now < m_ejectedUntil || now < m_unreachableUntil || now < m_trialUntil;
     }
 
+    /// Whether the engine has refused calls repeatedly and accepted none since.
+    bool isRefusing() const;
+
     /// Whether the engine is ejected because no connection can be established or because of consecutive failures.
     bool isUnreachable(absl::Time now) const
     {
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -539,6 +539,12 @@
     return it != m_engines.end() && !it->second.health.isUnreachable(now);
 }
 
+bool ServicePool::isRefusing(const EngineId &engine) const
+{
+    const auto it = m_engines.find(engine);
+    return it != m_engines.end() && it->second.health.isRefusing();
+}
+
 void ServicePool::recordCost(const EngineId &engine, double units, absl::Duration duration, absl::Time now)
 {
     const auto it = m_engines.find(engine);
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -145,6 +145,9 @@
     /// Whether \a engine is known, and not ejected because no connection to it could be established.
     bool isReachable(const EngineId &engine, absl::Time now) const;
 
+    /// Whether \a engine has refused calls repeatedly and accepted none since.
+    bool isRefusing(const EngineId &engine) const;
+
     /// Records that \a units of work took \a duration at an engine.
     void recordCost(const EngineId &engine, double units, absl::Duration duration, absl::Time now);
 
--- a/packages/coordination/tests/entry/testservicepool.cpp
+++ b/packages/coordination/tests/entry/testservicepool.cpp
@@ -502,9 +502,11 @@
         }
     }
     BOOST_TEST(asked <= 5);
+    BOOST_TEST(health.isRefusing());
     const absl::Time later = start + absl::Seconds(2);
     health.recordAccepted();
     health.recordResult(EngineResult::Refused, later);
+    BOOST_TEST(!health.isRefusing());
     BOOST_TEST(!health.isEjected(later + absl::Milliseconds(50)));
 }
 
