coordination: Learn from refusals how much memory of an engine other calls use

UnknownLoad estimates this memory: a refusal raises it to what seemed free and a call more, an acceptance bounds it by what is free, and it halves in 4 s.

--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -334,7 +334,8 @@
     const bool isGood = head.status == statusOk && info.isSigned && !info.isEncoded && !info.requestId.empty();
     m_isStream = isGood && absl::StartsWithIgnoreCase(abslView(headerValue(head.headers, "Content-Type")), "text/event-stream");
     if (m_isStream) {
-        m_loop.context().pools.withPool(m_facts.service, [&](ServicePool &pool) { pool.recordAccepted(m_placement->decode->id); });
+        m_loop.context().pools.withPool(m_facts.service,
+                                        [&](ServicePool &pool) { pool.recordAccepted(m_placement->decode->id, m_loop.events().now()); });
         m_kvHandle.markFetched();
     }
     // A resumed stream keeps the response head of its first engine.
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -292,7 +292,7 @@
         const bool slotIsFree = it.load.requests + spareSlots < it.engine->entry->slots;
         std::vector<EngineRun> runs = it.load.runs;
         runs.push_back(newRun);
-        const auto peak = static_cast<double>(peakMemoryTokens(runs));
+        const double peak = static_cast<double>(peakMemoryTokens(runs)) + it.engine->unknownLoad.tokens(now);
         const double used = peak / usable;
         it.memoryFraction = peak / totalMemoryTokens();
         it.cost = slotIsFree && used <= 1 ? (fullnessPenaltyMs * used + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, now)
@@ -512,8 +512,15 @@
 void ServicePool::recordResult(const EngineId &engine, EngineResult result, absl::Time now)
 {
     const auto it = m_engines.find(engine);
-    if (it != m_engines.end()) {
-        it->second.health.recordResult(result, now);
+    if (it == m_engines.end()) {
+        return;
+    }
+    it->second.health.recordResult(result, now);
+    if (result == EngineResult::Refused && it->second.entry->stage == EngineStage::Decode) {
+        // Without the refused call, there was room for one more of its kind.
+        const auto runs = static_cast<double>(std::max<std::size_t>(1, totalLoad(engine, now).runs.size()));
+        const double free = freeTokens(engine, now);
+        it->second.unknownLoad.recordRefused(free + (usableMemoryTokens(now) - free) / runs, now);
     }
 }
 
@@ -525,14 +532,20 @@
     }
 }
 
-void ServicePool::recordAccepted(const EngineId &engine)
+void ServicePool::recordAccepted(const EngineId &engine, absl::Time now)
 {
     const auto it = m_engines.find(engine);
     if (it != m_engines.end()) {
         it->second.health.recordAccepted();
+        it->second.unknownLoad.recordAccepted(freeTokens(engine, now), now);
     }
 }
 
+double ServicePool::freeTokens(const EngineId &engine, absl::Time now) const
+{
+    return usableMemoryTokens(now) - static_cast<double>(peakMemoryTokens(totalLoad(engine, now).runs));
+}
+
 bool ServicePool::isReachable(const EngineId &engine, absl::Time now) const
 {
     const auto it = m_engines.find(engine);
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -3,6 +3,7 @@
 #include "coordination/decayingrate.h"
 #include "coordination/enginehealth.h"
 #include "coordination/engineloads.h"
+#include "coordination/unknownload.h"
 #include "state/desiredstate.h"
 #include "state/engineentry.h"
 
@@ -140,7 +141,7 @@
     void recordResult(const EngineId &engine, EngineResult result, absl::Time now);
 
     /// Records that \a engine has accepted a call.
-    void recordAccepted(const EngineId &engine);
+    void recordAccepted(const EngineId &engine, absl::Time now);
 
     /// Whether \a engine is known, and not ejected because no connection to it could be established.
     bool isReachable(const EngineId &engine, absl::Time now) const;
@@ -205,6 +206,7 @@
     {
         EngineEntry entry;
         EngineHealth health;
+        UnknownLoad unknownLoad; ///< on a decode engine
     };
 
     struct Waiter
@@ -247,6 +249,7 @@
     double totalMemoryTokens() const;
     double usableMemoryTokens(absl::Time now) const;
     std::int64_t expectedOutputTokens(const ModelDemand &demand) const;
+    double freeTokens(const EngineId &engine, absl::Time now) const;
     double freeMemoryFraction(absl::Time now) const;
     bool isBelowFloor(std::int64_t rank, absl::Time now) const;
     bool mayUseUrgentReserve(const ModelDemand &demand, absl::Time now) const;
--- a/packages/coordination/tests/entry/testservicepool.cpp
+++ b/packages/coordination/tests/entry/testservicepool.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <map>
 
 using namespace Apricot;
@@ -485,7 +486,7 @@
     BOOST_TEST(pool.isReachable(engine, later));
     BOOST_TEST(pool.placeModel(demand(500), later).has_value());
     BOOST_TEST(!pool.placeModel(demand(500), later).has_value());
-    pool.recordAccepted(engine);
+    pool.recordAccepted(engine, later);
     BOOST_TEST(pool.placeModel(demand(500), later).has_value());
 }
 
@@ -510,4 +511,62 @@
     BOOST_TEST(!health.isEjected(later + absl::Milliseconds(50)));
 }
 
+/// Two parts of a deployment cannot reach each other, in a burst: each places on the same engines as if it were alone, and learns from
+/// refusals how much the other part uses.
+BOOST_AUTO_TEST_CASE(partsThatCannotReachEachOtherLearnFromRefusals)
+{
+    constexpr int engineCount = 4;
+    constexpr std::int64_t promptTokens = 1000;
+    constexpr std::int64_t outputTokens = 500;
+    constexpr std::int64_t runsPerEngine = 6;
+    constexpr absl::Duration runTime = absl::Milliseconds(1500);
+    constexpr absl::Duration interval = absl::Milliseconds(30);
+    struct Run
+    {
+        std::size_t part = 0;
+        ModelPlacement placement;
+        absl::Time end;
+    };
+    std::vector<ServicePool> parts{modelPool(4, engineCount), modelPool(4, engineCount)};
+    std::vector<Run> running;
+    int refused = 0;
+    int accepted = 0;
+    const auto release = [&](const Run &run) {
+        for (const EngineReservation &reservation : run.placement.reservations) {
+            parts[run.part].release(reservation);
+        }
+    };
+    for (absl::Duration at = absl::ZeroDuration(); at < absl::Seconds(10); at += interval) {
+        const absl::Time now = start + at;
+        for (const Run &run : running) {
+            if (run.end <= now) {
+                release(run);
+            }
+        }
+        std::erase_if(running, [&](const Run &run) { return run.end <= now; });
+        const std::size_t part = static_cast<std::size_t>(at / interval) % parts.size();
+        ModelDemand wanted = demand(promptTokens);
+        wanted.expectedOutputTokens = outputTokens;
+        const std::optional<ModelPlacement> placement = parts[part].placeModel(wanted, now);
+        if (!placement) {
+            continue;
+        }
+        const EngineId engine = placement->decode->id;
+        const auto runs = std::count_if(running.begin(), running.end(), [&](const Run &run) { return run.placement.decode->id == engine; });
+        if (runs >= runsPerEngine) {
+            ++refused;
+            parts[part].recordResult(engine, EngineResult::Refused, now);
+            release(Run{part, *placement, now});
+            continue;
+        }
+        ++accepted;
+        parts[part].recordAccepted(engine, now);
+        running.push_back(Run{part, *placement, now + runTime});
+    }
+    // The engines are used, and at most one call in five is prefilled for nothing.
+    const double capacity = engineCount * runsPerEngine * (absl::Seconds(10) / runTime);
+    BOOST_TEST(accepted >= 0.85 * capacity);
+    BOOST_TEST(refused <= accepted / 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
