tests: Play slow but sound streams and streams that only trickle

Both tests passed when first run: only complete events count as progress, and a resumable stream goes on elsewhere after its stall timeout.

--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -473,6 +473,76 @@
     BOOST_TEST(node.call("/draft/x", "POST", "prompt").status == 502);
 }
 
+/// Sends one byte of an event that never becomes complete, again and again.
+void trickle(EventLoop &loop, const HttpServerConnection::Ptr &connection)
+{
+    if (!connection->isClosed()) {
+        connection->sendChunk("x");
+        loop.after(absl::Milliseconds(50), [&loop, connection] { trickle(loop, connection); });
+    }
+}
+
+/// Sends events \a next to 5 with \a pause before each.
+void sendSlowly(EventLoop &loop, const HttpServerConnection::Ptr &connection, int next, absl::Duration pause)
+{
+    constexpr int lastEvent = 5;
+    if (next > lastEvent) {
+        connection->endStream();
+        return;
+    }
+    loop.after(pause, [&loop, connection, next, pause] {
+        connection->sendChunk("id: " + std::to_string(next) + "\ndata: token\n\n");
+        sendSlowly(loop, connection, next + 1, pause);
+    });
+}
+
+/// Streams five events with pauses that are longer than the route's, but no stall.
+void streamSlowly(EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request)
+{
+    const std::string last = request.header("Last-Event-Id");
+    const int first = last.empty() ? 1 : std::stoi(last) + 1;
+    PlatformEngineStandIn::beginEventStream(connection, request, first, first);
+    sendSlowly(loop, connection, first + 1, absl::Milliseconds(400));
+}
+
+Json resumableRouteWithShortPauses()
+{
+    Json it = route("/quick/", "streaming", "model", 2);
+    it["itl-target-ms"] = 300;
+    return it;
+}
+
+BOOST_AUTO_TEST_CASE(aSlowButSoundStreamIsNotCut)
+{
+    store.put("config", "main", desiredState(3, Json::array({resumableRouteWithShortPauses()})));
+    PlatformEngineStandIn &sound = addEngine("d-1", "model", "decode", streamSlowly);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    BOOST_TEST(countEventIds(node.call("/quick/x", "POST", "prompt").body) == 5);
+    BOOST_TEST(sound.receivedRequests().size() == 1U);
+}
+
+/// An engine that sends a byte now and then makes no progress: the stream goes on at another one.
+BOOST_AUTO_TEST_CASE(aStreamThatOnlyTricklesIsResumedElsewhere)
+{
+    store.put("config", "main", desiredState(3, Json::array({resumableRouteWithShortPauses()})));
+    PlatformEngineStandIn &stalled = addEngine(
+        "d-1", "model", "decode", [](EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request) {
+            PlatformEngineStandIn::beginEventStream(connection, request, 1, 2);
+            trickle(loop, connection);
+        });
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    HttpReply reply;
+    Thread caller("caller", [&] { reply = node.call("/quick/x", "POST", "prompt"); });
+    BOOST_TEST(eventually([&] { return !stalled.receivedRequests().empty(); }));
+    PlatformEngineStandIn &sound = addEngine("d-2", "model", "decode", streamSlowly);
+    caller.join();
+    BOOST_TEST(countEventIds(reply.body) == 5);
+    BOOST_REQUIRE(sound.receivedRequests().size() == 1U);
+    BOOST_TEST(sound.receivedRequests().front().header("Last-Event-Id") == "2");
+}
+
 BOOST_AUTO_TEST_CASE(resumesStreamAfterLastEvent)
 {
     const auto breakOrResume = [](EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request) {
@@ -648,8 +718,8 @@
     const EntrySettings &settings = node.settings();
     const std::string zeroes(5000, '\0');
     const std::string longLine = "GET /" + std::string(100000, 'a');
-    for (const std::string &address : {settings->callerAddress, settings->readyAddress, settings->discoveryAddress, settings->peerAddress,
-                                       settings->metricsAddress}) {
+    for (const std::string &address :
+         {settings->callerAddress, settings->readyAddress, settings->discoveryAddress, settings->peerAddress, settings->metricsAddress}) {
         for (const std::string &bytes : {zeroes, longLine, std::string("GET /\xff\xfe HTTP/1.1\r\nHost\r\n\r\n"),
                                          std::string("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n")}) {
             sendRaw(address, bytes);
