--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -7,6 +7,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <utility>
@@ -52,6 +53,12 @@
 /// Minimum time left before the deadline for another attempt.
 constexpr absl::Duration minAttemptTime = absl::Milliseconds(300);
 
+/// The ids of \a parts, separated by commas, for the log.
+std::string joinIds(const std::vector<PromptPartId> &parts)
+{
+    return absl::StrJoin(parts, ",", [](std::string *out, const PromptPartId &part) { absl::StrAppend(out, part.text()); });
+}
+
 }
 
 StreamCall::StreamCall(EntryLoop &loop, HttpServerConnection::Ptr caller, CallFacts facts, HttpRequestHead head, std::string body)
@@ -621,6 +628,7 @@
                      {"rank", m_facts.route->rank},
                      {"late", m_facts.isLate},
                      {"promptTokens", m_facts.call->promptTokens},
+                     {"promptParts", joinIds(m_facts.call->promptParts)},
                      {"mostOutputTokens", m_facts.call->maxOutputTokens},
                      {"timeLeftMs", absl::ToDoubleMilliseconds(m_facts.call->timeLeft.value_or(absl::ZeroDuration()))},
                      {"likelyOutputTokens", m_facts.call->hintedOutputTokens},
--- a/packages/state/name.h
+++ b/packages/state/name.h
@@ -52,6 +52,7 @@
 using PoolName = Name<struct PoolNameKind>;
 using WorkspaceName = Name<struct WorkspaceNameKind>;
 using DataCentreName = Name<struct DataCentreNameKind>;
+using PromptPartId = Name<struct PromptPartIdKind>;
 using IdempotencyKey = Name<struct IdempotencyKeyKind>;
 
 }
--- a/packages/state/routedcall.h
+++ b/packages/state/routedcall.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Apricot {
 
@@ -20,6 +21,7 @@
     std::int64_t promptTokens = 0; ///< used for model services only
     std::int64_t maxOutputTokens = 0; ///< used for model services only
     std::int64_t hintedOutputTokens = 0; ///< the caller's estimate, 0 if absent; accurate at the median, but often far off for single calls
+    std::vector<PromptPartId> promptParts; ///< the parts of the prompt in order, which other calls may share, except the last one
     std::string lastEventId; ///< id of the event after which the stream resumes; empty: from its start
 
     friend auto operator<=>(const RoutedCallFields &, const RoutedCallFields &) = default;
