--- a/packages/apricotladderd/entry/calldispatch.cpp
+++ b/packages/apricotladderd/entry/calldispatch.cpp
@@ -25,6 +25,23 @@
                             limits->headerTimeout, limits->idleTimeout};
 }
 
+const char *closeReasonName(ServerCloseReason reason)
+{
+    switch (reason) {
+    case ServerCloseReason::PeerClosed:
+        return "caller";
+    case ServerCloseReason::AfterResponse:
+        return "answered";
+    case ServerCloseReason::IdleTimeout:
+        return "idle";
+    case ServerCloseReason::Stopped:
+        return "stopped";
+    case ServerCloseReason::Aborted:
+        return "aborted";
+    }
+    return "caller";
+}
+
 bool isLateRetry(EntryContext &context, const Route &route, const RoutedCall &call, absl::Time now)
 {
     const absl::Duration timeLeft = call->timeLeft.value_or(absl::InfiniteDuration());
@@ -85,6 +102,9 @@
     hooks.keepsConnectionsOpen = [&loop] {
         return loop.context().phase.load(std::memory_order_relaxed) == LeavePhase::Serving;
     };
+    hooks.onConnectionClosed = [&loop](ServerCloseReason reason) {
+        loop.context().metrics.countClosedConnection(closeReasonName(reason));
+    };
     return hooks;
 }
 
--- a/packages/apricotladderd/entry/entrymetrics.cpp
+++ b/packages/apricotladderd/entry/entrymetrics.cpp
@@ -28,6 +28,7 @@
     , m_calls(counters(*m_registry, "apricotladder_entry_calls_total", "Calls ended, by kind and outcome"))
     , m_attempts(counters(*m_registry, "apricotladder_entry_attempts_total", "Tries at engines, by stage and end"))
     , m_storeCalls(counters(*m_registry, "apricotladder_entry_store_calls_total", "Calls to the platform's store, by call and end"))
+    , m_closedConnections(counters(*m_registry, "apricotladder_entry_connections_closed_total", "Connections of callers closed, by reason"))
     , m_malformed(counters(*m_registry, "apricotladder_entry_malformed_entries_total", "Entries of the store that could not be read"))
     , m_handles(counters(*m_registry, "apricotladder_entry_handles_total", "KV handles of prefills, by what became of them"))
     , m_wastedPrefillTokens(
@@ -64,6 +65,11 @@
     m_storeCalls.Add({{"call", call}, {"end", outcome}}).Increment();
 }
 
+void EntryMetrics::countClosedConnection(const std::string &reason)
+{
+    m_closedConnections.Add({{"reason", reason}}).Increment();
+}
+
 void EntryMetrics::countMalformedEntry(const std::string &kind)
 {
     m_malformed.Add({{"kind", kind}}).Increment();
--- a/packages/apricotladderd/entry/entrymetrics.h
+++ b/packages/apricotladderd/entry/entrymetrics.h
@@ -25,6 +25,7 @@
     void countCall(const std::string &kind, const std::string &outcome);
     void countAttempt(const std::string &stage, const std::string &outcome);
     void countStoreCall(const std::string &call, const std::string &outcome);
+    void countClosedConnection(const std::string &reason);
     void countMalformedEntry(const std::string &kind);
     void countHandle(const std::string &outcome);
     void countWastedPrefillTokens(double tokens);
@@ -40,6 +41,7 @@
     prometheus::Family<prometheus::Counter> &m_calls;
     prometheus::Family<prometheus::Counter> &m_attempts;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
+    prometheus::Family<prometheus::Counter> &m_closedConnections;
     prometheus::Family<prometheus::Counter> &m_malformed;
     prometheus::Family<prometheus::Counter> &m_handles;
     prometheus::Counter &m_wastedPrefillTokens;
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -420,6 +420,10 @@
     if (!m_streamStarted || m_finished || !canResumeOnOtherEngine()) {
         return;
     }
+    m_loop.context().log.add(LogLevel::Info, "call.stall", m_facts.call->requestId,
+                             {{"engine", m_placement->decode->id.text()},
+                              {"after", m_events.lastId()},
+                              {"silentMs", absl::ToDoubleMilliseconds(m_loop.events().now() - m_lastEventTime)}});
     cutOffEngine();
 }
 
--- a/packages/transport/httplistener.cpp
+++ b/packages/transport/httplistener.cpp
@@ -40,10 +40,12 @@
     m_hooks->onRequest = std::move(hooks.onRequest);
     m_hooks->onMalformed = std::move(hooks.onMalformed);
     m_hooks->keepsConnectionsOpen = std::move(hooks.keepsConnectionsOpen);
-    m_hooks->onClosed = [this](const HttpServerConnection::Ptr &it) {
-        m_connections.erase(it);
-        m_connectionCount.store(m_connections.size(), std::memory_order_relaxed);
-    };
+    m_hooks->onClosed
+        = [this, report = std::move(hooks.onConnectionClosed)](const HttpServerConnection::Ptr &it, ServerCloseReason reason) {
+              m_connections.erase(it);
+              m_connectionCount.store(m_connections.size(), std::memory_order_relaxed);
+              report(reason);
+          };
 }
 
 HttpListener::~HttpListener()
--- a/packages/transport/httplistener.h
+++ b/packages/transport/httplistener.h
@@ -31,6 +31,8 @@
         std::function<bool()> keepsConnectionsOpen = [] {
             return true;
         };
+        std::function<void(ServerCloseReason)> onConnectionClosed = [](ServerCloseReason) {
+        };
     };
 
     HttpListener(EventLoop &loop, const std::string &address, AddressSharing sharing, Hooks hooks);
--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -144,7 +144,7 @@
 void HttpServerConnection::abort()
 {
     m_connection->abort();
-    close();
+    close(ServerCloseReason::Aborted);
 }
 
 void HttpServerConnection::handleResponseSent()
@@ -158,7 +158,7 @@
         return;
     }
     if (!m_requestKeepsAlive) {
-        close();
+        close(ServerCloseReason::AfterResponse);
         return;
     }
     m_connection->setReading(true);
@@ -184,7 +184,7 @@
     if (onPeerClosed) {
         onPeerClosed();
     }
-    close();
+    close(ServerCloseReason::PeerClosed);
 }
 
 void HttpServerConnection::closeAfterDiscardingInput()
@@ -195,7 +195,7 @@
     m_input.clear();
     TcpConnection::Callbacks callbacks;
     callbacks.onClosed = [self](TcpCloseReason) {
-        self->close();
+        self->close(ServerCloseReason::AfterResponse);
     };
     m_connection->setCallbacks(std::move(callbacks));
     m_connection->setReading(true);
@@ -203,18 +203,18 @@
     m_loop.cancel(m_timer);
     m_timer = m_loop.after(lingerTimeout, [self] {
         self->m_timer = 0;
-        self->close();
+        self->close(ServerCloseReason::AfterResponse);
     });
 }
 
 void HttpServerConnection::closeIfIdle()
 {
     if (!m_requestInProgress && !m_parser.hasStarted() && m_input.empty()) {
-        close();
+        close(ServerCloseReason::Stopped);
     }
 }
 
-void HttpServerConnection::close()
+void HttpServerConnection::close(ServerCloseReason reason)
 {
     const Ptr self = shared_from_this();
     m_closed = true;
@@ -223,7 +223,7 @@
     m_loop.cancel(std::exchange(m_timer, 0));
     m_connection->close();
     if (const std::shared_ptr<const Hooks> hooks = std::exchange(m_hooks, nullptr)) {
-        hooks->onClosed(self);
+        hooks->onClosed(self, reason);
     }
 }
 
@@ -244,7 +244,7 @@
     }
     m_limits = m_hooks->limits();
     if (!m_requestInProgress && elapsed > m_limits.idleTimeout) {
-        close();
+        close(ServerCloseReason::IdleTimeout);
         return;
     }
     armTimer();
--- a/packages/transport/httpserverconnection.h
+++ b/packages/transport/httpserverconnection.h
@@ -21,6 +21,15 @@
     absl::Duration idleTimeout = absl::Seconds(30); ///< maximum time between requests, and to receive a whole request
 };
 
+/// Why the connection of a client was closed.
+enum class ServerCloseReason {
+    PeerClosed, ///< the client disconnected
+    AfterResponse, ///< closed after a response, as the client or the owner wanted
+    IdleTimeout, ///< no whole request was received within the idle timeout
+    Stopped, ///< the listener stopped while the connection was idle
+    Aborted, ///< reset to end an incomplete response
+};
+
 /**
  * \class HttpServerConnection
  * \brief Server side of one HTTP connection. Reads one request at a time and writes its response.
@@ -45,7 +54,7 @@
         std::function<void(const Ptr &, ParseState)> onMalformed;
 
         std::function<bool()> keepsConnectionsOpen; ///< returns whether connections stay open after a response
-        std::function<void(const Ptr &)> onClosed; ///< runs once when the connection was closed; no other callback follows
+        std::function<void(const Ptr &, ServerCloseReason)> onClosed; ///< runs once after the connection was closed, as the last callback
     };
 
     HttpServerConnection(EventLoop &loop, std::shared_ptr<TcpConnection> connection, std::shared_ptr<const Hooks> hooks);
@@ -99,7 +108,7 @@
     void handleResponseSent();
     void handlePeerClosed();
     void closeAfterDiscardingInput();
-    void close();
+    void close(ServerCloseReason reason);
     void armTimer();
     void checkTimeouts();
 
