entry: Keep a stalled engine until another one has capacity

Cause: a resumable stream was taken from its engine after 0.9 s of silence, before another engine was found; it then waited 0.9 s for one and was aborted. A class of fault: break before make, on a timeout that a sound peer may exceed. A change of configuration only makes the rule count such cuts.

The test failed on the code before: 2 of 5 events, and the engine's call was abandoned. Ruled out as causes of these cuts: engines that broke off (none in the log), limits of connections, changes of routes.

Why it works: silence alone now never ends a stream. The engine is only replaced after 1.5 s, below the two seconds after which callers leave, and only if another engine has capacity at that moment; otherwise the stream waits on and the node looks again every 100 ms.

--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -40,9 +40,13 @@
 /// its other streams tolerate that, or another prefill engine is tried.
 constexpr double prefillTimeoutFraction = 0.75;
 
-/// Stall timeout of a resumable stream, as a multiple of the route's maximum event gap, and its lower bound.
+/// Stall timeout of a resumable stream, as a multiple of the route's maximum event gap, and its lower bound: a sound engine may be
+/// silent for a second, and callers disconnect after two.
 constexpr double stallTimeoutInGaps = 3;
-constexpr absl::Duration minStallTimeout = absl::Milliseconds(900);
+constexpr absl::Duration minStallTimeout = absl::Milliseconds(1500);
+
+/// Interval at which the node looks for another engine while an engine is stalled.
+constexpr absl::Duration stallCheckInterval = absl::Milliseconds(100);
 
 /// Longest event of a stream: an engine in trouble may send bytes without end that complete no event.
 constexpr std::size_t maxEventBytes = 1U << 20;
@@ -405,11 +409,13 @@
         return;
     }
     const absl::Duration stallTimeout = std::max(m_facts.route->maxEventGap * stallTimeoutInGaps, minStallTimeout);
-    m_stallTimer = m_loop.events().after(stallTimeout, [self = shared_from_this(), stallTimeout] {
+    const absl::Duration untilStall = m_lastEventTime + stallTimeout - m_loop.events().now();
+    m_stallTimer = m_loop.events().after(std::max(untilStall, stallCheckInterval), [self = shared_from_this(), stallTimeout] {
         self->m_stallTimer = 0;
         if (self->m_loop.events().now() - self->m_lastEventTime >= stallTimeout) {
             self->handleStall();
-        } else {
+        }
+        if (!self->m_finished && self->m_isStream) {
             self->armStallTimer();
         }
     });
@@ -420,11 +426,29 @@
     if (!m_streamStarted || m_finished || !canResumeOnOtherEngine()) {
         return;
     }
-    m_loop.context().log.add(LogLevel::Info, "call.stall", m_facts.call->requestId,
-                             {{"engine", m_placement->decode->id.text()},
-                              {"after", m_events.lastId()},
-                              {"silentMs", absl::ToDoubleMilliseconds(m_loop.events().now() - m_lastEventTime)}});
-    cutOffEngine();
+    // The engine may be sound and go on, so it is only given up for one that has capacity now.
+    const absl::Time now = m_loop.events().now();
+    const EngineId stalled = m_placement->decode->id;
+    ModelDemand demand = makeDemand(absl::ZeroDuration());
+    demand.excludedEngines.push_back(stalled);
+    const std::optional<ModelPlacement> placement
+        = m_loop.context().pools.withPool(m_facts.service, [&](ServicePool &pool) { return pool.placeNewCall(demand, now); });
+    if (!placement) {
+        return;
+    }
+    if (!trySpendRetry()) {
+        for (const EngineReservation &reservation : placement->reservations) {
+            m_loop.context().pools.release(m_facts.service, reservation, now);
+        }
+        return;
+    }
+    m_loop.context().log.add(
+        LogLevel::Info, "call.stall", m_facts.call->requestId,
+        {{"engine", stalled.text()}, {"after", m_events.lastId()}, {"silentMs", absl::ToDoubleMilliseconds(now - m_lastEventTime)}});
+    m_exchange->cancel();
+    m_reservation.recordResult(stalled, EngineResult::Failed, now);
+    leaveEngine();
+    handlePlacement(*placement);
 }
 
 void StreamCall::handleDecodeOutcome(ExchangeOutcome outcome)
@@ -465,7 +489,6 @@
         return;
     }
     m_reservation.recordResult(engine, EngineResult::Failed, m_loop.events().now());
-    m_events.dropPending();
     resumeOnOtherEngine();
 }
 
@@ -476,9 +499,17 @@
         && m_loop.context().allowsRetry(m_facts.service, now);
 }
 
-void StreamCall::resumeOnOtherEngine()
+void StreamCall::leaveEngine()
 {
+    m_events.dropPending();
+    m_isStream = false;
     abandonPlacement(m_placement->decode->id);
+    m_loop.context().log.add(LogLevel::Info, "call.resume", m_facts.call->requestId,
+                             {{"after", m_events.lastId()}, {"from", m_excludedEngines.back().text()}});
+}
+
+void StreamCall::resumeOnOtherEngine()
+{
     if (!canResumeOnOtherEngine() || !trySpendRetry()) {
         if (m_streamStarted) {
             abortStream("the engine broke off");
@@ -487,9 +518,7 @@
         }
         return;
     }
-    m_isStream = false;
-    m_loop.context().log.add(LogLevel::Info, "call.resume", m_facts.call->requestId,
-                             {{"after", m_events.lastId()}, {"from", m_excludedEngines.back().text()}});
+    leaveEngine();
     requestPlacement(maxResumptionWait);
 }
 
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -60,6 +60,8 @@
     void armStallTimer();
     void handleStreamOutcome(ExchangeOutcome outcome);
     void handleNonStreamOutcome(ExchangeOutcome outcome);
+    /// Gives up the current engine of the stream, which is then to be resumed elsewhere.
+    void leaveEngine();
     void resumeOnOtherEngine();
     bool canResumeOnOtherEngine();
 
--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -522,6 +522,25 @@
     BOOST_TEST(sound.receivedRequests().size() == 1U);
 }
 
+/// Streams five events, the last three of them after a silence that is longer than the stall timeout.
+void streamAfterSilence(EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request)
+{
+    PlatformEngineStandIn::beginEventStream(connection, request, 1, 2);
+    loop.after(absl::Milliseconds(2500), [&loop, connection] { sendSlowly(loop, connection, 3, absl::Milliseconds(10)); });
+}
+
+/// Guards against a stream that is aborted because its sound engine was silent and no other engine had capacity.
+BOOST_AUTO_TEST_CASE(aSilentEngineIsKeptUntilAnotherOneHasCapacity)
+{
+    store.put("config", "main", desiredState(3, Json::array({resumableRouteWithShortPauses()})));
+    PlatformEngineStandIn &silent = addEngine("d-1", "model", "decode", streamAfterSilence);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    BOOST_TEST(countEventIds(node.call("/quick/x", "POST", "prompt").body) == 5);
+    BOOST_TEST(silent.receivedRequests().size() == 1U);
+    BOOST_TEST(silent.abandonedCount() == 0);
+}
+
 /// An engine that sends a byte now and then makes no progress: the stream goes on at another one.
 BOOST_AUTO_TEST_CASE(aStreamThatOnlyTricklesIsResumedElsewhere)
 {
