transport: Let a lowered idle limit apply from the next response on

Cause: HttpServerConnection read its limits anew at each check of its timeouts, so a lower idle limit closed at once all connections that had been idle for longer than it, though their callers still relied on the limit of their last response.

Ruled out: connections with a request in progress, which are never closed by a timeout. A raised limit still applies at once.

--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -153,6 +153,7 @@
     m_onPeerClosed = nullptr;
     m_onDrained = nullptr;
     m_phaseStart = m_loop.now();
+    m_limits = m_hooks->limits();
     if (m_hasUnreadInput) {
         closeAfterDiscardingInput();
         return;
@@ -242,8 +243,9 @@
         rejectRequest(ParseState::Head);
         return;
     }
-    m_limits = m_hooks->limits();
-    if (!m_requestInProgress && elapsed > m_limits.idleTimeout) {
+    // The client may rely on the limit of its last response, so a lower one applies from its next response on.
+    const absl::Duration idleTimeout = std::max(m_limits.idleTimeout, m_hooks->limits().idleTimeout);
+    if (!m_requestInProgress && elapsed > idleTimeout) {
         close(ServerCloseReason::IdleTimeout);
         return;
     }
--- a/packages/transport/httpserverconnection.h
+++ b/packages/transport/httpserverconnection.h
@@ -44,7 +44,7 @@
     /// Callbacks to the owner. They run on the loop's thread.
     struct Hooks
     {
-        std::function<HttpServerLimits()> limits; ///< returns the limits for the next request
+        std::function<HttpServerLimits()> limits; ///< returns the current limits
 
         /// Handles a complete request. The owner must call one of respond(), endStream() and abort(), now or later.
         std::function<void(const Ptr &, HttpRequestHead, std::string body)> onRequest;
@@ -115,7 +115,7 @@
     EventLoop &m_loop;
     std::shared_ptr<TcpConnection> m_connection;
     std::shared_ptr<const Hooks> m_hooks;
-    HttpServerLimits m_limits;
+    HttpServerLimits m_limits; ///< as of the last response; of the start before the first one
     HttpRequestParser m_parser;
     std::string m_input; ///< input that is not parsed yet, such as pipelined requests
     std::function<void()> m_onPeerClosed;
--- /dev/null
+++ b/packages/transport/tests/exchange/testserverconnection.cpp
@@ -0,0 +1,173 @@
+#include "transport/httplistener.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace Apricot;
+
+namespace {
+
+/**
+ * \class RawClient
+ * \brief A client that sends arbitrary bytes over one blocking connection.
+ */
+class RawClient
+{
+public:
+    explicit RawClient(int port)
+        : m_descriptor(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        BOOST_REQUIRE(connect(m_descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0);
+    }
+
+    ~RawClient()
+    {
+        close(m_descriptor);
+    }
+
+    RawClient(const RawClient &) = delete;
+    RawClient &operator=(const RawClient &) = delete;
+
+    void send(const std::string &text) const
+    {
+        BOOST_REQUIRE(::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+    }
+
+    /// Reads what is there without waiting; \see isEnded().
+    void receive()
+    {
+        char buf[4096];
+        ssize_t n = 0;
+        while ((n = recv(m_descriptor, buf, sizeof(buf), MSG_DONTWAIT)) > 0) {
+            m_received.append(buf, static_cast<std::size_t>(n));
+        }
+        m_ended = m_ended || n == 0 || (errno != EAGAIN && errno != EINTR);
+    }
+
+    /// Returns the number of responses received so far.
+    int responseCount()
+    {
+        receive();
+        int n = 0;
+        for (std::size_t at = m_received.find("HTTP/1.1 "); at != std::string::npos; at = m_received.find("HTTP/1.1 ", at + 1)) {
+            ++n;
+        }
+        return n;
+    }
+
+    /// Whether the server has closed or reset the connection.
+    bool isEnded()
+    {
+        receive();
+        return m_ended;
+    }
+
+    const std::string &received() const
+    {
+        return m_received;
+    }
+
+private:
+    int m_descriptor;
+    std::string m_received;
+    bool m_ended = false;
+};
+
+/// Fixture: a listener whose limits a test changes, and which answers each request at once.
+struct Server
+{
+    static constexpr absl::Duration longIdleTimeout = absl::Seconds(30);
+    static constexpr absl::Duration shortIdleTimeout = absl::Milliseconds(40);
+
+    Server()
+    {
+        limits.headerTimeout = absl::Milliseconds(20); // half of it is the interval at which the timeouts are checked
+        limits.idleTimeout = longIdleTimeout;
+        HttpListener::Hooks hooks;
+        hooks.limits = [this] {
+            return limits;
+        };
+        hooks.onRequest = [this](const HttpServerConnection::Ptr &connection, const HttpRequestHead &, const std::string &) {
+            respond(connection);
+        };
+        hooks.keepsConnectionsOpen = [this] {
+            return keepsConnectionsOpen;
+        };
+        listener = std::make_unique<HttpListener>(events, "127.0.0.1:0", AddressSharing::Exclusive, std::move(hooks));
+    }
+
+    /// Runs the loop until \a condition is true; a test that waits for 20 s fails.
+    template<class Condition>
+    void runUntil(Condition condition)
+    {
+        bool isOver = false;
+        const TimerId timer = events.after(absl::Seconds(20), [&] { isOver = true; });
+        while (!condition() && !isOver) {
+            bool isDue = false;
+            const TimerId tick = events.after(absl::Milliseconds(5), [&] { isDue = true; });
+            events.runOnce();
+            events.cancel(tick);
+        }
+        events.cancel(timer);
+        BOOST_REQUIRE(!isOver);
+    }
+
+    void runFor(absl::Duration duration)
+    {
+        bool isOver = false;
+        events.after(duration, [&] { isOver = true; });
+        while (!isOver) {
+            events.runOnce();
+        }
+    }
+
+    EventLoop events;
+    HttpServerLimits limits;
+    bool keepsConnectionsOpen = true;
+    std::function<void(const HttpServerConnection::Ptr &)> respond = [](const HttpServerConnection::Ptr &connection) {
+        connection->respond(HttpResponseHead{200, "OK", {}, true, false}, "ok");
+    };
+    std::unique_ptr<HttpListener> listener;
+};
+
+const std::string getRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(ServerConnections, Server)
+
+/// Guards against a call that gets no answer because a change lowered the idle limit while its connection was idle.
+BOOST_AUTO_TEST_CASE(aLoweredIdleTimeoutAppliesFromTheNextResponseOn)
+{
+    RawClient client(listener->port());
+    client.send(getRequest);
+    runUntil([&] { return client.responseCount() == 1; });
+    limits.idleTimeout = shortIdleTimeout;
+    runFor(shortIdleTimeout * 5);
+    BOOST_TEST(!client.isEnded());
+    client.send(getRequest);
+    runUntil([&] { return client.responseCount() == 2; });
+    runUntil([&] { return client.isEnded(); });
+}
+
+/// Guards against a connection that is closed too early because a change has just raised the idle limit.
+BOOST_AUTO_TEST_CASE(aRaisedIdleTimeoutAppliesAtOnce)
+{
+    limits.idleTimeout = shortIdleTimeout;
+    RawClient client(listener->port());
+    client.send(getRequest);
+    runUntil([&] { return client.responseCount() == 1; });
+    limits.idleTimeout = longIdleTimeout;
+    runFor(shortIdleTimeout * 5);
+    BOOST_TEST(!client.isEnded());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
