transport: Read a request with the size limits in force when it begins

Callers got 413 for proper calls on open connections after a change had raised max-body-bytes (DENIED). Cause: the parser of the next request was made when the one before it was dispatched, with the limits of that moment. It is now made when the first byte of a request arrives.

--- a/packages/transport/httpparser.cpp
+++ b/packages/transport/httpparser.cpp
@@ -127,7 +127,6 @@
     HttpRequestHead head;
     ParseState state = ParseState::Head;
     bool hasHead = false;
-    bool hasStarted = false;
 };
 
 HttpRequestParser::HttpRequestParser(const ParseLimits &limits)
@@ -144,7 +143,6 @@
     if (m_data->state != ParseState::Head && m_data->state != ParseState::Body) {
         return 0;
     }
-    m_data->hasStarted = m_data->hasStarted || !bytes.empty();
     ErrorCode ec;
     const std::size_t n = feedParser(m_data->parser, m_data->pending, bytes, ec);
     if (ec) {
@@ -176,11 +174,6 @@
     return m_data->parser.get().body();
 }
 
-bool HttpRequestParser::hasStarted() const
-{
-    return m_data->hasStarted;
-}
-
 struct HttpResponseParser::Private
 {
     explicit Private(bool hasNoBody)
--- a/packages/transport/httpparser.h
+++ b/packages/transport/httpparser.h
@@ -25,6 +25,8 @@
 {
     std::size_t headBytes = 16384;
     std::uint64_t bodyBytes = 4194304;
+
+    friend bool operator==(const ParseLimits &, const ParseLimits &) = default;
 };
 
 /**
@@ -51,9 +53,6 @@
     /// Returns the body; valid at ParseState::Done.
     const std::string &body() const;
 
-    /// Whether any byte of the message has been received.
-    bool hasStarted() const;
-
 private:
     struct Private;
     std::unique_ptr<Private> m_data;
--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -20,7 +20,6 @@
     , m_connection(std::move(connection))
     , m_hooks(std::move(hooks))
     , m_limits(m_hooks->limits())
-    , m_parser(m_limits.parse)
     , m_phaseStart(loop.now())
 {
 }
@@ -68,12 +67,12 @@
 {
     const Ptr self = shared_from_this();
     while (!m_closed && !m_requestInProgress && !m_input.empty()) {
-        if (!m_parser.hasStarted()) {
-            m_phaseStart = m_loop.now();
+        if (!m_parser) {
+            beginRequest();
         }
-        const std::size_t used = m_parser.feed(m_input);
+        const std::size_t used = m_parser->feed(m_input);
         m_input.erase(0, used);
-        const ParseState state = m_parser.state();
+        const ParseState state = m_parser->state();
         if (state == ParseState::Done) {
             dispatchRequest();
         } else if (state != ParseState::Head && state != ParseState::Body) {
@@ -84,6 +83,12 @@
     }
 }
 
+void HttpServerConnection::beginRequest()
+{
+    m_phaseStart = m_loop.now();
+    m_parser.emplace(m_hooks->limits().parse);
+}
+
 void HttpServerConnection::rejectRequest(ParseState state)
 {
     m_requestInProgress = true;
@@ -94,10 +99,9 @@
 
 void HttpServerConnection::dispatchRequest()
 {
-    HttpRequestHead head = m_parser.head();
-    std::string body = m_parser.body();
-    m_limits = m_hooks->limits();
-    m_parser = HttpRequestParser(m_limits.parse);
+    HttpRequestHead head = m_parser->head();
+    std::string body = m_parser->body();
+    m_parser.reset();
     m_requestKeepsAlive = head.keepAlive;
     m_responseHasNoBody = head.method == "HEAD";
     m_requestInProgress = true;
@@ -210,7 +214,7 @@
 
 void HttpServerConnection::closeIfIdle()
 {
-    if (!m_requestInProgress && !m_parser.hasStarted() && m_input.empty()) {
+    if (!m_requestInProgress && !m_parser && m_input.empty()) {
         close(ServerCloseReason::Stopped);
     }
 }
@@ -238,7 +242,7 @@
 {
     m_timer = 0;
     const absl::Duration elapsed = m_loop.now() - m_phaseStart;
-    const bool isReadingHead = m_parser.hasStarted() && m_parser.state() == ParseState::Head;
+    const bool isReadingHead = m_parser && m_parser->state() == ParseState::Head;
     if (!m_requestInProgress && isReadingHead && elapsed > m_limits.headerTimeout) {
         rejectRequest(ParseState::Head);
         return;
--- a/packages/transport/httpserverconnection.h
+++ b/packages/transport/httpserverconnection.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -103,6 +104,7 @@
 private:
     void handleData(std::string_view bytes);
     void readRequests();
+    void beginRequest();
     void rejectRequest(ParseState state);
     void dispatchRequest();
     void handleResponseSent();
@@ -116,7 +118,7 @@
     std::shared_ptr<TcpConnection> m_connection;
     std::shared_ptr<const Hooks> m_hooks;
     HttpServerLimits m_limits; ///< as of the last response; of the start before the first one
-    HttpRequestParser m_parser;
+    std::optional<HttpRequestParser> m_parser; ///< of the request that is being received
     std::string m_input; ///< input that is not parsed yet, such as pipelined requests
     std::function<void()> m_onPeerClosed;
     std::function<void()> m_onDrained;
--- a/packages/transport/tests/exchange/testserverconnection.cpp
+++ b/packages/transport/tests/exchange/testserverconnection.cpp
@@ -170,4 +170,17 @@
     BOOST_TEST(!client.isEnded());
 }
 
+/// Guards against a call that is rejected as too large by a limit that a change has raised before the call was sent.
+BOOST_AUTO_TEST_CASE(raisedSizeLimitsApplyToTheNextRequest)
+{
+    limits.parse.bodyBytes = 10;
+    RawClient client(listener->port());
+    client.send(getRequest);
+    runUntil([&] { return client.responseCount() == 1; });
+    limits.parse.bodyBytes = 100;
+    client.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n" + std::string(20, 'x'));
+    runUntil([&] { return client.responseCount() == 2; });
+    BOOST_TEST(client.received().find("413") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
