transport: Count a closing connection until its answer is sent

At a planned stop a caller could lose the rest of a large answer (LOST). Cause: after an answer with 'Connection: close' the connection was taken out of the listener's set at once, while its bytes were still buffered; a leaving node counts these connections to know when it may end. Evidence: the test failed before (0 connections with megabytes unsent). An idle connection is also no longer closed while bytes wait in the system's buffer.

--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -163,7 +163,7 @@
         return;
     }
     if (!m_requestKeepsAlive) {
-        close(ServerCloseReason::AfterResponse);
+        closeWhenSent();
         return;
     }
     m_connection->setReading(true);
@@ -212,9 +212,28 @@
     });
 }
 
+void HttpServerConnection::closeWhenSent()
+{
+    if (m_connection->unsentBytes() == 0) {
+        close(ServerCloseReason::AfterResponse);
+        return;
+    }
+    // Until then the owner must know the connection: a process that ends would cut off the response.
+    const Ptr self = shared_from_this();
+    m_requestInProgress = true;
+    TcpConnection::Callbacks callbacks;
+    callbacks.onDrained = [self] {
+        self->close(ServerCloseReason::AfterResponse);
+    };
+    callbacks.onClosed = [self](TcpCloseReason) {
+        self->close(ServerCloseReason::PeerClosed);
+    };
+    m_connection->setCallbacks(std::move(callbacks));
+}
+
 void HttpServerConnection::closeIfIdle()
 {
-    if (!m_requestInProgress && !m_parser && m_input.empty()) {
+    if (!m_requestInProgress && !m_parser && m_input.empty() && m_connection->isIdle()) {
         close(ServerCloseReason::Stopped);
     }
 }
--- a/packages/transport/httpserverconnection.h
+++ b/packages/transport/httpserverconnection.h
@@ -109,6 +109,7 @@
     void dispatchRequest();
     void handleResponseSent();
     void handlePeerClosed();
+    void closeWhenSent();
     void closeAfterDiscardingInput();
     void close(ServerCloseReason reason);
     void armTimer();
--- a/packages/transport/tests/exchange/testserverconnection.cpp
+++ b/packages/transport/tests/exchange/testserverconnection.cpp
@@ -183,4 +183,21 @@
     BOOST_TEST(client.received().find("413") == std::string::npos);
 }
 
+/// Guards against a process that ends before the rest of an answer was sent: its connection must count until then.
+BOOST_AUTO_TEST_CASE(aConnectionCountsUntilItsAnswerIsSent)
+{
+    keepsConnectionsOpen = false;
+    const std::string hugeBody(16'000'000, 'a');
+    respond = [&](const HttpServerConnection::Ptr &connection) {
+        connection->respond(HttpResponseHead{200, "OK", {}, true, false}, hugeBody);
+    };
+    RawClient client(listener->port());
+    client.send(getRequest);
+    runFor(absl::Milliseconds(100));
+    BOOST_TEST(listener->connectionCount() == 1U);
+    runUntil([&] { return client.isEnded(); });
+    BOOST_TEST(client.received().size() > hugeBody.size());
+    BOOST_TEST(listener->connectionCount() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
