entry: Serve the connections that wait to be accepted when a node stops listening

A call that was sent just before a leaving node stopped listening was reset without an answer. Cause: the listening socket was closed with connections in its queue; and the node could end as soon as it counted no connection, before its loops had stopped accepting, so that one accepted in between was cut. The queue is now accepted first, and the node ends only once all loops have stopped. Evidence: the test of the listener failed before; the second case is found by reading, no run showed it.

--- a/packages/apricotladderd/entry/entryloop.cpp
+++ b/packages/apricotladderd/entry/entryloop.cpp
@@ -60,7 +60,10 @@
 
 void EntryLoop::closeListener()
 {
-    m_events.post([this] { m_listener->stopAccepting(); });
+    m_events.post([this] {
+        m_listener->stopAccepting();
+        m_isListenerClosed.store(true, std::memory_order_release);
+    });
 }
 
 void EntryLoop::endCalls()
--- a/packages/apricotladderd/entry/entryloop.h
+++ b/packages/apricotladderd/entry/entryloop.h
@@ -8,6 +8,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/random/random.h>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 
@@ -43,6 +44,12 @@
     /// Stops accepting connections and closes idle ones; calls in progress continue. Any thread may call it.
     void closeListener();
 
+    /// Whether closeListener() has taken effect; any thread may call it.
+    bool isListenerClosed() const
+    {
+        return m_isListenerClosed.load(std::memory_order_acquire);
+    }
+
     /// Resets all connections to callers and ends their calls, each with its last log line. Any thread may call it.
     void endCalls();
 
@@ -97,6 +104,7 @@
     ConnectionPool m_engines;
     absl::InsecureBitGen m_random;
     std::unique_ptr<HttpListener> m_listener;
+    std::atomic<bool> m_isListenerClosed{false};
     absl::flat_hash_map<WaiterId, PlacementCallback> m_waiters;
     WaiterId m_lastWaiterId = 0;
 };
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -368,7 +368,9 @@
     for (const std::unique_ptr<EntryLoop> &loop : m_loops) {
         loop->closeListener();
     }
-    const bool isDone = callerCount() == 0 && !m_nodeDirectory->isLeaving();
+    const bool acceptsNone
+        = std::all_of(m_loops.begin(), m_loops.end(), [](const std::unique_ptr<EntryLoop> &it) { return it->isListenerClosed(); });
+    const bool isDone = acceptsNone && callerCount() == 0 && !m_nodeDirectory->isLeaving();
     const absl::Duration grace = absl::Seconds(m_context.settings->graceS);
     const bool isGraceOver = m_controlLoop.now() - leaveStart > grace - shutdownMargin;
     if (isDone || (isGraceOver && m_context.phase.load() == LeavePhase::Ending)) {
--- a/packages/transport/httplistener.cpp
+++ b/packages/transport/httplistener.cpp
@@ -72,6 +72,7 @@
 
 void HttpListener::stopAccepting()
 {
+    m_listener.acceptPending(); // The clients of these connections may have sent requests.
     m_listener.close();
     const std::vector<HttpServerConnection::Ptr> connections(m_connections.begin(), m_connections.end());
     for (const HttpServerConnection::Ptr &it : connections) {
--- a/packages/transport/tcplistener.h
+++ b/packages/transport/tcplistener.h
@@ -39,12 +39,13 @@
     /// Returns the port of the socket, which the system chooses if the address has port 0.
     int port() const;
 
+    /// Accepts the connections that the system has established.
+    void acceptPending();
+
     /// Stops accepting connections.
     void close();
 
 private:
-    void acceptPending();
-
     EventLoop &m_loop;
     TcpTimeouts m_timeouts;
     AcceptHandler m_onAccepted;
--- a/packages/transport/tests/exchange/testserverconnection.cpp
+++ b/packages/transport/tests/exchange/testserverconnection.cpp
@@ -200,4 +200,14 @@
     BOOST_TEST(listener->connectionCount() == 0U);
 }
 
+/// Guards against a call that was sent before a planned stop and is reset because its connection had not been accepted yet.
+BOOST_AUTO_TEST_CASE(connectionsThatWaitToBeAcceptedAreServedWhenTheListenerStops)
+{
+    RawClient client(listener->port());
+    client.send(getRequest);
+    listener->stopAccepting();
+    runUntil([&] { return client.isEnded() || client.responseCount() > 0; });
+    BOOST_TEST(client.responseCount() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
