entry: Treat a stream that ends inside an event as broken off

A caller got a stream that looked complete but lacked its last event, when its engine closed the connection in order inside that event (ORDER). Cause: the end of the engine's answer was taken for the end of the stream, whatever the splitter still held. It is now broken off: resumed if the route allows it, else aborted. Line ends after the last event are no event.

--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -473,7 +473,7 @@
 void StreamCall::handleStreamOutcome(ExchangeOutcome outcome)
 {
     const EngineId engine = m_placement->decode->id;
-    if (outcome == ExchangeOutcome::Complete) {
+    if (outcome == ExchangeOutcome::Complete && !m_events.isInsideEvent()) {
         m_reservation.recordResult(engine, EngineResult::Succeeded, m_loop.events().now());
         m_reservation.recordAnswerCompleted(m_events.count());
         m_reservation.releaseAll(m_loop.events().now());
--- a/packages/protocol/sseeventsplitter.h
+++ b/packages/protocol/sseeventsplitter.h
@@ -28,6 +28,12 @@
         return m_count;
     }
 
+    /// Whether an event has begun and is not complete.
+    bool isInsideEvent() const
+    {
+        return m_pending.find_first_not_of("\r\n") != std::string::npos;
+    }
+
     /// Returns the number of buffered bytes of an incomplete event.
     std::size_t pendingBytes() const
     {
--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -562,6 +562,21 @@
     BOOST_TEST(sound.receivedRequests().front().header("Last-Event-Id") == "2");
 }
 
+/// Guards against a stream that looks complete although its engine broke off inside an event.
+BOOST_AUTO_TEST_CASE(aStreamThatEndsInsideAnEventIsBroken)
+{
+    addEngine("d-1", "model", "decode", [](EventLoop &, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request) {
+        PlatformEngineStandIn::beginEventStream(connection, request, 1, 2);
+        connection->sendChunk("id: 3\ndata: tok");
+        connection->endStream();
+    });
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    const HttpReply reply = node.call("/draft/x", "POST", "prompt");
+    BOOST_TEST((reply.outcome == CallOutcome::SentWithoutResponse));
+    BOOST_TEST(countEventIds(reply.body) == 2);
+}
+
 BOOST_AUTO_TEST_CASE(resumesStreamAfterLastEvent)
 {
     const auto breakOrResume = [](EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request) {
