entry: Keep an overdue engine while an idempotent call is sent to a second one

Callers got 502 although the engine that had their call was sound and answered a moment later. Cause: an idempotent call without an answer after 1.5 times its target latency was taken from its engine and sent to another one; when that one declined, or was silent too, nothing was left.

The first attempt now stays open beside the second, and whichever has the first usable answer is relayed; an error of the second one only counts when the first has ended.

--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -22,7 +22,9 @@
 /// Minimum time left before the deadline for another attempt.
 constexpr absl::Duration minAttemptTime = absl::Milliseconds(20);
 
-/// Time after which an idempotent call without an answer is sent to another engine, as a multiple of the route's target
+constexpr int minServerErrorStatus = 500;
+
+/// Time after which an idempotent call without an answer is sent to another engine as well, as a multiple of the route's target
 /// latency, and its lower bound.
 constexpr double overdueTimeoutInTargets = 1.5;
 constexpr absl::Duration minOverdueTimeout = absl::Milliseconds(80);
@@ -30,6 +32,19 @@
 /// Retry-After of a refused call that another node, or this node a moment later, may be able to serve.
 constexpr absl::Duration shortRetryAfter = absl::Milliseconds(30);
 
+EngineResult engineResult(const AttemptOutcome &outcome)
+{
+    return std::visit(
+        Overloaded{
+            [](const NotSent &) { return EngineResult::Unreachable; },
+            [](const Declined &) { return EngineResult::Refused; },
+            [](const Answered &it) { return it.status >= minServerErrorStatus ? EngineResult::Failed : EngineResult::Succeeded; },
+            [](const NoUsableAnswer &) { return EngineResult::Failed; },
+            [](const DeadlineExceeded &) { return EngineResult::Failed; },
+        },
+        outcome);
+}
+
 }
 
 WholeCall::WholeCall(EntryLoop &loop, HttpServerConnection::Ptr caller, CallFacts facts, HttpRequestHead head, std::string body)
@@ -38,7 +53,6 @@
     , m_facts(std::move(facts))
     , m_head(std::move(head))
     , m_body(std::move(body))
-    , m_responseBody(m_loop.context().bufferedAnswerBytes)
 {
 }
 
@@ -57,6 +71,9 @@
     const absl::Time now = m_loop.events().now();
     const std::optional<EngineEntry> engine = context.pools.withPool(
         m_facts.service, [&](ServicePool &pool) { return pool.placePlain(context.settings->dataCentre, m_excludedEngines, now); });
+    if (!engine && returnToOverdueAttempt()) {
+        return;
+    }
     if (!engine) {
         refuse(m_mayHaveRun ? ErrorKind::AnswerIncomplete : ErrorKind::EngineUnreachable);
         return;
@@ -67,11 +84,8 @@
 void WholeCall::send(const EngineEntry &engine)
 {
     const absl::Time now = m_loop.events().now();
-    m_engine = engine;
-    m_wasSent = false;
-    m_sentAt = now;
-    m_responseHead = {};
-    m_responseBody.clear();
+    const auto attempt = std::make_shared<Attempt>(engine, now, m_loop.context().bufferedAnswerBytes);
+    m_attempt = attempt;
     EngineRequestOptions options;
     options.engine = engine->id;
     options.timeLeft = m_facts.deadline() - now;
@@ -80,29 +94,34 @@
     request.responseHasNoBody = m_head.method == "HEAD";
     request.maxIdleTime = isIdempotent ? maxIdleIdempotent : maxIdleAtMostOnce;
     request.keepAliveTime = connectionKeepAlive;
+    attempt->exchange = HttpExchange::start(m_loop.events(), m_loop.engines(), std::move(request), exchangeCallbacks(attempt));
+    if (isIdempotent && !m_finished) {
+        const absl::Duration overdueTimeout = std::max(m_facts.route->targetLatency * overdueTimeoutInTargets, minOverdueTimeout);
+        m_overdueTimer = m_loop.events().after(overdueTimeout, [self = shared_from_this()] { self->handleOverdue(); });
+    }
+}
+
+HttpExchange::Callbacks WholeCall::exchangeCallbacks(const AttemptPtr &attempt)
+{
     const std::shared_ptr<WholeCall> self = shared_from_this();
     HttpExchange::Callbacks callbacks;
-    callbacks.onSent = [self] {
-        self->m_wasSent = true;
+    callbacks.onSent = [self, attempt] {
+        attempt->wasSent = true;
         ++self->m_sentAttempts;
     };
-    callbacks.onHead = [self](const HttpResponseHead &head) {
-        self->m_responseHead = head;
+    callbacks.onHead = [attempt](const HttpResponseHead &head) {
+        attempt->head = head;
     };
-    callbacks.onBody = [self](const std::string &chunk) {
-        self->handleBody(chunk);
+    callbacks.onBody = [self, attempt](const std::string &chunk) {
+        self->handleBody(attempt, chunk);
     };
-    callbacks.onEnded = [self](ExchangeOutcome outcome) {
-        self->handleExchangeOutcome(outcome);
+    callbacks.onEnded = [self, attempt](ExchangeOutcome outcome) {
+        self->handleExchangeOutcome(attempt, outcome);
     };
-    m_exchange = HttpExchange::start(m_loop.events(), m_loop.engines(), std::move(request), std::move(callbacks));
-    if (isIdempotent && !m_finished) {
-        const absl::Duration overdueTimeout = std::max(m_facts.route->targetLatency * overdueTimeoutInTargets, minOverdueTimeout);
-        m_overdueTimer = m_loop.events().after(overdueTimeout, [self] { self->handleOverdue(); });
-    }
+    return callbacks;
 }
 
-AttemptOutcome WholeCall::classifyOutcome(ExchangeOutcome outcome) const
+AttemptOutcome WholeCall::classifyOutcome(const Attempt &attempt, ExchangeOutcome outcome)
 {
     if (outcome == ExchangeOutcome::NotSent) {
         return NotSent{};
@@ -110,55 +129,75 @@
     if (outcome == ExchangeOutcome::Incomplete) {
         return NoUsableAnswer{};
     }
-    const EngineResponseInfo info = readEngineResponse(m_responseHead);
-    if (provesNotRun(m_responseHead.status, info)) {
+    const EngineResponseInfo info = readEngineResponse(attempt.head);
+    if (provesNotRun(attempt.head.status, info)) {
         return Declined{};
     }
-    const bool isSuccess = m_responseHead.status >= 200 && m_responseHead.status < 300;
+    const bool isSuccess = attempt.head.status >= 200 && attempt.head.status < 300;
     if (info.isEncoded || (isSuccess && (!info.isSigned || info.requestId.empty()))) {
         return NoUsableAnswer{};
     }
-    return Answered{m_responseHead.status};
+    return Answered{attempt.head.status};
 }
 
-void WholeCall::handleBody(const std::string &chunk)
+void WholeCall::handleBody(const AttemptPtr &attempt, const std::string &chunk)
 {
-    if (!m_responseBody.append(chunk)) {
-        m_exchange->cancel();
-        handleExchangeOutcome(ExchangeOutcome::Incomplete);
+    if (!attempt->body.append(chunk)) {
+        attempt->exchange->cancel();
+        handleExchangeOutcome(attempt, ExchangeOutcome::Incomplete);
     }
 }
 
-void WholeCall::handleExchangeOutcome(ExchangeOutcome outcome)
+void WholeCall::handleExchangeOutcome(const AttemptPtr &attempt, ExchangeOutcome outcome)
 {
-    if (!m_finished) {
-        handleAttemptOutcome(classifyOutcome(outcome));
+    if (m_finished) {
+        return;
+    }
+    const AttemptOutcome result = classifyOutcome(*attempt, outcome);
+    releaseEngine(*attempt, engineResult(result));
+    if (attempt == m_overdueAttempt) {
+        m_overdueAttempt.reset();
+        handleOverdueOutcome(attempt, result);
+    } else {
+        handleAttemptOutcome(result);
     }
 }
 
 void WholeCall::handleAttemptOutcome(const AttemptOutcome &outcome)
 {
     m_loop.events().cancel(std::exchange(m_overdueTimer, 0));
-    const absl::Time now = m_loop.events().now();
-    const EngineResult result
-        = std::visit(Overloaded{
-                         [](const NotSent &) { return EngineResult::Unreachable; },
-                         [](const Declined &) { return EngineResult::Refused; },
-                         [](const Answered &it) { return it.status >= 500 ? EngineResult::Failed : EngineResult::Succeeded; },
-                         [](const NoUsableAnswer &) { return EngineResult::Failed; },
-                         [](const DeadlineExceeded &) { return EngineResult::Failed; },
-                     },
-                     outcome);
-    releaseEngine(result);
-    const NextStep step = decideNextStep(makeAttemptFacts(now), outcome);
+    const NextStep step = decideNextStep(makeAttemptFacts(m_loop.events().now()), outcome);
     m_mayHaveRun = m_mayHaveRun || std::holds_alternative<NoUsableAnswer>(outcome) || std::holds_alternative<Answered>(outcome);
+    if (std::holds_alternative<AnswerWithError>(step) && returnToOverdueAttempt()) {
+        return;
+    }
     execute(step);
 }
 
+void WholeCall::handleOverdueOutcome(const AttemptPtr &attempt, const AttemptOutcome &outcome)
+{
+    const auto *answered = std::get_if<Answered>(&outcome);
+    if (answered == nullptr || answered->status >= minServerErrorStatus || impliesNotExecuted(answered->status)) {
+        return; // The latest attempt may have a better answer.
+    }
+    cancel(m_attempt, std::nullopt);
+    m_attempt = attempt;
+    relayResponse();
+}
+
+bool WholeCall::returnToOverdueAttempt()
+{
+    if (!m_overdueAttempt) {
+        return false;
+    }
+    m_attempt = std::exchange(m_overdueAttempt, nullptr);
+    return true;
+}
+
 AttemptFacts WholeCall::makeAttemptFacts(absl::Time now)
 {
     EntryContext &context = m_loop.context();
-    m_excludedEngines.push_back(m_engine->id);
+    m_excludedEngines.push_back(m_attempt->engine->id);
     AttemptFacts facts;
     facts.repeatability = m_facts.route->repeatability;
     facts.sentAttempts = m_sentAttempts;
@@ -181,7 +220,7 @@
                            context.trySpendRetry(m_facts.service, m_loop.events().now());
                        }
                        context.log.add(LogLevel::Info, "call.repeat", m_facts.call->requestId,
-                                       {{"engine", m_engine->id.text()}, {"counts", next.isRetry}, {"arrivals", m_sentAttempts}});
+                                       {{"engine", m_attempt->engine->id.text()}, {"counts", next.isRetry}, {"arrivals", m_sentAttempts}});
                        startAttempt();
                    },
                    [&](const AnswerWithError &error) { refuse(error.kind); },
@@ -192,43 +231,60 @@
 void WholeCall::handleOverdue()
 {
     m_overdueTimer = 0;
-    AttemptFacts facts = makeAttemptFacts(m_loop.events().now());
-    if (!std::holds_alternative<TryNextEngine>(decideNextStep(facts, NoUsableAnswer{}))) {
+    if (m_overdueAttempt) {
+        return;
+    }
+    const absl::Time now = m_loop.events().now();
+    const NextStep step = decideNextStep(makeAttemptFacts(now), NoUsableAnswer{});
+    if (!std::holds_alternative<TryNextEngine>(step)) {
         m_excludedEngines.pop_back();
         return; // A retry is not possible or not allowed, and the answer may still arrive.
     }
-    m_excludedEngines.pop_back();
-    m_exchange->cancel();
-    handleAttemptOutcome(NoUsableAnswer{});
+    m_loop.context().pools.withPool(m_facts.service,
+                                    [&](ServicePool &pool) { pool.recordResult(m_attempt->engine->id, EngineResult::Failed, now); });
+    m_mayHaveRun = true;
+    m_overdueAttempt = m_attempt;
+    execute(step);
 }
 
 void WholeCall::handleDeadline()
 {
     m_deadlineTimer = 0;
-    m_exchange->cancel();
-    handleAttemptOutcome(DeadlineExceeded{m_wasSent});
+    const bool wasSent = m_attempt->wasSent || m_overdueAttempt;
+    cancel(std::exchange(m_overdueAttempt, nullptr), EngineResult::Failed);
+    cancel(m_attempt, EngineResult::Failed);
+    handleAttemptOutcome(DeadlineExceeded{wasSent});
+}
+
+void WholeCall::cancel(const AttemptPtr &attempt, std::optional<EngineResult> result)
+{
+    if (attempt) {
+        attempt->exchange->cancel();
+        releaseEngine(*attempt, result);
+    }
 }
 
-void WholeCall::releaseEngine(std::optional<EngineResult> result)
+void WholeCall::releaseEngine(const Attempt &attempt, std::optional<EngineResult> result)
 {
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
     context.pools.withPool(m_facts.service, [&](ServicePool &pool) {
-        pool.release(EngineReservation{m_engine->id, 1, 0, std::nullopt});
+        pool.release(EngineReservation{attempt.engine->id, 1, 0, std::nullopt});
         if (!result) {
             return;
         }
-        pool.recordResult(m_engine->id, *result, now);
+        pool.recordResult(attempt.engine->id, *result, now);
         if (*result == EngineResult::Succeeded || *result == EngineResult::Failed) {
-            pool.recordCost(m_engine->id, 1, now - m_sentAt, now);
+            pool.recordCost(attempt.engine->id, 1, now - attempt.startedAt, now);
         }
     });
 }
 
 void WholeCall::relayResponse()
 {
-    const HttpResponseHead head = callerResponse(m_responseHead);
-    const std::string body = m_responseBody.take();
+    cancel(std::exchange(m_overdueAttempt, nullptr), std::nullopt);
+    const HttpResponseHead head = callerResponse(m_attempt->head);
+    const std::string body = m_attempt->body.take();
     finish("answered", head.status);
     m_caller->respond(head, body);
 }
@@ -245,8 +301,9 @@
     if (m_finished) {
         return;
     }
-    m_exchange->cancel();
-    releaseEngine(std::nullopt); // A caller that disconnects is no evidence about the engine.
+    // A caller that disconnects is no evidence about the engines.
+    cancel(std::exchange(m_overdueAttempt, nullptr), std::nullopt);
+    cancel(m_attempt, std::nullopt);
     finish(m_loop.context().disconnectCause(), 0);
 }
 
@@ -263,7 +320,7 @@
     context.log.add(isFailure ? LogLevel::Warning : LogLevel::Info, "call.end", m_facts.call->requestId,
                     {{"route", m_facts.route->name},
                      {"version", static_cast<std::int64_t>(m_facts.desiredVersion)},
-                     {"engine", m_engine->id.text()},
+                     {"engine", m_attempt ? m_attempt->engine->id.text() : std::string()},
                      {"outcome", std::string(outcome)},
                      {"status", std::int64_t{status}},
                      {"arrivals", m_sentAttempts},
--- a/packages/apricotladderd/entry/wholecall.h
+++ b/packages/apricotladderd/entry/wholecall.h
@@ -8,9 +8,11 @@
 #include "transport/httpmessage.h"
 #include "transport/httpserverconnection.h"
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Apricot {
@@ -18,6 +20,8 @@
 /**
  * \class WholeCall
  * \brief One non-streaming call: sends it to one engine after another until decideNextStep() says to answer the caller.
+ *
+ * An idempotent call whose engine takes too long is sent to a second engine as well; the first usable answer is relayed.
  */
 class WholeCall : public std::enable_shared_from_this<WholeCall>
 {
@@ -27,13 +31,38 @@
     void start();
 
 private:
+    /// One attempt at one engine.
+    struct Attempt
+    {
+        Attempt(EngineEntry chosenEngine, absl::Time now, std::atomic<std::size_t> &totalBytes)
+            : engine(std::move(chosenEngine))
+            , startedAt(now)
+            , body(totalBytes)
+        {
+        }
+
+        EngineEntry engine;
+        absl::Time startedAt;
+        std::shared_ptr<HttpExchange> exchange;
+        bool wasSent = false;
+        HttpResponseHead head;
+        AnswerBuffer body;
+    };
+    using AttemptPtr = std::shared_ptr<Attempt>;
+
     void startAttempt();
     void send(const EngineEntry &engine);
-    void handleBody(const std::string &chunk);
-    void handleExchangeOutcome(ExchangeOutcome outcome);
-    AttemptOutcome classifyOutcome(ExchangeOutcome outcome) const;
+    HttpExchange::Callbacks exchangeCallbacks(const AttemptPtr &attempt);
+    void handleBody(const AttemptPtr &attempt, const std::string &chunk);
+    void handleExchangeOutcome(const AttemptPtr &attempt, ExchangeOutcome outcome);
+    static AttemptOutcome classifyOutcome(const Attempt &attempt, ExchangeOutcome outcome);
     void handleAttemptOutcome(const AttemptOutcome &outcome);
+    void handleOverdueOutcome(const AttemptPtr &attempt, const AttemptOutcome &outcome);
     void handleOverdue();
+    /// Waits for the overdue attempt again, if there is one; returns whether there is.
+    bool returnToOverdueAttempt();
+    /// Ends \a attempt, if there is one, and records \a result for its engine.
+    void cancel(const AttemptPtr &attempt, std::optional<EngineResult> result);
     void handleDeadline();
     void handleCallerDisconnected();
     /// Excludes the current engine from further attempts and returns the facts for decideNextStep().
@@ -41,7 +70,7 @@
     void execute(const NextStep &step);
     void relayResponse();
     void refuse(ErrorKind kind);
-    void releaseEngine(std::optional<EngineResult> result);
+    void releaseEngine(const Attempt &attempt, std::optional<EngineResult> result);
     void finish(const char *outcome, int status);
 
     EntryLoop &m_loop;
@@ -49,15 +78,11 @@
     CallFacts m_facts;
     HttpRequestHead m_head;
     std::string m_body;
-    std::shared_ptr<HttpExchange> m_exchange;
-    EngineEntry m_engine;
-    absl::Time m_sentAt;
+    AttemptPtr m_attempt; ///< the latest attempt
+    AttemptPtr m_overdueAttempt; ///< an earlier one that took too long and may still answer
     std::vector<EngineId> m_excludedEngines;
     std::int64_t m_sentAttempts = 0;
-    bool m_wasSent = false; ///< whether the current attempt was sent
     bool m_mayHaveRun = false; ///< whether an earlier attempt may have run
-    HttpResponseHead m_responseHead;
-    AnswerBuffer m_responseBody;
     TimerId m_deadlineTimer = 0;
     TimerId m_overdueTimer = 0;
     bool m_finished = false;
--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -562,6 +562,28 @@
     BOOST_TEST(sound.receivedRequests().front().header("Last-Event-Id") == "2");
 }
 
+/// Guards against a failed call although its first engine was sound, only slow, and the second one declined.
+BOOST_AUTO_TEST_CASE(aLateAnswerOfTheFirstEngineIsRelayedIfTheSecondDeclines)
+{
+    const auto answerLate = [](EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request) {
+        loop.after(absl::Milliseconds(3500), [&loop, connection, request] { respondSuccessfully(loop, connection, request); });
+    };
+    PlatformEngineStandIn &slow = addEngine("e-1", "desk", "", answerLate);
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    HttpReply reply;
+    Thread caller("caller", [&] { reply = node.call("/read/x"); });
+    BOOST_TEST(eventually([&] { return !slow.receivedRequests().empty(); }));
+    PlatformEngineStandIn &full
+        = addEngine("e-2", "desk", "", [](EventLoop &, const HttpServerConnection::Ptr &connection, const ReceivedRequest &) {
+              PlatformEngineStandIn::respondNotExecuted(connection);
+          });
+    caller.join();
+    BOOST_TEST(reply.status == 200);
+    BOOST_TEST(full.receivedRequests().size() == 1U);
+    BOOST_TEST(slow.abandonedCount() == 0);
+}
+
 /// Guards against a stream that looks complete although its engine broke off inside an event.
 BOOST_AUTO_TEST_CASE(aStreamThatEndsInsideAnEventIsBroken)
 {
