transport: Keep a connection until the rest of its answer is sent

A caller that reads slowly could lose the rest of a complete answer (LOST): at a planned stop, and after the idle timeout. Cause: a connection that stays open after its answer counts as idle at once, while bytes of the answer are still buffered. When the listener stops, or the idle timeout has passed, it is closed and no longer counted; a leaving node that counts none ends, and the buffered rest is gone.

Evidence: both tests failed before, each with 0 connections while megabytes were unsent. A caller that never reads again is still cut off by TCP_USER_TIMEOUT (3 s), or by the end of the grace period.

--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -233,11 +233,16 @@
 
 void HttpServerConnection::closeIfIdle()
 {
-    if (!m_requestInProgress && !m_parser && m_input.empty() && m_connection->isIdle()) {
+    if (!m_requestInProgress && !m_parser && m_input.empty() && !hasUnsentBytes() && m_connection->isIdle()) {
         close(ServerCloseReason::Stopped);
     }
 }
 
+bool HttpServerConnection::hasUnsentBytes() const
+{
+    return m_connection->unsentBytes() > 0;
+}
+
 void HttpServerConnection::close(ServerCloseReason reason)
 {
     const Ptr self = shared_from_this();
@@ -260,6 +265,10 @@
 void HttpServerConnection::checkTimeouts()
 {
     m_timer = 0;
+    if (!m_requestInProgress && hasUnsentBytes()) {
+        armTimer();
+        return;
+    }
     const absl::Duration elapsed = m_loop.now() - m_phaseStart;
     const bool isReadingHead = m_parser && m_parser->state() == ParseState::Head;
     if (!m_requestInProgress && isReadingHead && elapsed > m_limits.headerTimeout) {
--- a/packages/transport/httpserverconnection.h
+++ b/packages/transport/httpserverconnection.h
@@ -112,6 +112,8 @@
     void closeWhenSent();
     void closeAfterDiscardingInput();
     void close(ServerCloseReason reason);
+    /// Whether bytes of a response wait to be sent.
+    bool hasUnsentBytes() const;
     void armTimer();
     void checkTimeouts();
 
--- a/packages/transport/tests/exchange/testserverconnection.cpp
+++ b/packages/transport/tests/exchange/testserverconnection.cpp
@@ -210,4 +210,40 @@
     BOOST_TEST(client.responseCount() == 1);
 }
 
+/// Guards against a planned stop that forgets a connection which stays open while the rest of its answer is not sent.
+BOOST_AUTO_TEST_CASE(aKeptConnectionCountsUntilItsAnswerIsSent)
+{
+    const std::string hugeBody(16'000'000, 'a');
+    respond = [&](const HttpServerConnection::Ptr &connection) {
+        connection->respond(HttpResponseHead{200, "OK", {}, true, false}, hugeBody);
+    };
+    RawClient client(listener->port());
+    client.send(getRequest);
+    runFor(absl::Milliseconds(100));
+    listener->stopAccepting();
+    BOOST_TEST(listener->connectionCount() == 1U);
+    runUntil([&] {
+        listener->stopAccepting();
+        return client.isEnded();
+    });
+    BOOST_TEST(client.received().size() > hugeBody.size());
+    BOOST_TEST(listener->connectionCount() == 0U);
+}
+
+/// Guards against an idle timeout that cuts off a caller who is still receiving the rest of an answer.
+BOOST_AUTO_TEST_CASE(aConnectionIsNotIdleUntilItsAnswerIsSent)
+{
+    limits.idleTimeout = shortIdleTimeout;
+    const std::string hugeBody(16'000'000, 'a');
+    respond = [&](const HttpServerConnection::Ptr &connection) {
+        connection->respond(HttpResponseHead{200, "OK", {}, true, false}, hugeBody);
+    };
+    RawClient client(listener->port());
+    client.send(getRequest);
+    runFor(shortIdleTimeout * 5);
+    BOOST_TEST(listener->connectionCount() == 1U);
+    runUntil([&] { return client.isEnded(); });
+    BOOST_TEST(client.received().size() > hugeBody.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
