transport: Read waiting requests before the idle timeout closes their connection

After a moment in which a node did not run, a caller whose whole request had arrived meanwhile got neither an answer nor a refusal. Cause: the event loop takes at most 64 events and then runs its timers; the check of the timeouts looked only at the clock, so it closed connections whose requests waited in the system's buffer. It now waits until such input was read. closeIfIdle() had this check since; the two use the same one now.

A lowered idle limit makes it likelier, as the pause needs to be shorter.

--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -233,14 +233,14 @@
 
 void HttpServerConnection::closeIfIdle()
 {
-    if (!m_requestInProgress && !m_parser && m_input.empty() && !hasUnsentBytes() && m_connection->isIdle()) {
+    if (!m_requestInProgress && !m_parser && m_input.empty() && !hasPendingBytes()) {
         close(ServerCloseReason::Stopped);
     }
 }
 
-bool HttpServerConnection::hasUnsentBytes() const
+bool HttpServerConnection::hasPendingBytes() const
 {
-    return m_connection->unsentBytes() > 0;
+    return m_connection->unsentBytes() > 0 || !m_connection->isIdle();
 }
 
 void HttpServerConnection::close(ServerCloseReason reason)
@@ -265,7 +265,7 @@
 void HttpServerConnection::checkTimeouts()
 {
     m_timer = 0;
-    if (!m_requestInProgress && hasUnsentBytes()) {
+    if (!m_requestInProgress && hasPendingBytes()) {
         armTimer();
         return;
     }
--- a/packages/transport/httpserverconnection.h
+++ b/packages/transport/httpserverconnection.h
@@ -112,8 +112,8 @@
     void closeWhenSent();
     void closeAfterDiscardingInput();
     void close(ServerCloseReason reason);
-    /// Whether bytes of a response wait to be sent.
-    bool hasUnsentBytes() const;
+    /// Whether bytes of a response wait to be sent, or bytes of a request, or the end of the connection, wait to be read.
+    bool hasPendingBytes() const;
     void armTimer();
     void checkTimeouts();
 
--- a/packages/transport/tests/exchange/testserverconnection.cpp
+++ b/packages/transport/tests/exchange/testserverconnection.cpp
@@ -1,11 +1,16 @@
 #include "transport/httplistener.h"
 
+#include <absl/time/clock.h>
+
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <memory>
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 using namespace Apricot;
 
@@ -246,4 +251,30 @@
     BOOST_TEST(client.received().size() > hugeBody.size());
 }
 
+/// Guards against a whole request that gets no answer because the idle timeout is checked before the request is read.
+BOOST_AUTO_TEST_CASE(requestsThatWaitToBeReadAreAnswered)
+{
+    // More connections than the loop handles before it runs its timers.
+    std::vector<std::unique_ptr<RawClient>> clients(200);
+    for (std::unique_ptr<RawClient> &it : clients) {
+        it = std::make_unique<RawClient>(listener->port());
+    }
+    const auto sendAll = [&] {
+        for (const std::unique_ptr<RawClient> &it : clients) {
+            it->send(getRequest);
+        }
+    };
+    const auto allHaveResponses = [&](int n) {
+        return std::all_of(clients.begin(), clients.end(),
+                           [n](const std::unique_ptr<RawClient> &it) { return it->responseCount() == n || it->isEnded(); });
+    };
+    limits.idleTimeout = shortIdleTimeout * 10;
+    sendAll();
+    runUntil([&] { return allHaveResponses(1); });
+    sendAll();
+    absl::SleepFor(limits.idleTimeout * 1.5); // The loop's thread does not run.
+    runUntil([&] { return allHaveResponses(2); });
+    BOOST_TEST(std::count_if(clients.begin(), clients.end(), [](const auto &it) { return it->responseCount() == 2; }) == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
