frontend: Send the answers in progress before a node ends

A caller of the product's own front end could lose a complete answer when its node was stopped as planned. Cause: drain() waited for the threads that run the calls, not for the answers: a call ends before its answer is handed to the event loop and written. Then the server was destroyed, which resets all connections. The rest of a stream that was still buffered was lost in the same way. drain() now also waits until the listener has no connection left, closing those that become idle, within drainSeconds.

Evidence: with the earlier steps (stop accepting, then destroy) the test's caller gets no answer to a call in progress.

--- a/packages/apricotladderd/frontend.cpp
+++ b/packages/apricotladderd/frontend.cpp
@@ -95,9 +95,9 @@
     m_refusing = true;
 }
 
-void FrontEnd::stopAccepting()
+bool FrontEnd::finishAnswers(absl::Duration timeout)
 {
-    m_server->stopAccepting();
+    return m_server->drain(timeout);
 }
 
 void FrontEnd::stop()
--- a/packages/apricotladderd/frontend.h
+++ b/packages/apricotladderd/frontend.h
@@ -36,8 +36,8 @@
     /// Refuses new calls with the error Draining; callers may still resume answers that this node serves.
     void refuseCalls();
 
-    /// Stops accepting connections.
-    void stopAccepting();
+    /// Stops accepting connections and waits until all answers were sent; returns false after \a timeout.
+    bool finishAnswers(absl::Duration timeout);
     void stop();
 
     /// Removes ended answers whose retention has expired.
--- a/packages/apricotladderd/node.cpp
+++ b/packages/apricotladderd/node.cpp
@@ -93,10 +93,11 @@
     m_frontEnd.refuseCalls();
     const bool idle = m_callThreads.waitUntilIdle(deadline - absl::Now());
     m_runStore.flush(std::max(absl::ZeroDuration(), std::min(flushTimeout, deadline - absl::Now())));
-    m_frontEnd.stopAccepting();
+    const bool answered = m_frontEnd.finishAnswers(deadline - absl::Now());
     m_journal.info(RequestId(), "node.left",
-                   idle ? "every call in progress has ended" : "the time to drain (drainSeconds) is over; calls in progress are aborted");
-    return idle;
+                   idle && answered ? "every call in progress has ended"
+                                    : "the time to drain (drainSeconds) is over; calls in progress are aborted");
+    return idle && answered;
 }
 
 void Node::stop()
--- a/packages/apricotladderd/node.h
+++ b/packages/apricotladderd/node.h
@@ -25,8 +25,8 @@
     std::string start();
 
     /// Drains this node: announces that it leaves, so that its address is no longer given to callers; accepts calls until the
-    /// addresses given earlier have expired; then refuses calls and waits until the last call in progress has ended, at most
-    /// until drainSeconds of the settings have passed. Returns whether all calls have ended.
+    /// addresses given earlier have expired; then refuses calls and waits until the last call in progress has ended and its answer
+    /// was sent, at most until drainSeconds of the settings have passed. Returns whether all calls have ended.
     bool drain();
 
     void stop();
--- a/packages/transport/httpserver.cpp
+++ b/packages/transport/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "transport/httpserver.h"
 
+#include <absl/time/clock.h>
+
 #include <boost/beast/core/string.hpp>
 
 #include <algorithm>
@@ -14,6 +16,9 @@
 constexpr std::size_t maxHeadBytes = 32 * 1024;
 constexpr absl::Duration headerTimeout = absl::Seconds(10);
 
+/// Interval at which a server that drains closes connections that have become idle.
+constexpr absl::Duration drainCheckInterval = absl::Milliseconds(10);
+
 /// Flow control: the source of a response is not read while more than this many bytes are unsent.
 constexpr std::size_t maxUnsentBytes = 256 * 1024;
 
@@ -141,9 +146,20 @@
     m_workers.reset();
 }
 
-void HttpServer::stopAccepting()
+bool HttpServer::drain(absl::Duration timeout)
 {
-    m_loop.post([this] { m_listener->stopAccepting(); });
+    const absl::Time deadline = absl::Now() + timeout;
+    while (!m_hasStoppedAccepting.load(std::memory_order_acquire) || m_listener->connectionCount() > 0) {
+        if (absl::Now() >= deadline) {
+            return false;
+        }
+        m_loop.post([this] {
+            m_listener->stopAccepting(); // Also closes connections that have become idle since the last call.
+            m_hasStoppedAccepting.store(true, std::memory_order_release);
+        });
+        absl::SleepFor(drainCheckInterval);
+    }
+    return true;
 }
 
 void HttpServer::dispatch(const HttpServerConnection::Ptr &connection, const HttpRequestHead &head, std::string body)
--- a/packages/transport/httpserver.h
+++ b/packages/transport/httpserver.h
@@ -5,6 +5,9 @@
 #include "transport/thread.h"
 #include "transport/workerpool.h"
 
+#include <absl/time/time.h>
+
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -80,8 +83,9 @@
         return m_listener->isOpen();
     }
 
-    /// Stops accepting connections; requests in progress are completed.
-    void stopAccepting();
+    /// Stops accepting connections and waits until the responses to all received requests were sent; returns false after \a timeout.
+    /// Must not be called by a handler.
+    bool drain(absl::Duration timeout);
 
 private:
     struct StreamState;
@@ -94,6 +98,7 @@
     Handler m_handler;
     EventLoop m_loop;
     std::unique_ptr<HttpListener> m_listener;
+    std::atomic<bool> m_hasStoppedAccepting{false};
     std::unique_ptr<WorkerPool> m_workers;
     Thread m_thread;
 };
--- a/packages/transport/tests/http/testhttp.cpp
+++ b/packages/transport/tests/http/testhttp.cpp
@@ -25,6 +25,9 @@
         response.body = request.method + " " + request.parameter("q") + " " + request.header("x-h") + " " + request.body;
     } else if (request.path == "/drop") {
         response.status = 0;
+    } else if (request.path == "/late") {
+        absl::SleepFor(absl::Milliseconds(300));
+        response.body = "late";
     } else if (request.path == "/stream") {
         auto left = std::make_shared<int>(3);
         response.source = [left]() -> std::optional<std::string> {
@@ -109,6 +112,20 @@
     BOOST_TEST((HttpClient::stream(call, [](std::string_view) { return true; }).outcome == CallOutcome::IdleTimeout));
 }
 
+/// Guards against a node that ends at a planned stop between the end of a call and the sending of its answer.
+BOOST_AUTO_TEST_CASE(aServerThatDrainsSendsTheAnswersInProgress)
+{
+    auto stopped = std::make_unique<HttpServer>("127.0.0.1:21993", HttpServer::Limits{100, 50, 5}, respond);
+    HttpCall call;
+    call.url = "http://127.0.0.1:21993/late";
+    std::future<HttpReply> reply = std::async(std::launch::async, [&] { return HttpClient::call(call); });
+    absl::SleepFor(absl::Milliseconds(100));
+    BOOST_TEST(!stopped->drain(absl::ZeroDuration()));
+    BOOST_TEST(stopped->drain(absl::Seconds(20)));
+    stopped.reset();
+    BOOST_TEST(reply.get().body == "late");
+}
+
 BOOST_AUTO_TEST_CASE(aPeriodicTaskRunsWhenWoken)
 {
     std::atomic<int> runs{0};
