--- a/packages/transport/tests/exchange/testserverconnection.cpp
+++ b/packages/transport/tests/exchange/testserverconnection.cpp
@@ -1,11 +1,16 @@
 #include "transport/httplistener.h"
 
+#include <absl/time/clock.h>
+
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <memory>
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 using namespace Apricot;
 
@@ -210,4 +215,66 @@
     BOOST_TEST(client.responseCount() == 1);
 }
 
+/// Guards against a planned stop that forgets a connection which stays open while the rest of its answer is not sent.
+BOOST_AUTO_TEST_CASE(aKeptConnectionCountsUntilItsAnswerIsSent)
+{
+    const std::string hugeBody(16'000'000, 'a');
+    respond = [&](const HttpServerConnection::Ptr &connection) {
+        connection->respond(HttpResponseHead{200, "OK", {}, true, false}, hugeBody);
+    };
+    RawClient client(listener->port());
+    client.send(getRequest);
+    runFor(absl::Milliseconds(100));
+    listener->stopAccepting();
+    BOOST_TEST(listener->connectionCount() == 1U);
+    runUntil([&] {
+        listener->stopAccepting();
+        return client.isEnded();
+    });
+    BOOST_TEST(client.received().size() > hugeBody.size());
+    BOOST_TEST(listener->connectionCount() == 0U);
+}
+
+/// Guards against an idle timeout that cuts off a caller who is still receiving the rest of an answer.
+BOOST_AUTO_TEST_CASE(aConnectionIsNotIdleUntilItsAnswerIsSent)
+{
+    limits.idleTimeout = shortIdleTimeout;
+    const std::string hugeBody(16'000'000, 'a');
+    respond = [&](const HttpServerConnection::Ptr &connection) {
+        connection->respond(HttpResponseHead{200, "OK", {}, true, false}, hugeBody);
+    };
+    RawClient client(listener->port());
+    client.send(getRequest);
+    runFor(shortIdleTimeout * 5);
+    BOOST_TEST(listener->connectionCount() == 1U);
+    runUntil([&] { return client.isEnded(); });
+    BOOST_TEST(client.received().size() > hugeBody.size());
+}
+
+/// Guards against a whole request that gets no answer because the idle timeout is checked before the request is read.
+BOOST_AUTO_TEST_CASE(requestsThatWaitToBeReadAreAnswered)
+{
+    // More connections than the loop handles before it runs its timers.
+    std::vector<std::unique_ptr<RawClient>> clients(200);
+    for (std::unique_ptr<RawClient> &it : clients) {
+        it = std::make_unique<RawClient>(listener->port());
+    }
+    const auto sendAll = [&] {
+        for (const std::unique_ptr<RawClient> &it : clients) {
+            it->send(getRequest);
+        }
+    };
+    const auto allHaveResponses = [&](int n) {
+        return std::all_of(clients.begin(), clients.end(),
+                           [n](const std::unique_ptr<RawClient> &it) { return it->responseCount() == n || it->isEnded(); });
+    };
+    limits.idleTimeout = shortIdleTimeout * 10;
+    sendAll();
+    runUntil([&] { return allHaveResponses(1); });
+    sendAll();
+    absl::SleepFor(limits.idleTimeout * 1.5); // The loop's thread does not run.
+    runUntil([&] { return allHaveResponses(2); });
+    BOOST_TEST(std::count_if(clients.begin(), clients.end(), [](const auto &it) { return it->responseCount() == 2; }) == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
