entry: Quarantine the parts of prompts that crash engines

Callers saw sound streams break off one after the other: a call with one deadly part in its prompt ended the decode engine that began to answer it, with the sound calls that ran there, and each further call with that part, new or repeated, went to the next engine. No node stopped, because one crash says nothing about its cause: an engine runs a dozen prompts of six nodes when it ends, and no node told the others which of them broke.

Cause: nothing in the design attributes an engine's end to what it was working on; failures count against engines only. The class of fault is a request that is poisonous to its server and is passed on to one server after the other.

Nodes now tell each other which prompts broke off before their first event and at which engine (load reports), and which parts of those an answer has begun on. PromptQuarantine convicts the deepest part that at least three crashes have in common (different engines and prompts, 200 ms apart) if no answer began on it meanwhile, while others began. What a convicted part explains counts against no other one, and a part that was convicted first, because reports were late, is acquitted when a later conviction explains all its crashes. All nodes refuse calls with the part before each send (prefill, decode, repeat): 503 if the call cannot have run, else 502. One call of one node tries the part out after 30 s, doubling. State and messages are bounded; nodes that start or take no calls learn the parts from gossip and /cell-state.

Ruled out: blaming the part with the most crashes (the first part has as many), and counting each broken prompt as a crash (a mass crash, one resetting engine or one repeating caller would convict a sound part).

--- a/packages/apricotladderd/entry/entrycontext.h
+++ b/packages/apricotladderd/entry/entrycontext.h
@@ -2,6 +2,7 @@
 
 #include "apricotladderd/entry/entrymetrics.h"
 #include "apricotladderd/entry/eventlog.h"
+#include "apricotladderd/entry/sharedquarantine.h"
 #include "coordination/recentmaximum.h"
 #include "coordination/retryquota.h"
 #include "coordination/routetable.h"
@@ -63,6 +64,7 @@
     EntryContext(const EntrySettings &initialSettings, ServicePoolMap::GrantHandler onGrant)
         : settings(initialSettings)
         , log(initialSettings->node, logLevelFromName(initialSettings->logLevel))
+        , quarantine(initialSettings->node, log, metrics)
         , pools(std::move(onGrant))
     {
     }
@@ -102,6 +104,7 @@
     EntrySettings settings;
     EventLog log;
     EntryMetrics metrics;
+    SharedQuarantine quarantine; ///< parts of prompts that crash engines
     CurrentRoutes routes;
     ServicePoolMap pools;
     ShardedMap<ServiceName, std::optional<RetryQuota>, 8> retryQuotas;
--- a/packages/apricotladderd/entry/entrymetrics.cpp
+++ b/packages/apricotladderd/entry/entrymetrics.cpp
@@ -41,6 +41,11 @@
     , m_members(gauges(*m_registry, "apricotladder_entry_members_alive", "Nodes that are held alive").Add({}))
     , m_activeNodes(gauges(*m_registry, "apricotladder_entry_nodes_active", "Nodes that callers are directed to").Add({}))
     , m_linesDropped(gauges(*m_registry, "apricotladder_entry_log_lines_dropped", "Log lines dropped since the start").Add({}))
+    , m_brokenPrompts(
+          counters(*m_registry, "apricotladder_entry_broken_prompts_total", "Prompts whose engine broke off before the first event")
+              .Add({}))
+    , m_quarantinedParts(
+          gauges(*m_registry, "apricotladder_entry_quarantined_parts", "Parts of prompts that are quarantined, as this node knows").Add({}))
 {
 }
 
@@ -79,6 +84,11 @@
     m_wastedPrefillTokens.Increment(tokens);
 }
 
+void EntryMetrics::countBrokenPrompt()
+{
+    m_brokenPrompts.Increment();
+}
+
 void EntryMetrics::observeFirstAnswer(const std::string &kind, double seconds)
 {
     m_firstAnswer.Add({{"kind", kind}}, firstAnswerSeconds).Observe(seconds);
@@ -109,4 +119,9 @@
     m_linesDropped.Set(lines);
 }
 
+void EntryMetrics::setQuarantinedParts(double count)
+{
+    m_quarantinedParts.Set(count);
+}
+
 }
--- a/packages/apricotladderd/entry/entrymetrics.h
+++ b/packages/apricotladderd/entry/entrymetrics.h
@@ -28,12 +28,14 @@
     void countMalformedEntry(const std::string &kind);
     void countHandle(const std::string &outcome);
     void countWastedPrefillTokens(double tokens);
+    void countBrokenPrompt();
     void observeFirstAnswer(const std::string &kind, double seconds);
     void setDesiredVersion(double version);
     void setEngines(const std::string &state, double count);
     void setMembers(double alive);
     void setActiveNodes(double count);
     void setLinesDropped(double lines);
+    void setQuarantinedParts(double count);
 
 private:
     std::shared_ptr<prometheus::Registry> m_registry;
@@ -49,6 +51,8 @@
     prometheus::Gauge &m_members;
     prometheus::Gauge &m_activeNodes;
     prometheus::Gauge &m_linesDropped;
+    prometheus::Counter &m_brokenPrompts;
+    prometheus::Gauge &m_quarantinedParts;
 };
 
 }
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -288,6 +288,7 @@
     }
     m_engines->updateFromPeer(found, from);
     m_peerLink->addListedNodes(found.members);
+    m_context.quarantine.merge(found.prompts, m_controlLoop.now());
 }
 
 bool EntryNode::isReady() const
@@ -330,6 +331,7 @@
     state.knownRevision = m_engines->knownRevision();
     state.engines = m_context.pools.entries();
     state.members = m_peerLink->members();
+    state.prompts = m_context.quarantine.report(m_controlLoop.now());
     return LocalResponse{statusOk, "application/octet-stream", encodeCellState(state)};
 }
 
--- a/packages/apricotladderd/entry/peerlink.cpp
+++ b/packages/apricotladderd/entry/peerlink.cpp
@@ -136,6 +136,8 @@
 void PeerLink::sendGossip(MembershipGossip gossip, const std::vector<std::string> &targets)
 {
     gossip.enginesRevision = m_hooks.enginesRevision();
+    gossip.prompts = m_context.quarantine.report(m_loop.now());
+    gossip.prompts.broken.clear();
     m_socket->sendToAll(targets, encodeCellMessage(gossip));
 }
 
@@ -146,7 +148,9 @@
     report.engineLoads = m_context.pools.ownLoads();
     report.waitingCalls = m_context.pools.ownWaitingCalls(m_loop.now());
     report.unreachableEngines = m_context.pools.unreachableEngines(m_loop.now());
-    const bool isEmpty = report.engineLoads.empty() && report.waitingCalls.empty() && report.unreachableEngines.empty();
+    report.prompts = m_context.quarantine.report(m_lastReport);
+    const bool isEmpty
+        = report.engineLoads.empty() && report.waitingCalls.empty() && report.unreachableEngines.empty() && report.prompts.broken.empty();
     if (isEmpty && !m_isActive && !m_hasReportedLoad) {
         return;
     }
@@ -212,6 +216,7 @@
     if (m_view.handleGossip(gossip, m_loop.now())) {
         sendGossip(m_view.makeReply(sender, m_random), {gossip.sender->peerAddress});
     }
+    m_context.quarantine.merge(gossip.prompts, m_loop.now());
     m_hooks.onPeerVersions(PeerVersions{sender, gossip.sender->peerAddress, gossip.sender->generation, gossip.enginesRevision});
 }
 
@@ -230,6 +235,7 @@
     }
     m_context.pools.setPeerLoads(report.sender, report.engineLoads, waiting, now);
     m_context.pools.setPeerUnreachableEngines(report.sender, report.unreachableEngines, now);
+    m_context.quarantine.merge(report.prompts, now);
     const auto address = m_peerAddresses.find(report.sender);
     if (address != m_peerAddresses.end()) {
         m_hooks.onPeerVersions(PeerVersions{report.sender, address->second, report.generation, report.enginesRevision});
@@ -246,9 +252,12 @@
 {
     m_activeNodes = chooseActiveNodes(servingNodes(members), m_allCalls.current(m_loop.now()));
     m_peerAddresses.clear();
+    std::vector<NodeId> ids;
     for (const Member &node : m_activeNodes) {
         m_peerAddresses[node->id] = node->peerAddress;
+        ids.push_back(node->id);
     }
+    m_context.quarantine.setActiveNodes(ids);
     const bool isActive = m_peerAddresses.contains(m_view.self()->id);
     if (isActive != m_isActive) {
         m_isActive = isActive;
--- /dev/null
+++ b/packages/apricotladderd/entry/promptguard.cpp
@@ -0,0 +1,50 @@
+#include "apricotladderd/entry/promptguard.h"
+
+#include "state/overloaded.h"
+
+#include <variant>
+
+namespace Apricot {
+
+PromptGuard::PromptGuard(SharedQuarantine &quarantine, const CallFacts &facts)
+    : m_quarantine(quarantine)
+    , m_call(facts.call)
+    , m_service(facts.service)
+{
+}
+
+std::optional<PromptRefused> PromptGuard::check(absl::Time now)
+{
+    std::optional<PromptRefused> refusal;
+    std::visit(Overloaded{
+                   [](const PromptAdmitted &) {},
+                   [&](const PromptTrial &it) { m_trial = it; },
+                   [&](const PromptRefused &it) {
+                       refusal = it;
+                       m_refusedPart = it.part;
+                   },
+               },
+               m_quarantine.check(m_call, m_trial, now));
+    return refusal;
+}
+
+void PromptGuard::recordBegun(absl::Time now)
+{
+    m_quarantine.recordBegun(m_service, m_call, now);
+}
+
+void PromptGuard::recordBroken(const EngineEntry &engine, absl::Time now)
+{
+    m_hasBroken = true;
+    m_quarantine.recordBroken(engine, m_call, m_trial, now);
+}
+
+void PromptGuard::end(absl::Time now)
+{
+    if (m_trial) {
+        m_quarantine.endTrial(*m_trial, now);
+        m_trial.reset();
+    }
+}
+
+}
--- /dev/null
+++ b/packages/apricotladderd/entry/promptguard.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "apricotladderd/entry/callfacts.h"
+#include "apricotladderd/entry/sharedquarantine.h"
+#include "coordination/promptquarantine.h"
+
+#include <absl/time/time.h>
+
+#include <optional>
+
+namespace Apricot {
+
+/**
+ * \class PromptGuard
+ * \brief Keeps one call away from engines while a part of its prompt is quarantined, and reports how engines took its prompt.
+ */
+class PromptGuard
+{
+public:
+    PromptGuard(SharedQuarantine &quarantine, const CallFacts &facts);
+
+    /// Returns why the call must not be sent to an engine; nothing if it may be sent. To be asked before each send.
+    std::optional<PromptRefused> check(absl::Time now);
+
+    /// Whether the call tries out a quarantined part.
+    bool isTrial() const
+    {
+        return m_trial.has_value();
+    }
+
+    /// Whether an engine that had the call broke off, so that the call may have run.
+    bool hasBroken() const
+    {
+        return m_hasBroken;
+    }
+
+    /// The quarantined part for which check() last refused the call; empty if it did not.
+    const PromptPartId &refusedPart() const
+    {
+        return m_refusedPart;
+    }
+
+    /// Records that the first event has arrived.
+    void recordBegun(absl::Time now);
+
+    /// Records that the connection to \a engine, to which the call had been sent, broke before the first event.
+    void recordBroken(const EngineEntry &engine, absl::Time now);
+
+    /// Records that the call has ended.
+    void end(absl::Time now);
+
+private:
+    SharedQuarantine &m_quarantine;
+    RoutedCall m_call;
+    ServiceName m_service;
+    std::optional<PromptTrial> m_trial;
+    PromptPartId m_refusedPart;
+    bool m_hasBroken = false;
+};
+
+}
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -7,7 +7,6 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <utility>
@@ -53,12 +52,6 @@
 /// Minimum time left before the deadline for another attempt.
 constexpr absl::Duration minAttemptTime = absl::Milliseconds(300);
 
-/// The ids of \a parts, separated by commas, for the log.
-std::string joinIds(const std::vector<PromptPartId> &parts)
-{
-    return absl::StrJoin(parts, ",", [](std::string *out, const PromptPartId &part) { absl::StrAppend(out, part.text()); });
-}
-
 }
 
 StreamCall::StreamCall(EntryLoop &loop, HttpServerConnection::Ptr caller, CallFacts facts, HttpRequestHead head, std::string body)
@@ -69,6 +62,7 @@
     , m_body(std::move(body))
     , m_reservation(loop.context(), m_facts.service)
     , m_kvHandle(loop, m_facts.call->promptTokens)
+    , m_promptGuard(loop.context().quarantine, m_facts)
     , m_responseBody(loop.context().bufferedAnswerBytes)
 {
 }
@@ -79,6 +73,9 @@
         refuse(ErrorKind::Draining, shortRetryAfter);
         return;
     }
+    if (refuseQuarantined()) {
+        return;
+    }
     const absl::Duration timeLeft = m_facts.deadline() - m_loop.events().now();
     const std::shared_ptr<StreamCall> self = shared_from_this();
     m_caller->setPeerClosedHandler([self] { self->handleCallerDisconnected(); });
@@ -146,6 +143,10 @@
         // The prefill is complete and only its decode engine was lost: the newly placed prefill engine is not needed.
         m_reservation.release((*placement.prefill)->id, m_loop.events().now());
         startDecode();
+    } else if (m_promptGuard.isTrial()) {
+        // Only one engine is put at risk.
+        m_reservation.release((*placement.prefill)->id, m_loop.events().now());
+        startLocalPrefill();
     } else if (m_sentPrefills > 0 && !trySpendRetry()) {
         refuse(ErrorKind::NoCapacity, shortRetryAfter);
     } else {
@@ -194,6 +195,9 @@
 
 void StreamCall::startPrefill()
 {
+    if (refuseQuarantined()) {
+        return;
+    }
     const EngineEntry engine = *m_placement->prefill;
     m_stageStart = m_loop.events().now();
     EngineRequestOptions options = makeRequestOptions(engine);
@@ -298,6 +302,9 @@
 
 void StreamCall::startDecode()
 {
+    if (refuseQuarantined()) {
+        return;
+    }
     const EngineEntry engine = m_placement->decode;
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
@@ -329,7 +336,10 @@
     callbacks.onBody = [self](const std::string &chunk) {
         self->handleDecodeBody(chunk);
     };
-    callbacks.onEnded = [self](ExchangeOutcome outcome) {
+    callbacks.onEnded = [self, engine](ExchangeOutcome outcome) {
+        if (outcome == ExchangeOutcome::Incomplete && !self->m_streamStarted) {
+            self->m_promptGuard.recordBroken(engine, self->m_loop.events().now());
+        }
         self->handleDecodeOutcome(outcome);
     };
     m_exchange = HttpExchange::start(m_loop.events(), m_loop.engines(), makeEngineRequest(engine, options), std::move(callbacks));
@@ -388,6 +398,7 @@
     } else {
         m_streamStarted = true;
         m_firstEventTime = now;
+        m_promptGuard.recordBegun(now);
         m_lastEventTime = now;
         m_loop.context().metrics.observeFirstAnswer("stream", absl::ToDoubleSeconds(now - m_facts.arrival));
         m_caller->beginStream(callerResponse(m_responseHead), events);
@@ -589,6 +600,17 @@
     respondWithError(*m_caller, kind, isNotRun ? retryAfter : std::nullopt, errorDescriptor(kind).text);
 }
 
+bool StreamCall::refuseQuarantined()
+{
+    // An engine has written an answer on the prompt of a stream that has started.
+    const std::optional<PromptRefused> refusal = m_streamStarted ? std::nullopt : m_promptGuard.check(m_loop.events().now());
+    if (!refusal) {
+        return false;
+    }
+    refuse(m_wasSent || m_promptGuard.hasBroken() ? ErrorKind::AnswerIncomplete : ErrorKind::PromptQuarantined, refusal->retryAfter);
+    return true;
+}
+
 void StreamCall::abortStream(const char *why)
 {
     finish(why, 0);
@@ -616,6 +638,7 @@
     m_reservation.releaseAll(m_loop.events().now());
     m_kvHandle.release("unused");
     const absl::Time now = events.now();
+    m_promptGuard.end(now);
     const bool isGood = status > 0 && status < 500;
     context.metrics.countCall("stream", outcome);
     const bool wasPlaced = m_placedAt != absl::Time();
@@ -628,7 +651,8 @@
                      {"rank", m_facts.route->rank},
                      {"late", m_facts.isLate},
                      {"promptTokens", m_facts.call->promptTokens},
-                     {"promptParts", joinIds(m_facts.call->promptParts)},
+                     {"quarantined", m_promptGuard.refusedPart().text()},
+                     {"promptParts", joinPartIds(m_facts.call->promptParts)},
                      {"mostOutputTokens", m_facts.call->maxOutputTokens},
                      {"timeLeftMs", absl::ToDoubleMilliseconds(m_facts.call->timeLeft.value_or(absl::ZeroDuration()))},
                      {"likelyOutputTokens", m_facts.call->hintedOutputTokens},
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -5,6 +5,7 @@
 #include "apricotladderd/entry/entryloop.h"
 #include "apricotladderd/entry/modelreservation.h"
 #include "apricotladderd/entry/ownedkvhandle.h"
+#include "apricotladderd/entry/promptguard.h"
 #include "coordination/attemptdecision.h"
 #include "platform/callheaders.h"
 #include "protocol/sseeventsplitter.h"
@@ -66,6 +67,7 @@
     void handleDeadline();
     void handleCallerDisconnected();
     void refuse(ErrorKind kind, std::optional<absl::Duration> retryAfter);
+    bool refuseQuarantined();
     void abortStream(const char *why);
     void cancelExchange();
     bool trySpendRetry();
@@ -88,6 +90,7 @@
     std::shared_ptr<HttpExchange> m_exchange;
     std::shared_ptr<HttpFetch> m_prefillFetch;
     OwnedKvHandle m_kvHandle;
+    PromptGuard m_promptGuard;
     absl::Time m_stageStart; ///< start of the current prefill or decode
     EngineId m_lastDecodeEngine; ///< decode engine that the call was last sent to
     absl::Time m_placedAt;
--- a/packages/protocol/cellmessage.cpp
+++ b/packages/protocol/cellmessage.cpp
@@ -92,10 +92,43 @@
     liveness.heartbeat = base + static_cast<std::uint64_t>(difference);
 }
 
+template<class Archive>
+void serialize(Archive &archive, EngineLifetime &it)
+{
+    archive(it.id, it.startedMs);
+}
+
+template<class Archive>
+void serialize(Archive &archive, BrokenPrompt &it)
+{
+    archive(it.service, it.engine, it.promptKey, it.parts);
+    archiveDuration(archive, it.age);
+}
+
+template<class Archive>
+void serialize(Archive &archive, ClearedPart &it)
+{
+    archive(it.part);
+    archiveDuration(archive, it.age);
+}
+
+template<class Archive>
+void serialize(Archive &archive, QuarantinedPart &it)
+{
+    archive(it.part, it.round);
+    archiveDuration(archive, it.age);
+}
+
+template<class Archive>
+void serialize(Archive &archive, PromptReport &it)
+{
+    archive(it.broken, it.cleared, it.quarantined);
+}
+
 template<class Archive>
 void serialize(Archive &archive, MembershipGossip &it)
 {
-    archive(it.sender, it.senderLiveness, it.enginesRevision, it.introductions);
+    archive(it.sender, it.senderLiveness, it.enginesRevision, it.introductions, it.prompts);
     cereal::size_type count = it.others.size();
     archive(cereal::make_size_tag(count));
     it.others.resize(count);
@@ -108,13 +141,14 @@
 void serialize(Archive &archive, LoadReport &it)
 {
     archiveTime(archive, it.sentAt);
-    archive(it.sender, it.senderLiveness, it.generation, it.enginesRevision, it.engineLoads, it.waitingCalls, it.unreachableEngines);
+    archive(it.sender, it.senderLiveness, it.generation, it.enginesRevision, it.engineLoads, it.waitingCalls, it.unreachableEngines,
+            it.prompts);
 }
 
 template<class Archive>
 void serialize(Archive &archive, CellState &it)
 {
-    archive(it.desired, it.enginesRevision, it.knownRevision, it.engines, it.members);
+    archive(it.desired, it.enginesRevision, it.knownRevision, it.engines, it.members, it.prompts);
 }
 
 std::string encodeCellMessage(const CellMessage &message)
--- a/packages/protocol/cellmessage.h
+++ b/packages/protocol/cellmessage.h
@@ -4,6 +4,7 @@
 #include "state/engineentry.h"
 #include "state/error.h"
 #include "state/liveness.h"
+#include "state/promptreport.h"
 
 #include <absl/time/time.h>
 
@@ -26,6 +27,7 @@
     std::vector<EngineLoad> engineLoads; ///< load that the sender has placed, for each engine
     std::vector<WaitingCall> waitingCalls; ///< the first calls that wait for capacity at the sender
     std::vector<EngineId> unreachableEngines; ///< engines that the sender cannot reach
+    PromptReport prompts; ///< what the sender knows about parts of prompts that crash engines
 
     friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
@@ -41,6 +43,7 @@
     std::uint64_t knownRevision = 0; ///< revision up to which all changes are contained
     std::vector<EngineEntry> engines;
     std::vector<Member> members; ///< the nodes that the responding node knows
+    PromptReport prompts; ///< parts of prompts that are quarantined
 
     friend bool operator==(const CellState &, const CellState &) = default;
 };
--- a/packages/protocol/logjson.cpp
+++ b/packages/protocol/logjson.cpp
@@ -73,6 +73,10 @@
     if (outcome == "NoCapacity") {
         return absl::StrCat("refused, not run: the engines declined it (", sentAttempts, " asked, the last one ", engine, ") within ", ms);
     }
+    if (outcome == "PromptQuarantined") {
+        return absl::StrCat("refused, not run: part ", jsonText(callEnd, "quarantined"),
+                            " of its prompt is quarantined, because engines crashed on it; see quarantine.begin");
+    }
     if (outcome == "EngineUnreachable") {
         return absl::StrCat("refused, not run: no connection to an engine could be established; the last one tried was ", engine);
     }
--- a/packages/protocol/tests/entry/testcellmessage.cpp
+++ b/packages/protocol/tests/entry/testcellmessage.cpp
@@ -8,6 +8,19 @@
 
 namespace {
 
+PromptReport promptReport()
+{
+    PromptReport it;
+    it.broken = {BrokenPrompt{ServiceName("s"),
+                              EngineLifetime{EngineId("e"), 1781008468029},
+                              0xfedcba9876543210,
+                              {PromptPartId("5c"), PromptPartId("91")},
+                              absl::Milliseconds(70)}};
+    it.cleared = {ClearedPart{PromptPartId("5c"), absl::Milliseconds(20)}};
+    it.quarantined = {QuarantinedPart{PromptPartId("91"), 2, absl::Seconds(40)}};
+    return it;
+}
+
 MembershipGossip gossip()
 {
     MembershipGossip it;
@@ -21,6 +34,7 @@
     it.enginesRevision = 99;
     it.others = {NodeLiveness{6, 18, 0, true, true}};
     it.introductions = {it.sender.with(&MemberFields::state, MemberState::Suspect)};
+    it.prompts = promptReport();
     return it;
 }
 
@@ -35,6 +49,7 @@
     it.engineLoads = {EngineLoad{EngineId("e"), 2, 300, {EngineRun{5, 100, 50, 7}}}};
     it.waitingCalls = {WaitingCall{ServiceName("s"), 2, absl::FromUnixMillis(1300), 4000, 500}};
     it.unreachableEngines = {EngineId("f")};
+    it.prompts = promptReport();
     return it;
 }
 
@@ -57,7 +72,7 @@
     EngineEntryFields engine;
     engine.id = EngineId("e");
     engine.stage = EngineStage::Decode;
-    return CellState{DesiredState(desired), 55, 60, {EngineEntry(engine)}, {gossip().sender}};
+    return CellState{DesiredState(desired), 55, 60, {EngineEntry(engine)}, {gossip().sender}, promptReport()};
 }
 
 }
--- a/packages/state/errorkind.cpp
+++ b/packages/state/errorkind.cpp
@@ -19,6 +19,7 @@
     {ErrorKind::TargetUnreachable, "TargetUnreachable", 429, true, Outcome::NotRun, "The first token cannot meet its latency target."},
     {ErrorKind::RateLimited, "RateLimited", 429, true, Outcome::NotRun, "The rank exceeds its share of capacity; wait and retry."},
     {ErrorKind::NoCapacity, "NoCapacity", 503, true, Outcome::NotRun, "No engine has capacity for the request."},
+    {ErrorKind::PromptQuarantined, "PromptQuarantined", 503, true, Outcome::NotRun, "A part of the prompt crashes engines; try it later."},
     {ErrorKind::NotConfigured, "NotConfigured", 503, true, Outcome::NotRun, "This node has not received a configuration yet."},
     {ErrorKind::Draining, "Draining", 503, true, Outcome::NotRun, "This node is draining; use another address."},
     {ErrorKind::StoreUnavailable, "StoreUnavailable", 503, true, Outcome::NotRun, "The platform's store did not answer in time."},
--- a/packages/state/errorkind.h
+++ b/packages/state/errorkind.h
@@ -19,6 +19,7 @@
     TargetUnreachable,
     RateLimited,
     NoCapacity,
+    PromptQuarantined,
     NotConfigured,
     Draining,
     StoreUnavailable,
--- a/packages/state/liveness.h
+++ b/packages/state/liveness.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/member.h"
+#include "state/promptreport.h"
 
 #include <cstdint>
 #include <vector>
@@ -30,6 +31,7 @@
     std::uint64_t enginesRevision = 0; ///< revision of the last change of the engines that the sender knows
     std::vector<NodeLiveness> others;
     std::vector<Member> introductions;
+    PromptReport prompts; ///< without broken prompts, which only load reports carry
 
     friend auto operator<=>(const MembershipGossip &, const MembershipGossip &) = default;
 };
--- a/packages/state/routedcall.h
+++ b/packages/state/routedcall.h
@@ -3,6 +3,8 @@
 #include "state/immutable.h"
 #include "state/name.h"
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <absl/time/time.h>
 
 #include <cstdint>
@@ -30,4 +32,10 @@
 /// The properties of a caller's call that routing decisions use.
 using RoutedCall = Immutable<RoutedCallFields>;
 
+/// Returns the ids of \a parts, separated by commas, for the log.
+inline std::string joinPartIds(const std::vector<PromptPartId> &parts)
+{
+    return absl::StrJoin(parts, ",", [](std::string *out, const PromptPartId &part) { absl::StrAppend(out, part.text()); });
+}
+
 }
--- a/scripts/check_docs.py
+++ b/scripts/check_docs.py
@@ -44,7 +44,7 @@
     entry_settings = set(re.findall(r'^\s*\{"(\w+)",\s*"(?:text|whole number|number|flag|list of texts)"', read("packages/protocol/entrysettingsjson.cpp"), re.M))
     entry_metrics = set(re.findall(r'"(apricotladder_entry_\w+)"', read("packages/apricotladderd/entry/entrymetrics.cpp")))
     sources = "\n".join(path.read_text() for path in sorted((ROOT / "packages/apricotladderd/entry").glob("*.cpp")))
-    events = set(re.findall(r'"((?:call|store|desired|engine|engines|node|nodes|peer)\.[a-z]+|start|stop|stopped|reload|engine|member)"', sources))
+    events = set(re.findall(r'"((?:call|store|desired|engine|engines|node|nodes|peer|quarantine)\.[a-z]+|start|stop|stopped|reload|engine|member)"', sources))
     events |= set(re.findall(r'\\"event\\":\\"([a-z.]+)\\"', sources))
     faults += compare("entry setting, metric or event", entry_settings | entry_metrics | events, first_cells(entry))
     for name, found in (("entry settings", entry_settings), ("entry metrics", entry_metrics), ("log events", events), ("settings", settings), ("fields", fields), ("error kinds", kinds), ("metrics", metrics), ("commands", commands)):
