entry: Count repeats of a tainted prompt, and repeat no suspicious one

Callers saw one prompt take four engines along: its node sent it again when the first engine broke off, then its caller did, and the second node sent it again too. Three different prompts were needed for a conviction, so on routes that allow repeats up to nine engines could end before it, and the call that convicts could be sent once more before its crash is confirmed (BUDGET allows three requests).

A conviction now needs three crashes at different engines by at least two prompts, and a call that has broken off is not sent again if one of its parts is in two crashes on which no answer has begun since.

Test: testpromptquarantine, repeatedPromptsCountAndSuspiciousOnesAreNotRepeated; the code before has no such decision, so the test cannot be built on it. oneEngineOrOnePromptIsNoEvidence holds unchanged.

--- a/packages/apricotladderd/entry/promptguard.cpp
+++ b/packages/apricotladderd/entry/promptguard.cpp
@@ -28,6 +28,11 @@
     return refusal;
 }
 
+bool PromptGuard::mayRepeat(absl::Time now) const
+{
+    return !m_hasBroken || !m_quarantine.isSuspicious(m_call, now);
+}
+
 void PromptGuard::recordBegun(absl::Time now)
 {
     m_quarantine.recordBegun(m_service, m_call, now);
--- a/packages/apricotladderd/entry/promptguard.h
+++ b/packages/apricotladderd/entry/promptguard.h
@@ -22,6 +22,9 @@
     /// Returns why the call must not be sent to an engine; nothing if it may be sent. To be asked before each send.
     std::optional<PromptRefused> check(absl::Time now);
 
+    /// Whether the call may be sent again after an engine has broken off: not if its prompt is likely to break the next one too.
+    bool mayRepeat(absl::Time now) const;
+
     /// Whether the call tries out a quarantined part.
     bool isTrial() const
     {
--- a/packages/apricotladderd/entry/sharedquarantine.cpp
+++ b/packages/apricotladderd/entry/sharedquarantine.cpp
@@ -56,6 +56,12 @@
     return withLock([&](PromptQuarantine &it) { return it.check(call->promptParts, trial, now); });
 }
 
+bool SharedQuarantine::isSuspicious(const RoutedCall &call, absl::Time now)
+{
+    const MutexLock lock(m_mutex);
+    return m_quarantine.isSuspicious(call->promptParts, now);
+}
+
 void SharedQuarantine::recordBegun(const ServiceName &service, const RoutedCall &call, absl::Time now)
 {
     withLock([&](PromptQuarantine &it) {
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -480,7 +480,7 @@
 {
     const absl::Time now = m_loop.events().now();
     return m_facts.route->resumable && m_sentAttempts < m_facts.route->maxAttempts && m_facts.deadline() - now > minAttemptTime
-        && m_loop.context().allowsRetry(m_facts.service, now);
+        && m_promptGuard.mayRepeat(now) && m_loop.context().allowsRetry(m_facts.service, now);
 }
 
 void StreamCall::resumeOnOtherEngine()
--- a/packages/coordination/promptquarantine.cpp
+++ b/packages/coordination/promptquarantine.cpp
@@ -99,6 +99,15 @@
     return *granted;
 }
 
+bool PromptQuarantine::isSuspicious(const std::vector<PromptPartId> &parts, absl::Time now) const
+{
+    const std::vector<PromptPartId> shared = sharedParts(parts);
+    const std::vector<Suspicion> found = suspicions(now);
+    return std::any_of(found.begin(), found.end(), [&](const Suspicion &it) {
+        return contains(shared, it.part) && countedCrashes(it).size() >= Limits::suspiciousCrashes;
+    });
+}
+
 void PromptQuarantine::recordBegun(const ServiceName &service, const std::vector<PromptPartId> &parts, absl::Time now)
 {
     std::vector<absl::Time> &answers = m_begunAnswers[service];
@@ -175,9 +184,14 @@
 
 bool PromptQuarantine::convictOne(absl::Time now)
 {
-    for (const Suspicion &suspicion : suspicions(now)) {
+    for (const Suspicion &suspicion : suspicions(now - Limits::confirmationTime)) {
         const std::vector<const Broken *> crashes = countedCrashes(suspicion);
-        if (crashes.size() >= Limits::minCrashes && answersBegan(*crashes.front())) {
+        std::set<std::uint64_t> prompts;
+        for (const Broken *it : crashes) {
+            prompts.insert(it->prompt.promptKey);
+        }
+        const bool isEnough = crashes.size() >= Limits::minCrashes && prompts.size() >= Limits::minPrompts;
+        if (isEnough && answersBegan(*crashes.front())) {
             quarantine(suspicion.part, Quarantine{0, crashes.back()->time}, crashes.size(), "crashes");
             acquitExplainedBy(suspicion.part, now);
             return true;
@@ -186,12 +200,13 @@
     return false;
 }
 
-std::vector<PromptQuarantine::Suspicion> PromptQuarantine::suspicions(absl::Time now) const
+/// Returns the parts that are under suspicion, the deepest first, from the prompts that broke off up to \a until.
+std::vector<PromptQuarantine::Suspicion> PromptQuarantine::suspicions(absl::Time until) const
 {
     const std::set<EngineLifetime> explained = explainedEngines();
     std::map<PromptPartId, Suspicion> byPart;
     for (const Broken &broken : m_broken) {
-        if (now - broken.time < Limits::confirmationTime || explained.contains(broken.prompt.engine)) {
+        if (broken.time > until || explained.contains(broken.prompt.engine)) {
             continue;
         }
         for (std::size_t depth = 0; depth < broken.prompt.parts.size(); ++depth) {
@@ -221,12 +236,9 @@
 {
     std::vector<const Broken *> counted;
     std::set<EngineLifetime> engines;
-    std::set<std::uint64_t> prompts;
     for (const Broken *it : suspicion.prompts) {
         const bool isLater = counted.empty() || it->time - counted.back()->time >= Limits::minCrashInterval;
-        if (isLater && !engines.contains(it->prompt.engine) && !prompts.contains(it->prompt.promptKey)) {
-            engines.insert(it->prompt.engine);
-            prompts.insert(it->prompt.promptKey);
+        if (isLater && engines.insert(it->prompt.engine).second) {
             counted.push_back(it);
         }
     }
--- a/packages/coordination/promptquarantine.h
+++ b/packages/coordination/promptquarantine.h
@@ -18,8 +18,13 @@
 /// Counts, times and sizes of PromptQuarantine.
 struct PromptQuarantineLimits
 {
-    /// A part is convicted once this many prompts with it have broken off, at as many engines.
+    /// A part is convicted once prompts with it have broken off at this many engines, at least two of them different prompts: the
+    /// same prompt alone, which its caller repeats, convicts nothing.
     static constexpr std::size_t minCrashes = 3;
+    static constexpr std::size_t minPrompts = 2;
+
+    /// A prompt that has broken off is not sent again by its node if one of its parts is in this many crashes.
+    static constexpr std::size_t suspiciousCrashes = 2;
 
     /// Crashes within this time count as one: engines that lose their power fail together.
     static constexpr absl::Duration minCrashInterval = absl::Milliseconds(200);
@@ -133,6 +138,9 @@
     /// Decides whether a call with the prompt \a parts may be sent to an engine. \a trial is the permission that the call already has.
     PromptVerdict check(const std::vector<PromptPartId> &parts, const std::optional<PromptTrial> &trial, absl::Time now);
 
+    /// Whether a call that has broken off must not be sent again: one of its \a parts may be about to be convicted.
+    bool isSuspicious(const std::vector<PromptPartId> &parts, absl::Time now) const;
+
     /// Records that an engine of \a service has begun to answer the prompt \a parts.
     void recordBegun(const ServiceName &service, const std::vector<PromptPartId> &parts, absl::Time now);
 
@@ -185,7 +193,7 @@
     void expire(absl::Time now);
     void convict(absl::Time now);
     bool convictOne(absl::Time now);
-    std::vector<Suspicion> suspicions(absl::Time now) const;
+    std::vector<Suspicion> suspicions(absl::Time until) const;
     std::vector<const Broken *> countedCrashes(const Suspicion &suspicion) const;
     bool answersBegan(const Broken &firstCrash) const;
     std::set<EngineLifetime> explainedEngines() const;
--- a/packages/coordination/tests/entry/testpromptquarantine.cpp
+++ b/packages/coordination/tests/entry/testpromptquarantine.cpp
@@ -287,6 +287,26 @@
     BOOST_TEST(nodes.countRefusing({"ofOnePrompt"}) == 0U);
 }
 
+// Guards against BUDGET: a node, then the caller, repeat each broken prompt, so that three prompts crash far more than three engines.
+BOOST_AUTO_TEST_CASE(repeatedPromptsCountAndSuspiciousOnesAreNotRepeated)
+{
+    Nodes nodes(1);
+    const std::vector<PromptPartId> repeated = prompt({"first", "deadly", "own"});
+    nodes[0].recordBroken(service, engine(100), repeated, std::nullopt, nodes.now());
+    nodes.wait(absl::Milliseconds(300));
+    BOOST_TEST(!nodes[0].isSuspicious(repeated, nodes.now()));
+    nodes[0].recordBroken(service, engine(101), repeated, std::nullopt, nodes.now());
+    BOOST_TEST(nodes[0].isSuspicious(repeated, nodes.now()));
+    BOOST_TEST(nodes[0].isSuspicious(prompt({"first", "deadly", "another"}), nodes.now()));
+    BOOST_TEST(!nodes[0].isSuspicious(prompt({"another", "own"}), nodes.now()));
+    nodes.wait(absl::Milliseconds(300));
+    nodes.beginOtherAnswers();
+    BOOST_TEST(nodes.countRefusing({"first", "deadly"}) == 0U);
+    nodes.crashEngines(1, {"first", "deadly"});
+    BOOST_TEST(nodes.allRefuse({"first", "deadly"}));
+    BOOST_TEST(nodes.countRefusing({"first"}) == 0U);
+}
+
 // Guards against blaming the last part, which no other prompt shares, and prompts without parts.
 BOOST_AUTO_TEST_CASE(theLastPartIsNeverBlamed)
 {
