tests: Share the fixture of the entry node's tests through a header

The node, the platform and the desired state move to nodefixture.h and nodefixture.cpp unchanged; call() gets the request's id as a last argument. No test changes.

--- /dev/null
+++ b/tests/platform/nodefixture.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "apricotladderd/entry/entrynode.h"
+#include "platform/enginestandin.h"
+#include "platform/storestandin.h"
+#include "protocol/jsonreader.h"
+#include "transport/httpclient.h"
+#include "transport/thread.h"
+
+#include <absl/time/time.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Apricot {
+
+/// Polls until \a condition is true; returns false if that takes far longer than any step of these tests.
+bool eventually(const std::function<bool()> &condition);
+
+/// Builds a route of the host of the tests. A streaming route with more than one attempt is resumable.
+Json route(const std::string &prefix, const std::string &type, const std::string &service, int attempts, int timeoutMs = 20000);
+
+/// Builds a desired state with the services "desk" and "model", a route of each type, and \a moreRoutes.
+Json desiredState(int version, const Json &moreRoutes = Json::array());
+
+/**
+ * \class NodeUnderTest
+ * \brief Runs an entry node on its own thread; the destructor makes it leave.
+ */
+class NodeUnderTest
+{
+public:
+    explicit NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds = {});
+    ~NodeUnderTest();
+
+    NodeUnderTest(const NodeUnderTest &) = delete;
+    NodeUnderTest &operator=(const NodeUnderTest &) = delete;
+
+    /// Sends a caller's request on a connection of its own.
+    HttpReply call(const std::string &path, const std::string &method = "GET", const std::string &body = {},
+                   const std::string &requestId = "attempt") const;
+
+    HttpReply fetch(const std::string &address, const std::string &path) const;
+
+    bool isReady() const;
+
+    const EntrySettings &settings() const
+    {
+        return m_settings;
+    }
+
+    void leave()
+    {
+        m_node->leave();
+    }
+
+    bool hasEnded() const
+    {
+        return m_ended;
+    }
+
+private:
+    EntrySettings m_settings;
+    std::unique_ptr<EntryNode> m_node;
+    std::atomic<bool> m_ended{false};
+    Thread m_thread;
+};
+
+/**
+ * \class Platform
+ * \brief Fixture: a store with a desired state, and the engines that the test adds.
+ */
+class Platform
+{
+public:
+    Platform();
+
+    PlatformEngineStandIn &addEngine(const std::string &id, const std::string &service, const std::string &stage,
+                                     PlatformEngineStandIn::Behaviour behaviour);
+
+    void publishEngine(const PlatformEngineStandIn &engine, const std::string &service, const std::string &stage, const std::string &state);
+
+    PlatformStoreStandIn store;
+    std::vector<std::unique_ptr<PlatformEngineStandIn>> engines;
+};
+
+void respondSuccessfully(EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request);
+
+void respondWithKvHandle(EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request);
+
+/// Returns the number of events in an event stream.
+int countEventIds(const std::string &stream);
+
+}
