platform: Let an odd entry of the store affect no other entry

Another writer's entry among those of the engines ended the nodes that read it, or they stopped following the list.

What callers would have seen: a node that reads such an entry in its first list never becomes ready; one that watches ends, or lists every 0.15 to 0.6 s without ever following a change again, so it sends calls to engines that are leaving or gone.

Cause, two classes: - Recursion: Json::parse() and the destructor of nlohmann_json 3.11.2 do not recurse, but a copy does, and each object's spec was copied out of the page. Measured on a thread's stack (256 KiB): 2,000 levels are read, 10,000 end the process; an object may have 1 MB. - One text, one result: 1e400, Infinity, NaN or a byte that is no UTF-8 in one entry makes the parser reject the whole page. A port out of range was taken and only failed at each connect; a sign, blanks and a line break in it were taken too, and the address becomes part of a header (Kv-Source), as does the entry's name. A negative number of slots and an integer above 2^63 (read as a negative one) were taken.

Fix: parseJson() is now the one parser of outside JSON and bounds the depth to 64 before it parses. A page is split into its objects as text (splitJsonObject(), splitJsonArray()), and each object's metadata and spec are parsed by themselves. Names, address, slots and start time of an entry are checked before use. No object's revision is taken to be newer than the store's.

An entry which was good and becomes odd names no engine from then on, as PROTOCOL.md says: whether its engine still exists, or is leaving, can no longer be read from it; the change is now passed on to the peers. Each revision of an odd entry is counted and logged once, for at most 1,000 entries; a list that is read again reports nothing twice.

Evidence: on the code before, the tests of OddEntries fail (two by a memory access violation), those of OddEntriesInTheStore too (not ready within 30 s; the test process ended). On this code they pass. Ruled out: parsing and destroying 250,000 levels without a copy, and invalid bytes in log lines, which eventlog.cpp replaces.

Open: a page of the product's own object API (decodeObjectList) is bounded in depth but still parsed as a whole.

--- a/packages/apricotladder/configdirectory.cpp
+++ b/packages/apricotladder/configdirectory.cpp
@@ -36,7 +36,7 @@
     std::ifstream stream(path);
     std::ostringstream text;
     text << stream.rdbuf();
-    const Json json = Json::parse(text.str(), nullptr, false);
+    const Json json = parseJson(text.str());
     if (!stream || json.is_discarded()) {
         directory->problems.push_back(
             absl::StrCat(path.string(), ": cannot be read as JSON; check its permissions, quotes, commas and braces"));
--- a/packages/apricotladder/draincommand.cpp
+++ b/packages/apricotladder/draincommand.cpp
@@ -45,7 +45,7 @@
         std::cout << "Endpoint/" << name << ": does not exist; see apricotladder status\n";
         return ExitFaults;
     }
-    Json spec = Json::parse(object->spec, nullptr, false);
+    Json spec = parseJson(object->spec);
     spec["drain"] = !arguments.has("undo");
     if (store.put("Endpoint", name, object->version, jsonDump(spec)) != StoreAccess::WriteResult::Written) {
         std::cout << "Endpoint/" << name << ": was edited in the meantime, or the store did not answer; run the command again\n";
--- a/packages/apricotladderd/entry/enginecatalogue.cpp
+++ b/packages/apricotladderd/entry/enginecatalogue.cpp
@@ -45,6 +45,7 @@
         handleEntry(object);
     };
     callbacks.onRemoved = [this](const std::string &name) {
+        m_malformed.remove(name);
         if (m_loop.now() - m_storeRecoveredAt < expiryWindow) {
             scheduleRemoval(EngineId(name));
         } else {
@@ -108,13 +109,18 @@
     const EngineId id(object.name);
     const auto read = toVariant<EngineEntry>([&] { return readEngineEntry(object); });
     if (const auto *error = std::get_if<Error>(&read)) {
-        if (m_loggedMalformed.insert(object.name).second) {
-            m_context.metrics.countMalformedEntry(std::string(Wire::enginesKind));
-            m_context.log.add(LogLevel::Warning, "engine.malformed", RequestId(), {{"entry", object.name}, {"why", error->message}});
+        if (m_malformed.add(object.name, object.revision)) {
+            m_context.metrics.countMalformedEntries(std::string(Wire::enginesKind), 1);
+            m_context.log.add(LogLevel::Warning, "engine.malformed", RequestId(),
+                              {{"entry", MalformedEntries::shortName(object.name)}, {"why", error->message}});
+        }
+        // Whether the engine of the previous entry still exists is unknown, and it may be leaving.
+        if (removeEngine(id, "its entry in the store is malformed")) {
+            recordChange(object.revision);
         }
-        removeEngine(id, "its entry in the store is malformed");
         return;
     }
+    m_malformed.remove(object.name);
     cancelRemoval(id);
     const EngineEntry &entry = std::get<EngineEntry>(read);
     if (m_context.pools.apply(entry, m_loop.now())) {
@@ -129,12 +135,14 @@
     }
 }
 
-void EngineCatalogue::removeEngine(const EngineId &engine, const char *why)
+bool EngineCatalogue::removeEngine(const EngineId &engine, const char *why)
 {
     cancelRemoval(engine);
-    if (m_context.pools.remove(engine)) {
+    const bool wasKnown = m_context.pools.remove(engine);
+    if (wasKnown) {
         m_context.log.add(LogLevel::Info, "engine.gone", RequestId(), {{"engine", engine.text()}, {"why", std::string(why)}});
     }
+    return wasKnown;
 }
 
 void EngineCatalogue::scheduleRemoval(const EngineId &engine)
--- a/packages/apricotladderd/entry/enginecatalogue.h
+++ b/packages/apricotladderd/entry/enginecatalogue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "apricotladderd/entry/entrycontext.h"
+#include "apricotladderd/entry/malformedentries.h"
 #include "apricotladderd/entry/storewatch.h"
 #include "protocol/cellmessage.h"
 #include "transport/connectionpool.h"
@@ -58,7 +59,8 @@
 private:
     void handleEntry(const StoreEntry &object);
     void recordChange(std::uint64_t revision);
-    void removeEngine(const EngineId &engine, const char *why);
+    /// Returns whether the engine was known.
+    bool removeEngine(const EngineId &engine, const char *why);
     void scheduleRemoval(const EngineId &engine);
     bool handleList(const std::set<std::string> &names, bool afterOutage);
     void cancelRemoval(const EngineId &engine);
@@ -69,7 +71,7 @@
     absl::Time m_storeRecoveredAt = absl::InfinitePast(); ///< when the store was last reachable again after an outage
     std::uint64_t m_peerRevision = 0; ///< store revision of the engines received from a peer
     std::uint64_t m_changeRevision = 0; ///< store revision of the last change that is known
-    std::set<std::string> m_loggedMalformed; ///< malformed entries that were logged
+    MalformedEntries m_malformed;
     std::unique_ptr<StoreWatch> m_watch; ///< declared last: its callbacks use the other members
 };
 
--- a/packages/apricotladderd/entry/entrymetrics.cpp
+++ b/packages/apricotladderd/entry/entrymetrics.cpp
@@ -64,9 +64,11 @@
     m_storeCalls.Add({{"call", call}, {"end", outcome}}).Increment();
 }
 
-void EntryMetrics::countMalformedEntry(const std::string &kind)
+void EntryMetrics::countMalformedEntries(const std::string &kind, std::size_t count)
 {
-    m_malformed.Add({{"kind", kind}}).Increment();
+    if (count > 0) {
+        m_malformed.Add({{"kind", kind}}).Increment(static_cast<double>(count));
+    }
 }
 
 void EntryMetrics::countHandle(const std::string &outcome)
--- a/packages/apricotladderd/entry/entrymetrics.h
+++ b/packages/apricotladderd/entry/entrymetrics.h
@@ -25,7 +25,7 @@
     void countCall(const std::string &kind, const std::string &outcome);
     void countAttempt(const std::string &stage, const std::string &outcome);
     void countStoreCall(const std::string &call, const std::string &outcome);
-    void countMalformedEntry(const std::string &kind);
+    void countMalformedEntries(const std::string &kind, std::size_t count);
     void countHandle(const std::string &outcome);
     void countWastedPrefillTokens(double tokens);
     void observeFirstAnswer(const std::string &kind, double seconds);
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -193,7 +193,7 @@
     }
     const auto desired = toVariant<DesiredState>([&] { return readDesiredState(object.spec); });
     if (const auto *error = std::get_if<Error>(&desired)) {
-        m_context.metrics.countMalformedEntry(std::string(Wire::configKind));
+        m_context.metrics.countMalformedEntries(std::string(Wire::configKind), 1);
         m_context.log.add(LogLevel::Error, "desired.malformed", RequestId(), {{"why", error->message}});
         return;
     }
--- a/packages/apricotladderd/entry/nodedirectory.cpp
+++ b/packages/apricotladderd/entry/nodedirectory.cpp
@@ -159,11 +159,15 @@
 
 void NodeDirectory::addPage(const StorePage &page)
 {
+    m_context.metrics.countMalformedEntries(std::string(Wire::nodesKind), page.malformed);
     for (const StoreEntry &object : page.objects) {
         const auto read = toVariant<Member>([&] { return readNode(object); });
         if (const auto *error = std::get_if<Error>(&read)) {
-            m_context.metrics.countMalformedEntry(std::string(Wire::nodesKind));
-            m_context.log.add(LogLevel::Warning, "node.malformed", RequestId(), {{"entry", object.name}, {"why", error->message}});
+            if (m_malformed.add(object.name, object.revision)) {
+                m_context.metrics.countMalformedEntries(std::string(Wire::nodesKind), 1);
+                m_context.log.add(LogLevel::Warning, "node.malformed", RequestId(),
+                                  {{"entry", MalformedEntries::shortName(object.name)}, {"why", error->message}});
+            }
             continue;
         }
         m_stored.push_back(StoredNode{std::get<Member>(read), object.revision});
--- a/packages/apricotladderd/entry/nodedirectory.h
+++ b/packages/apricotladderd/entry/nodedirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "apricotladderd/entry/entrycontext.h"
+#include "apricotladderd/entry/malformedentries.h"
 #include "apricotladderd/entry/peerlink.h"
 #include "coordination/stalenodetracker.h"
 #include "platform/storeobjects.h"
@@ -59,6 +60,7 @@
     ConnectionPool &m_pool;
     EntryContext &m_context;
     PeerLink &m_peerLink;
+    MalformedEntries m_malformed;
     StaleNodeTracker m_staleNodes;
     absl::Time m_registeredAt = absl::InfiniteFuture(); ///< when the store accepted this node's object
     std::vector<StoredNode> m_stored; ///< nodes from the pages of the current list so far
--- a/packages/apricotladderd/entry/storewatch.cpp
+++ b/packages/apricotladderd/entry/storewatch.cpp
@@ -129,6 +129,7 @@
     }
     const StorePage &found = std::get<StorePage>(page);
     m_context.metrics.countStoreCall("list", "good");
+    m_context.metrics.countMalformedEntries(m_kind, found.malformed);
     // Watching from the lowest revision of all pages also reports what changed while the other pages were read.
     m_listRevision = m_listRevision == 0 ? found.revision : std::min(m_listRevision, found.revision);
     for (const StoreEntry &object : found.objects) {
@@ -173,6 +174,7 @@
     }
     const StorePage &found = std::get<StorePage>(page);
     m_context.metrics.countStoreCall("watch", "good");
+    m_context.metrics.countMalformedEntries(m_kind, found.malformed);
     for (const StoreEntry &object : found.objects) {
         notifyChange(object);
     }
--- a/packages/protocol/fleetjson.cpp
+++ b/packages/protocol/fleetjson.cpp
@@ -49,12 +49,12 @@
 
 bool jsonEquals(const std::string &a, const std::string &b)
 {
-    return Json::parse(a, nullptr, false) == Json::parse(b, nullptr, false);
+    return parseJson(a) == parseJson(b);
 }
 
 std::string withField(const std::string &spec, const std::string &field, const std::string &value)
 {
-    Json json = Json::parse(spec, nullptr, false);
+    Json json = parseJson(spec);
     if (value == "true" || value == "false") {
         json[field] = value == "true";
     } else {
--- a/packages/protocol/jsonreader.h
+++ b/packages/protocol/jsonreader.h
@@ -6,21 +6,22 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Apricot {
 
 using Json = nlohmann::json;
 
+/// Deepest nesting of arrays and objects that is parsed. Copies and comparisons of a value recurse, and the stacks of threads
+/// are small.
+constexpr int maxJsonDepth = 64;
+
+/// Parses JSON from outside. The result is discarded (Json::is_discarded()) if \a text is no JSON or nested too deeply.
+Json parseJson(std::string_view text);
+
 /// Parses a JSON object. \a what is the name of the object in error messages.
-inline Result<Json> parseJsonObject(const std::string &text, const std::string &what)
-{
-    Json json = Json::parse(text, nullptr, false);
-    if (json.is_discarded() || !json.is_object()) {
-        return fail(ErrorKind::BadRequest, what + ": not a JSON object; check its quotes, commas and braces");
-    }
-    return json;
-}
+Result<Json> parseJsonObject(std::string_view text, const std::string &what);
 
 /// Returns member \a key, or \a fallback if it is absent or not a string.
 inline std::string jsonText(const Json &json, const char *key, const std::string &fallback = {})
@@ -29,12 +30,8 @@
     return it != json.end() && it->is_string() ? it->get<std::string>() : fallback;
 }
 
-/// Returns member \a key, or \a fallback if it is absent or not an integer.
-inline std::int64_t jsonInteger(const Json &json, const char *key, std::int64_t fallback = 0)
-{
-    const auto it = json.find(key);
-    return it != json.end() && it->is_number_integer() ? it->get<std::int64_t>() : fallback;
-}
+/// Returns member \a key, or \a fallback if it is absent or not an integer of 64 bits with sign.
+std::int64_t jsonInteger(const Json &json, const char *key, std::int64_t fallback = 0);
 
 /// Returns member \a key, or \a fallback if it is absent or not a boolean.
 inline bool jsonFlag(const Json &json, const char *key, bool fallback = false)
--- a/packages/protocol/logjson.cpp
+++ b/packages/protocol/logjson.cpp
@@ -93,7 +93,7 @@
 std::optional<LogLine> readLogLine(const std::string &text)
 {
     const std::size_t begin = text.find('{');
-    const Json json = begin == std::string::npos ? Json() : Json::parse(text.substr(begin), nullptr, false);
+    const Json json = begin == std::string::npos ? Json() : parseJson(text.substr(begin));
     if (!json.is_object() || jsonText(json, "event").empty() || jsonText(json, "time").empty()) {
         return std::nullopt;
     }
--- a/packages/protocol/snapshotcodec.cpp
+++ b/packages/protocol/snapshotcodec.cpp
@@ -17,7 +17,7 @@
               [](const StoredObject &a, const StoredObject &b) { return std::tie(a.kind, a.name) < std::tie(b.kind, b.name); });
     Json list = Json::array();
     for (const StoredObject &object : objects) {
-        Json spec = Json::parse(object.spec, nullptr, false);
+        Json spec = parseJson(object.spec);
         list.push_back(
             Json{{"kind", object.kind}, {"name", object.name}, {"spec", spec.is_discarded() ? Json::object() : std::move(spec)}});
     }
--- a/packages/transport/socketaddress.cpp
+++ b/packages/transport/socketaddress.cpp
@@ -1,8 +1,10 @@
 #include "transport/socketaddress.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 
 namespace Apricot {
@@ -17,7 +19,10 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     const std::string ip = text.substr(0, colon);
-    if (!absl::SimpleAtoi(text.substr(colon + 1), &port) || port < 0 || port > UINT16_MAX
+    const std::string portText = text.substr(colon + 1);
+    // SimpleAtoi() also accepts signs and whitespace.
+    const bool hasDigitsOnly = std::all_of(portText.begin(), portText.end(), absl::ascii_isdigit);
+    if (!hasDigitsOnly || !absl::SimpleAtoi(portText, &port) || port > UINT16_MAX
         || inet_pton(AF_INET, ip.c_str(), &address.sin_addr) != 1) {
         return std::nullopt;
     }
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -13,15 +13,6 @@
     return Json{{"metadata", {{"name", name}, {"revision", revision}}}, {"spec", spec}, {"status", nullptr}};
 }
 
-void respondJson(const HttpServerConnection::Ptr &connection, int status, const Json &json)
-{
-    HttpResponseHead head;
-    head.status = status;
-    head.reason = std::string(reasonPhrase(status));
-    head.headers.push_back(HttpHeader{"Content-Type", "application/json"});
-    connection->respond(std::move(head), jsonDump(json));
-}
-
 /// Returns the revision after which a watch wants events; 0 if the target is no watch.
 std::uint64_t watchRevision(const std::string &target)
 {
@@ -90,6 +81,32 @@
     runOnLoop([&] { applyChange(kind, name, nullptr); });
 }
 
+void PlatformStoreStandIn::putText(const std::string &kind, const std::string &name, const std::string &text)
+{
+    runOnLoop([&] {
+        const std::string placeholder = "text-" + std::to_string(m_specTexts.size());
+        m_specTexts["\"" + placeholder + "\""] = text;
+        const Json spec = placeholder;
+        applyChange(kind, name, &spec);
+    });
+}
+
+void PlatformStoreStandIn::respondJson(const HttpServerConnection::Ptr &connection, int status, const Json &json) const
+{
+    HttpResponseHead head;
+    head.status = status;
+    head.reason = std::string(reasonPhrase(status));
+    head.headers.push_back(HttpHeader{"Content-Type", "application/json"});
+    std::string body = jsonDump(json);
+    for (const auto &[placeholder, text] : m_specTexts) {
+        const std::size_t at = body.find(placeholder);
+        if (at != std::string::npos) {
+            body.replace(at, placeholder.size(), text);
+        }
+    }
+    connection->respond(std::move(head), body);
+}
+
 std::vector<std::string> PlatformStoreStandIn::names(const std::string &kind)
 {
     std::vector<std::string> found;
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -35,6 +35,9 @@
     void put(const std::string &kind, const std::string &name, const Json &spec);
     void remove(const std::string &kind, const std::string &name);
 
+    /// Writes an object whose spec is sent as \a text, which need not be JSON.
+    void putText(const std::string &kind, const std::string &name, const std::string &text);
+
     /// Returns the names of all objects of a kind.
     std::vector<std::string> names(const std::string &kind);
 
@@ -92,6 +95,7 @@
     void respondObject(const HttpServerConnection::Ptr &connection, int status, const std::string &kind, const std::string &name);
     void respondList(const HttpServerConnection::Ptr &connection, const std::string &kind);
     bool tryRespondWatch(const HttpServerConnection::Ptr &connection, const std::string &kind, std::uint64_t afterRevision);
+    void respondJson(const HttpServerConnection::Ptr &connection, int status, const Json &json) const;
     void applyChange(const std::string &kind, const std::string &name, const Json *spec);
     void runOnLoop(std::function<void()> task);
 
@@ -99,6 +103,7 @@
     std::unique_ptr<HttpListener> m_listener;
     std::string m_address;
     std::map<std::string, std::map<std::string, Object>> m_objects;
+    std::map<std::string, std::string> m_specTexts; ///< text that replaces a string in responses
     std::vector<Event> m_events;
     std::vector<PendingWatch> m_pendingWatches;
     std::uint64_t m_revision = 10;
