transport: Take no response without an id for a later request's on a kept connection

A faulty engine wrote an earlier refusal once more on a kept connection.

What callers saw: a non-idempotent request was answered 503, "not run", while the engine ran it (REFUSED); with two attempts and another engine it ran there too (TWICE).

Cause: a response that names no request was taken for the response to the current one on any connection. On a kept connection it may as well be a late copy of an earlier response; the same holds for a request without an id, to which anything belonged.

Fix: a response without an id belongs to the request only if it is the first final response of its connection, and that connection isn't kept. Else it is skipped like one with another id, and the request's own response, or the end of the connection, decides. So an engine that never names requests gets new connections, and no request waits for a response that was skipped. A request without an id gets a connection of its own.

Ruled out: bytes on an idle connection and in the socket when it is taken (ConnectionPool closes it; testexchange), interim responses, prefills, decodes and requests that delete a handle (always new connections). A copy with the id of the request itself can't be told apart; it needs a caller that uses an id twice, as a call never goes to the same engine again on a kept connection.

--- a/packages/apricotladderd/entry/enginerequest.cpp
+++ b/packages/apricotladderd/entry/enginerequest.cpp
@@ -21,9 +21,12 @@
     request.poolKey = connectionKey(engine);
     request.encodedRequest = encodeHttpRequest(engineRequest(head, options), body);
     request.connectTimeout = connectTimeout;
-    request.matchesRequest = [expectedId = requestId.text()](const HttpResponseHead &response) {
+    request.findOwner = [expectedId = requestId.text()](const HttpResponseHead &response) {
         const std::string receivedId = readEngineResponse(response).requestId;
-        return receivedId.empty() || receivedId == expectedId;
+        if (receivedId.empty()) {
+            return ResponseOwner::Unidentified;
+        }
+        return receivedId == expectedId ? ResponseOwner::ThisRequest : ResponseOwner::OtherRequest;
     };
     return request;
 }
--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -78,7 +78,10 @@
     const bool isIdempotent = m_facts.route->repeatability == Repeatability::Idempotent;
     ExchangeRequest request = makeEngineExchange(engine, m_head, m_body, options, m_facts.call->requestId);
     request.responseHasNoBody = m_head.method == "HEAD";
-    request.maxIdleTime = isIdempotent ? maxIdleIdempotent : maxIdleAtMostOnce;
+    if (!m_facts.call->requestId.isEmpty()) {
+        // Without an id, its response could not be told from a late one to an earlier request.
+        request.maxIdleTime = isIdempotent ? maxIdleIdempotent : maxIdleAtMostOnce;
+    }
     request.keepAliveTime = connectionKeepAlive;
     const std::shared_ptr<WholeCall> self = shared_from_this();
     HttpExchange::Callbacks callbacks;
--- a/packages/transport/httpexchange.cpp
+++ b/packages/transport/httpexchange.cpp
@@ -76,6 +76,7 @@
         connect();
         return;
     }
+    m_hasEarlierResponse = true;
     m_connection->setCallbacks(connectionCallbacks());
     m_connection->write(m_request.encodedRequest);
     const std::shared_ptr<Callbacks> callbacks = m_callbacks;
@@ -144,9 +145,7 @@
     if (!m_headReceived) {
         m_headReceived = true;
         const HttpResponseHead &head = m_parser.head();
-        const bool isInterim = head.status < firstFinalStatus;
-        m_skippingResponse = isInterim || (m_request.matchesRequest && !m_request.matchesRequest(head));
-        m_reusable = m_reusable && (isInterim || !m_skippingResponse);
+        identifyResponse(head);
         if (!m_skippingResponse && callbacks->onHead) {
             callbacks->onHead(head);
         }
@@ -163,6 +162,20 @@
     }
 }
 
+void HttpExchange::identifyResponse(const HttpResponseHead &head)
+{
+    const bool isInterim = head.status < firstFinalStatus;
+    if (isInterim || !m_request.findOwner) {
+        m_skippingResponse = isInterim;
+        return;
+    }
+    const ResponseOwner owner = m_request.findOwner(head);
+    m_skippingResponse = owner == ResponseOwner::OtherRequest || (owner == ResponseOwner::Unidentified && m_hasEarlierResponse);
+    m_hasEarlierResponse = m_hasEarlierResponse || m_skippingResponse;
+    // A copy of an unidentified response could not be told from the response to the next request.
+    m_reusable = m_reusable && owner == ResponseOwner::ThisRequest;
+}
+
 void HttpExchange::complete(bool hasRest)
 {
     if (m_skippingResponse) {
--- a/packages/transport/httpexchange.h
+++ b/packages/transport/httpexchange.h
@@ -20,6 +20,13 @@
     Incomplete, ///< the request was sent, and the response is missing, cut off or malformed
 };
 
+/// Which request a response belongs to, by what its head says.
+enum class ResponseOwner {
+    ThisRequest,
+    OtherRequest,
+    Unidentified, ///< it names no request, so it could also be a late copy of the response to an earlier one
+};
+
 /// Parameters of one exchange with an engine, a peer or the store.
 struct ExchangeRequest
 {
@@ -32,8 +39,9 @@
     absl::Duration keepAliveTime; ///< how long the connection may be reused afterwards; zero: close it
     TcpTimeouts tcpTimeouts;
 
-    /// Returns whether a response belongs to this request; other responses are skipped. If null, every response belongs to it.
-    std::function<bool(const HttpResponseHead &)> matchesRequest;
+    /// Returns which request a response belongs to; responses to other requests are skipped, and so are unidentified ones on a
+    /// connection that has carried another response. If null, every response belongs to this request.
+    std::function<ResponseOwner(const HttpResponseHead &)> findOwner;
 };
 
 /**
@@ -68,6 +76,7 @@
     TcpConnection::Callbacks connectionCallbacks();
     void handleData(std::string_view bytes);
     void processParsed(std::string_view rest);
+    void identifyResponse(const HttpResponseHead &head);
     void handleClosed(TcpCloseReason reason);
     void complete(bool hasRest);
     void finish(ExchangeOutcome outcome);
@@ -81,6 +90,7 @@
     TimerId m_connectTimer = 0;
     bool m_headReceived = false;
     bool m_skippingResponse = false; ///< the current response is an interim one or belongs to another request
+    bool m_hasEarlierResponse = false; ///< the connection has carried a response to another request
     bool m_reusable = true;
     bool m_finished = false;
 };
--- a/packages/transport/tests/exchange/testexchange.cpp
+++ b/packages/transport/tests/exchange/testexchange.cpp
@@ -147,6 +147,16 @@
     }
 };
 
+/// Reads the owner of a response from its header X-For.
+ResponseOwner ownerByHeader(const HttpResponseHead &head)
+{
+    const std::string_view owner = headerValue(head.headers, "X-For");
+    if (owner.empty()) {
+        return ResponseOwner::Unidentified;
+    }
+    return owner == "me" ? ResponseOwner::ThisRequest : ResponseOwner::OtherRequest;
+}
+
 const std::string goodResponse = "HTTP/1.1 200 OK\r\nX-For: me\r\nContent-Length: 4\r\n\r\ngood";
 
 }
@@ -191,14 +201,32 @@
         connection->write("HTTP/1.1 200 OK\r\nX-For: other\r\nContent-Length: 5\r\n\r\nwrong" + goodResponse);
     });
     ExchangeRequest matchingRequest = request(server.address());
-    matchingRequest.matchesRequest = [](const HttpResponseHead &head) {
-        return headerValue(head.headers, "X-For") == "me";
-    };
+    matchingRequest.findOwner = ownerByHeader;
     BOOST_TEST(exchange(matchingRequest).body == "good");
     exchange(matchingRequest);
     BOOST_TEST(server.connectionCount() == 2U); // A connection with a response to another request is not reused.
 }
 
+/// A server wrote a response that names no request once more on a kept connection, and it passed for the response to the next one.
+BOOST_AUTO_TEST_CASE(anUnidentifiedResponseCountsOnlyOnAFreshConnection)
+{
+    const std::string unidentified = "HTTP/1.1 503 Unavailable\r\nContent-Length: 4\r\n\r\nfull";
+    std::string response = unidentified;
+    RawServer server(events, [&](const auto &connection, const std::string &) { connection->write(response); });
+    ExchangeRequest matchingRequest = request(server.address());
+    matchingRequest.findOwner = ownerByHeader;
+    BOOST_TEST(exchange(matchingRequest).status == 503);
+    response = goodResponse;
+    BOOST_TEST(exchange(matchingRequest).body == "good");
+    BOOST_TEST(server.connectionCount() == 2U); // A connection with an unidentified response is not reused.
+    response = unidentified + goodResponse;
+    BOOST_TEST(exchange(matchingRequest).body == "good");
+    BOOST_TEST(server.connectionCount() == 2U);
+    response = "HTTP/1.1 200 OK\r\nX-For: other\r\nContent-Length: 5\r\n\r\nwrong" + unidentified + goodResponse;
+    BOOST_TEST(exchange(matchingRequest).body == "good");
+    BOOST_TEST(server.connectionCount() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(extraBytesAfterAResponsePreventReuse)
 {
     RawServer server(events, [](const auto &connection, const std::string &) { connection->write(goodResponse + "more"); });
--- a/tests/platform/nodefixture.cpp
+++ b/tests/platform/nodefixture.cpp
@@ -67,7 +67,7 @@
         {"limits", {{"max-header-bytes", 16384}, {"max-body-bytes", 100000}, {"header-timeout-ms", 5000}, {"idle-timeout-ms", 20000}}}};
 }
 
-NodeUnderTest::NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds)
+NodeUnderTest::NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds, std::int64_t threads)
 {
     EntrySettingsFields fields;
     fields.node = NodeId(name);
@@ -82,6 +82,7 @@
     fields.seeds = seeds;
     fields.addressKeepMs = 200;
     fields.graceS = 20;
+    fields.threads = threads;
     fields.logLevel = "error";
     m_settings = EntrySettings(fields);
     m_node = std::make_unique<EntryNode>(m_settings);
--- a/tests/platform/nodefixture.h
+++ b/tests/platform/nodefixture.h
@@ -10,6 +10,7 @@
 #include <absl/time/time.h>
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -33,7 +34,8 @@
 class NodeUnderTest
 {
 public:
-    explicit NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds = {});
+    explicit NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds = {},
+                           std::int64_t threads = EntrySettingsFields().threads);
     ~NodeUnderTest();
 
     NodeUnderTest(const NodeUnderTest &) = delete;
