streams: Resume a stream only with its next event

A stream had begun and broke off, and the next engine answered with an error.

While the next engine held back the body of its failure, the stream stood still until the caller gave up.

Cause: a 200 with signature and the type of an event stream was joined to the stream whatever it contained; Last-Event-Id was taken for obeyed. An answer that is no stream was read to its end before the next engine was tried.

Fix: SseEventSplitter knows that another response begins, and its first event (blocks of comments aside) must have the id after the last one. If not, or if the response ends without an event, or its head is no stream, the engine is cut off at once and counts as failed; the next one is tried, or the caller's connection is reset. The check applies to the joint only: what one engine sends in one run is passed on unchanged.

The product's own front end takes only tokens with the next offset (StreamAssembler), and an end only with the right number of tokens.

Trade-off: a stream that breaks off between its last event and its end is now reset, not ended, as an empty resumption proves nothing; the caller can resume it.

--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -314,6 +314,7 @@
     m_responseHead = {};
     m_responseBody.clear();
     m_isStream = false;
+    m_events.beginResponse();
     EngineRequestOptions options = makeRequestOptions(engine);
     options.kvSource = m_kvHandle.source();
     options.lastEventId = m_events.lastId();
@@ -352,6 +353,8 @@
     m_lastEventTime = m_loop.events().now();
     if (m_isStream) {
         armStallTimer();
+    } else if (m_streamStarted) {
+        cutOffEngine(); // It does not resume the stream, so its body is of no use.
     }
 }
 
@@ -364,6 +367,10 @@
         return;
     }
     const std::string events = m_events.feed(chunk);
+    if (!m_events.isContinuous()) {
+        cutOffEngine();
+        return;
+    }
     if (!events.empty()) {
         forwardEvents(events);
     }
@@ -430,7 +437,9 @@
     }
     m_loop.events().cancel(std::exchange(m_stallTimer, 0));
     if (m_isStream) {
-        handleStreamOutcome(outcome);
+        // A response without any event may come from an engine that does not know the stream: its end proves nothing.
+        const bool isContinued = !m_events.awaitsContinuation();
+        handleStreamOutcome(isContinued ? outcome : ExchangeOutcome::Incomplete);
     } else if (m_streamStarted) {
         // The engine that should have resumed the stream did not answer with a stream.
         m_reservation.recordResult(m_placement->decode->id,
