--- a/packages/apricotladderd/entry/entrymetrics.cpp
+++ b/packages/apricotladderd/entry/entrymetrics.cpp
@@ -75,9 +75,11 @@
     m_closedConnections.Add({{"reason", reason}}).Increment();
 }
 
-void EntryMetrics::countMalformedEntry(const std::string &kind)
+void EntryMetrics::countMalformedEntries(const std::string &kind, std::size_t count)
 {
-    m_malformed.Add({{"kind", kind}}).Increment();
+    if (count > 0) {
+        m_malformed.Add({{"kind", kind}}).Increment(static_cast<double>(count));
+    }
 }
 
 void EntryMetrics::countHandle(const std::string &outcome)
--- a/packages/apricotladderd/entry/entrymetrics.h
+++ b/packages/apricotladderd/entry/entrymetrics.h
@@ -26,7 +26,7 @@
     void countAttempt(const std::string &stage, const std::string &outcome);
     void countStoreCall(const std::string &call, const std::string &outcome);
     void countClosedConnection(const std::string &reason);
-    void countMalformedEntry(const std::string &kind);
+    void countMalformedEntries(const std::string &kind, std::size_t count);
     void countHandle(const std::string &outcome);
     void countWastedPrefillTokens(double tokens);
     void countBrokenPrompt();
