tests: Move the fixture of the entry node's tests to a file of its own

The tests of engine notices need the node, the platform and the engines of testentrynode.cpp. No test changes; entry_test passes. The fixture can now register an engine of a later start time.

--- /dev/null
+++ b/tests/platform/entrynodefixture.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "apricotladderd/entry/entrynode.h"
+#include "platform/enginestandin.h"
+#include "platform/storestandin.h"
+#include "protocol/jsonreader.h"
+#include "transport/httpclient.h"
+#include "transport/thread.h"
+
+#include <absl/time/time.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Apricot {
+
+/// Far longer than any step of these tests takes; a test that waits this long fails.
+inline constexpr absl::Duration testTimeout = absl::Seconds(30);
+
+/// Polls until \a condition is true; returns false after testTimeout.
+bool eventually(const std::function<bool()> &condition);
+
+/// A route of a desired state, as the operator writes it.
+Json route(const std::string &prefix, const std::string &type, const std::string &service, int attempts, int timeoutMs = 20000);
+
+/// A desired state with routes of each kind to the plain service "desk" and the model service "model".
+Json desiredState(int version, const Json &moreRoutes = Json::array());
+
+/**
+ * \class NodeUnderTest
+ * \brief Runs an entry node on its own thread; the destructor makes it leave.
+ */
+class NodeUnderTest
+{
+public:
+    explicit NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds = {});
+    ~NodeUnderTest();
+
+    NodeUnderTest(const NodeUnderTest &) = delete;
+    NodeUnderTest &operator=(const NodeUnderTest &) = delete;
+
+    /// Sends a call, as a caller does, and returns the reply.
+    HttpReply call(const std::string &path, const std::string &method = "GET", const std::string &body = {}) const;
+
+    HttpReply fetch(const std::string &address, const std::string &path) const;
+
+    bool isReady() const;
+
+    const EntrySettings &settings() const
+    {
+        return m_settings;
+    }
+
+    void leave()
+    {
+        m_node->leave();
+    }
+
+    bool hasEnded() const
+    {
+        return m_ended;
+    }
+
+private:
+    EntrySettings m_settings;
+    std::unique_ptr<EntryNode> m_node;
+    std::atomic<bool> m_ended{false};
+    Thread m_thread;
+};
+
+using Engine = std::unique_ptr<PlatformEngineStandIn>;
+
+/// Fixture: a store with a desired state, and the engines that the test adds.
+struct Platform
+{
+    Platform();
+
+    /// Starts an engine and registers it in the store as ready. \a stage is empty for a plain endpoint.
+    PlatformEngineStandIn &addEngine(const std::string &id, const std::string &service, const std::string &stage,
+                                     PlatformEngineStandIn::Behaviour behaviour);
+
+    /// Writes the entry of \a engine to the store, for its lifetime that started at \a startedMs.
+    void publishEngine(const PlatformEngineStandIn &engine, const std::string &service, const std::string &stage, const std::string &state,
+                       std::int64_t startedMs = 1);
+
+    PlatformStoreStandIn store;
+    std::vector<Engine> engines;
+};
+
+/// Answers with status 200 and the body of the request.
+void respondSuccessfully(EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request);
+
+/// Answers a prefill with the handle h1.
+void respondWithKvHandle(EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request);
+
+/// Returns the number of events in an event stream.
+int countEventIds(const std::string &stream);
+
+}
