entry: Learn from an engine's answers that it leaves

What callers saw: an engine that leaves says so in all its answers (Server-Leaving: 1), and nothing read the header. Until the store's entry said `draining`, or was removed, the node went on placing calls there, and an older entry that was read again brought the engine back, so a call could still be at work when the engine exited.

Change: `HttpExchange` shows each head that belongs to its request to an observer before anything else happens with it, so an answer counts also if its body never arrives or its caller leaves afterwards. All three places that send to engines (calls, streams with their prefills, releases of handles) set it through `observeEngineNotices`. The pool offers such an engine to no call, not even as the last plain endpoint. A call that was placed and not yet sent checks its prefill engine as well as its decode engine again. The header is forwarded to the caller unchanged, as any end-to-end header. engine.leaving names engine, lifetime, source and the answered call; `explain` shows it also if a later entry of the store follows; the notices are counted. An entry node sends no health checks and asks for no load reports, so there was nothing to change for these.

Not done: the peers are not told (no measurement that it pays); an answer with status 421 is held against the engine that was expected at the address, which is not there any more.

--- a/packages/apricotladderd/entry/enginecatalogue.cpp
+++ b/packages/apricotladderd/entry/enginecatalogue.cpp
@@ -123,6 +123,8 @@
                           {{"engine", entry->id.text()},
                            {"service", entry->service.text()},
                            {"address", entry->address},
+                           {"lifetime", entry->startedMs},
+                           {"source", std::string("store")},
                            {"state", std::string(conditionName(entry->condition))},
                            {"stage", std::string(stageName(entry->stage))},
                            {"revision", static_cast<std::int64_t>(object.revision)}});
--- /dev/null
+++ b/packages/apricotladderd/entry/enginenotices.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "apricotladderd/entry/entryloop.h"
+#include "state/engineentry.h"
+#include "transport/httpexchange.h"
+
+namespace Apricot {
+
+/// Makes \a exchange record what the head of the answer says about \a engine, to which it is sent. All requests to engines pass
+/// through here. \a requestId is the call for which the request is sent.
+void observeEngineNotices(EntryLoop &loop, const EngineEntry &engine, const RequestId &requestId, ExchangeRequest &exchange);
+
+}
--- a/packages/apricotladderd/entry/entrymetrics.cpp
+++ b/packages/apricotladderd/entry/entrymetrics.cpp
@@ -29,6 +29,7 @@
     , m_attempts(counters(*m_registry, "apricotladder_entry_attempts_total", "Tries at engines, by stage and end"))
     , m_storeCalls(counters(*m_registry, "apricotladder_entry_store_calls_total", "Calls to the platform's store, by call and end"))
     , m_malformed(counters(*m_registry, "apricotladder_entry_malformed_entries_total", "Entries of the store that could not be read"))
+    , m_engineNotices(counters(*m_registry, "apricotladder_entry_engine_notices_total", "Notices in the answers of engines, by kind"))
     , m_handles(counters(*m_registry, "apricotladder_entry_handles_total", "KV handles of prefills, by what became of them"))
     , m_wastedPrefillTokens(
           counters(*m_registry, "apricotladder_entry_tokens_read_in_vain_total", "Prompt tokens read whose result was not used").Add({}))
@@ -69,6 +70,11 @@
     m_malformed.Add({{"kind", kind}}).Increment();
 }
 
+void EntryMetrics::countEngineNotice(const std::string &kind)
+{
+    m_engineNotices.Add({{"kind", kind}}).Increment();
+}
+
 void EntryMetrics::countHandle(const std::string &outcome)
 {
     m_handles.Add({{"end", outcome}}).Increment();
--- a/packages/apricotladderd/entry/entrymetrics.h
+++ b/packages/apricotladderd/entry/entrymetrics.h
@@ -26,6 +26,7 @@
     void countAttempt(const std::string &stage, const std::string &outcome);
     void countStoreCall(const std::string &call, const std::string &outcome);
     void countMalformedEntry(const std::string &kind);
+    void countEngineNotice(const std::string &kind);
     void countHandle(const std::string &outcome);
     void countWastedPrefillTokens(double tokens);
     void observeFirstAnswer(const std::string &kind, double seconds);
@@ -41,6 +42,7 @@
     prometheus::Family<prometheus::Counter> &m_attempts;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
     prometheus::Family<prometheus::Counter> &m_malformed;
+    prometheus::Family<prometheus::Counter> &m_engineNotices;
     prometheus::Family<prometheus::Counter> &m_handles;
     prometheus::Counter &m_wastedPrefillTokens;
     prometheus::Family<prometheus::Histogram> &m_firstAnswer;
--- a/packages/apricotladderd/entry/ownedkvhandle.cpp
+++ b/packages/apricotladderd/entry/ownedkvhandle.cpp
@@ -1,5 +1,6 @@
 #include "apricotladderd/entry/ownedkvhandle.h"
 
+#include "apricotladderd/entry/enginenotices.h"
 #include "apricotladderd/entry/enginerequest.h"
 #include "transport/httpfetch.h"
 
@@ -25,6 +26,17 @@
     m_handle = Handle{engine, name, expiry};
 }
 
+bool OwnedKvHandle::isFresh(absl::Time now) const
+{
+    if (!m_handle) {
+        return false;
+    }
+    EntryContext &context = m_loop.context();
+    const std::optional<absl::Time> leavingSince
+        = context.pools.withPool(m_handle->engine->service, [&](const ServicePool &pool) { return pool.leavingSince(m_handle->engine); });
+    return now < usableUntil(m_handle->expiry, leavingSince, absl::Milliseconds(context.settings->drainMs));
+}
+
 std::string OwnedKvHandle::source() const
 {
     return m_handle ? m_handle->engine->address + "/" + m_handle->name : std::string();
@@ -51,6 +63,7 @@
     request.address = handle->engine->address;
     request.poolKey = connectionKey(handle->engine);
     request.encodedRequest = encodeHttpRequest(releaseHandleRequest(handle->name), {});
+    observeEngineNotices(m_loop, handle->engine, RequestId(), request);
     HttpFetch::start(m_loop.events(), m_loop.engines(), std::move(request), releaseTimeout, [&metrics](const FetchResult &result) {
         const bool isReleased = std::holds_alternative<FullResponse>(result);
         metrics.countHandle(isReleased ? "freed" : "not freed");
--- a/packages/apricotladderd/entry/ownedkvhandle.h
+++ b/packages/apricotladderd/entry/ownedkvhandle.h
@@ -30,10 +30,7 @@
     }
 
     /// Whether the engine should still hold the KV cache at \a now.
-    bool isFresh(absl::Time now) const
-    {
-        return m_handle && now < m_handle->expiry;
-    }
+    bool isFresh(absl::Time now) const;
 
     /// The engine that holds the KV cache. May be called only while hasHandle() is true.
     const EngineEntry &engine() const
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -1,5 +1,6 @@
 #include "apricotladderd/entry/streamcall.h"
 
+#include "apricotladderd/entry/enginenotices.h"
 #include "apricotladderd/entry/enginerequest.h"
 #include "apricotladderd/entry/errorresponse.h"
 #include "state/abslview.h"
@@ -140,16 +141,18 @@
     m_placedAt = m_loop.events().now();
     m_basis = placement.basis;
     m_reservation.adopt(placement);
+    if (!m_kvHandle.isFresh(m_placedAt)) {
+        m_kvHandle.release("expired");
+    }
     if (!placement.prefill || m_streamStarted) {
         startDecode();
-    } else if (m_kvHandle.isFresh(m_placedAt)) {
+    } else if (m_kvHandle.hasHandle()) {
         // The prefill is complete and only its decode engine was lost: the newly placed prefill engine is not needed.
         m_reservation.release((*placement.prefill)->id, m_loop.events().now());
         startDecode();
     } else if (m_sentPrefills > 0 && !trySpendRetry()) {
         refuse(ErrorKind::NoCapacity, shortRetryAfter);
     } else {
-        m_kvHandle.release("expired");
         startPrefill();
     }
 }
@@ -185,6 +188,7 @@
 ExchangeRequest StreamCall::makeEngineRequest(const EngineEntry &engine, const EngineRequestOptions &options) const
 {
     ExchangeRequest request = makeEngineExchange(engine, m_head, m_body, options, m_facts.call->requestId);
+    observeEngineNotices(m_loop, engine, m_facts.call->requestId, request);
     // Always a new connection: a handshake costs far less than a generation that is lost on a kept connection which its
     // engine has just closed.
     request.maxIdleTime = absl::ZeroDuration();
@@ -196,6 +200,12 @@
 {
     const EngineEntry engine = *m_placement->prefill;
     m_stageStart = m_loop.events().now();
+    if (!m_loop.context().pools.withPool(m_facts.service,
+                                         [&](const ServicePool &pool) { return pool.acceptsCalls(engine, m_stageStart); })) {
+        abandonPlacement(engine->id);
+        requestPlacement(m_facts.route->targetLatency);
+        return;
+    }
     EngineRequestOptions options = makeRequestOptions(engine);
     options.prefillOnly = true;
     m_prefillFetch = HttpFetch::start(m_loop.events(), m_loop.engines(), makeEngineRequest(engine, options),
@@ -301,9 +311,7 @@
     const EngineEntry engine = m_placement->decode;
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
-    const bool isUsable = context.pools.withPool(
-        m_facts.service, [&](ServicePool &pool) { return pool.isReady(engine) && pool.isReachable(engine->id, now); });
-    if (!isUsable) {
+    if (!context.pools.withPool(m_facts.service, [&](const ServicePool &pool) { return pool.acceptsCalls(engine, now); })) {
         abandonPlacement(engine->id);
         requestPlacement(m_facts.route->targetLatency);
         return;
--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -1,5 +1,6 @@
 #include "apricotladderd/entry/wholecall.h"
 
+#include "apricotladderd/entry/enginenotices.h"
 #include "apricotladderd/entry/enginerequest.h"
 #include "apricotladderd/entry/errorresponse.h"
 #include "platform/callheaders.h"
@@ -77,6 +78,7 @@
     options.timeLeft = m_facts.deadline() - now;
     const bool isIdempotent = m_facts.route->repeatability == Repeatability::Idempotent;
     ExchangeRequest request = makeEngineExchange(engine, m_head, m_body, options, m_facts.call->requestId);
+    observeEngineNotices(m_loop, engine, m_facts.call->requestId, request);
     request.responseHasNoBody = m_head.method == "HEAD";
     request.maxIdleTime = isIdempotent ? maxIdleIdempotent : maxIdleAtMostOnce;
     request.keepAliveTime = connectionKeepAlive;
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -136,10 +136,30 @@
     m_engines.erase(engine);
 }
 
+EngineNoticeResult ServicePool::recordNotice(const EngineEntry &engine, const EngineNotice &notice, absl::Time now)
+{
+    if (notice == EngineNotice{}) {
+        return {};
+    }
+    const EngineNoticeResult result = m_availability[engine->id].record(notice, engine->startedMs, now);
+    std::erase_if(m_availability, [&](const auto &it) { return it.second.isExpired(now) && !m_engines.contains(it.first); });
+    return result;
+}
+
+std::optional<absl::Time> ServicePool::leavingSince(const EngineEntry &engine) const
+{
+    const auto it = m_availability.find(engine->id);
+    return it == m_availability.end() ? std::nullopt : it->second.leavingSince(engine->startedMs);
+}
+
+bool ServicePool::isOffered(const EngineEntry &engine) const
+{
+    return engine->condition == EngineCondition::Ready && !leavingSince(engine);
+}
+
 bool ServicePool::isUsable(const Engine &engine, const std::vector<EngineId> &excludedEngines, absl::Time now) const
 {
-    return engine.entry->condition == EngineCondition::Ready && !isExcluded(excludedEngines, engine.entry->id)
-        && !engine.health.isEjected(now);
+    return isOffered(engine.entry) && !isExcluded(excludedEngines, engine.entry->id) && !engine.health.isEjected(now);
 }
 
 std::vector<ServicePool::Candidate> ServicePool::candidates(EngineStage stage, const std::vector<EngineId> &excludedEngines,
@@ -157,7 +177,7 @@
     }
     // If no plain endpoint is usable, an ejected or unreachable one is still tried: it may have recovered.
     for (const auto &[id, engine] : m_engines) {
-        if (engine.entry->stage == stage && engine.entry->condition == EngineCondition::Ready && !isExcluded(excludedEngines, id)) {
+        if (engine.entry->stage == stage && isOffered(engine.entry) && !isExcluded(excludedEngines, id)) {
             found.push_back(Candidate{&engine, totalLoad(id, now), 0});
         }
     }
@@ -580,15 +600,18 @@
 bool ServicePool::isReady(const EngineEntry &engine) const
 {
     const auto it = m_engines.find(engine->id);
-    return it != m_engines.end() && it->second.entry->condition == EngineCondition::Ready
-        && it->second.entry->startedMs == engine->startedMs;
+    return it != m_engines.end() && isOffered(it->second.entry) && it->second.entry->startedMs == engine->startedMs;
+}
+
+bool ServicePool::acceptsCalls(const EngineEntry &engine, absl::Time now) const
+{
+    return isReady(engine) && isReachable(engine->id, now);
 }
 
 bool ServicePool::hasAlternative(const std::vector<EngineId> &excludedEngines) const
 {
-    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto &entry) {
-        return entry.second.entry->condition == EngineCondition::Ready && !isExcluded(excludedEngines, entry.first);
-    });
+    return std::any_of(m_engines.begin(), m_engines.end(),
+                       [&](const auto &entry) { return isOffered(entry.second.entry) && !isExcluded(excludedEngines, entry.first); });
 }
 
 std::int64_t ServicePool::expectedOutputTokens(const ModelDemand &demand) const
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/decayingrate.h"
+#include "coordination/engineavailability.h"
 #include "coordination/enginehealth.h"
 #include "coordination/engineloads.h"
 #include "coordination/unknownload.h"
@@ -116,6 +117,16 @@
     /// Whether \a engine is known under the same start time, which means that it has not restarted, and accepts work.
     bool isReady(const EngineEntry &engine) const;
 
+    /// Whether a call that was placed on \a engine may still be sent to it: it is ready, and not ejected because no connection to it
+    /// could be established.
+    bool acceptsCalls(const EngineEntry &engine, absl::Time now) const;
+
+    /// Records what an answer of \a engine has said about the engine. It holds whatever its entry in the store says.
+    EngineNoticeResult recordNotice(const EngineEntry &engine, const EngineNotice &notice, absl::Time now);
+
+    /// Returns since when an answer of \a engine has said that it leaves; nothing if none has.
+    std::optional<absl::Time> leavingSince(const EngineEntry &engine) const;
+
     /// Counts a reservation in addition to those that place...() has counted.
     void add(const EngineReservation &reservation)
     {
@@ -238,6 +249,7 @@
         double memoryFraction = 0; ///< expected peak memory use of a decode engine, the call included, as a fraction of its memory
     };
 
+    bool isOffered(const EngineEntry &engine) const;
     bool isUsable(const Engine &engine, const std::vector<EngineId> &excludedEngines, absl::Time now) const;
     void removeUnreachable(std::vector<Candidate> &found, absl::Time now) const;
     std::vector<Candidate> candidates(EngineStage stage, const std::vector<EngineId> &excludedEngines, absl::Time now) const;
@@ -266,6 +278,7 @@
 
     std::optional<ModelEngineSpec> m_model;
     std::map<EngineId, Engine> m_engines;
+    std::map<EngineId, EngineAvailability> m_availability; ///< by the engines' answers; also of engines that were removed
     EngineLoads m_loads;
     std::map<WaiterId, Waiter> m_waiters;
     std::map<std::int64_t, DecayingRate> m_placedByRank; ///< recently placed calls by rank
--- a/packages/protocol/logjson.cpp
+++ b/packages/protocol/logjson.cpp
@@ -16,6 +16,9 @@
 /// Fields that contain the id of an engine.
 constexpr const char *engineFields[] = {"engine", "decode", "prefill", "from"};
 
+/// Events that record what the answers of an engine have said about it.
+constexpr const char *noticeEvents[] = {"engine.leaving"};
+
 /// Whether \a change records a change in the view of the node that logged \a line, in something that \a line depends on: an
 /// engine that it names, the desired state or the store.
 bool dependsOn(const LogLine &line, const LogLine &change)
@@ -32,6 +35,14 @@
     });
 }
 
+/// Returns the kind of the change that \a line records: a later change of the same kind replaces it. What an engine's answers have said
+/// is not replaced by what the store says of the engine.
+std::string changeKind(const LogLine &line)
+{
+    const bool isNotice = std::find(std::begin(noticeEvents), std::end(noticeEvents), line.event) != std::end(noticeEvents);
+    return (isNotice ? line.event : line.event.substr(0, line.event.find('.'))) + jsonText(line.fields, "engine");
+}
+
 std::string fieldsText(const Json &fields)
 {
     std::string text;
@@ -122,9 +133,7 @@
         included.insert(i);
         std::set<std::string> includedKinds; // kinds of changes whose latest line is already included
         for (std::size_t earlier = i; earlier-- > 0;) {
-            const std::string kind
-                = lines[earlier].event.substr(0, lines[earlier].event.find('.')) + jsonText(lines[earlier].fields, "engine");
-            if (dependsOn(lines[i], lines[earlier]) && includedKinds.insert(kind).second) {
+            if (dependsOn(lines[i], lines[earlier]) && includedKinds.insert(changeKind(lines[earlier])).second) {
                 included.insert(earlier);
             }
         }
--- a/packages/protocol/tests/log/testlog.cpp
+++ b/packages/protocol/tests/log/testlog.cpp
@@ -49,6 +49,19 @@
     BOOST_TEST(outcomeCause(history) == "cause: engine e1 answered with status 200 after 12 ms");
 }
 
+/// A later entry of the store must not hide that an answer had said that the engine leaves.
+BOOST_AUTO_TEST_CASE(aHistoryHoldsWhatAnswersSaidOfItsEngine)
+{
+    const std::vector<LogLine> history
+        = requestHistory("r",
+                         lines({R"({"time":"1","node":"n","event":"engine.leaving","engine":"e1","lifetime":7,"source":"answer"})",
+                                R"({"time":"2","node":"n","event":"engine","engine":"e1","state":"ready","revision":7})",
+                                endLine("answered", R"("engine":"e1","status":200,"ms":12)")}));
+    BOOST_REQUIRE(history.size() == 3U);
+    BOOST_TEST(lineText(history[0]) == "1 n engine.leaving engine=e1 lifetime=7 source=answer");
+    BOOST_TEST(history[1].event == "engine");
+}
+
 BOOST_AUTO_TEST_CASE(causeOfEachOutcomeContainsItsFields)
 {
     BOOST_TEST(causeForOutcome("NoCapacity", R"("decode":"","promptTokens":500,"waitedMs":-1.0,"loadsAgeMs":35.5,"ms":520)")
--- a/packages/transport/httpexchange.cpp
+++ b/packages/transport/httpexchange.cpp
@@ -147,6 +147,9 @@
         const bool isInterim = head.status < firstFinalStatus;
         m_skippingResponse = isInterim || (m_request.matchesRequest && !m_request.matchesRequest(head));
         m_reusable = m_reusable && (isInterim || !m_skippingResponse);
+        if (!m_skippingResponse && m_request.observeHead) {
+            m_request.observeHead(head);
+        }
         if (!m_skippingResponse && callbacks->onHead) {
             callbacks->onHead(head);
         }
--- a/packages/transport/httpexchange.h
+++ b/packages/transport/httpexchange.h
@@ -34,6 +34,9 @@
 
     /// Returns whether a response belongs to this request; other responses are skipped. If null, every response belongs to it.
     std::function<bool(const HttpResponseHead &)> matchesRequest;
+
+    /// Called with the head of the response before all callbacks that receive the response, also if its body never arrives.
+    std::function<void(const HttpResponseHead &)> observeHead;
 };
 
 /**
--- a/tests/platform/enginestandin.cpp
+++ b/tests/platform/enginestandin.cpp
@@ -15,6 +15,12 @@
     return head;
 }
 
+HttpResponseHead PlatformEngineStandIn::leavingHead(HttpResponseHead head)
+{
+    head.headers.push_back(HttpHeader{"Server-Leaving", "1"});
+    return head;
+}
+
 PlatformEngineStandIn::PlatformEngineStandIn(std::string id, Behaviour behaviour)
     : m_id(std::move(id))
     , m_behaviour(std::move(behaviour))
@@ -45,7 +51,7 @@
     m_receivedRequests.push_back(request);
     pthread_mutex_unlock(&m_mutex);
     const std::string expected = request.header("Apricotladder-Expected-Instance");
-    if (!expected.empty() && expected != m_id) {
+    if (!expected.empty() && expected != id()) {
         HttpResponseHead head;
         head.status = 421;
         head.reason = "Misdirected Request";
@@ -55,6 +61,21 @@
     m_behaviour(m_loop, connection, request);
 }
 
+std::string PlatformEngineStandIn::id() const
+{
+    pthread_mutex_lock(&m_mutex);
+    std::string copy = m_id;
+    pthread_mutex_unlock(&m_mutex);
+    return copy;
+}
+
+void PlatformEngineStandIn::restartAs(const std::string &id)
+{
+    pthread_mutex_lock(&m_mutex);
+    m_id = id;
+    pthread_mutex_unlock(&m_mutex);
+}
+
 std::vector<ReceivedRequest> PlatformEngineStandIn::receivedRequests() const
 {
     pthread_mutex_lock(&m_mutex);
--- a/tests/platform/enginestandin.h
+++ b/tests/platform/enginestandin.h
@@ -41,10 +41,10 @@
     PlatformEngineStandIn(const PlatformEngineStandIn &) = delete;
     PlatformEngineStandIn &operator=(const PlatformEngineStandIn &) = delete;
 
-    const std::string &id() const
-    {
-        return m_id;
-    }
+    std::string id() const;
+
+    /// Continues as a new lifetime with the id \a id at the same address.
+    void restartAs(const std::string &id);
 
     const std::string &address() const
     {
@@ -60,6 +60,9 @@
     /// Returns the head of a signed response to \a request.
     static HttpResponseHead signedHead(const ReceivedRequest &request, int status, const char *contentType);
 
+    /// Returns \a head with the header by which an engine says that it leaves.
+    static HttpResponseHead leavingHead(HttpResponseHead head);
+
     /// Sends a signed response with the id of the attempt, as engines do.
     static void respondSigned(const HttpServerConnection::Ptr &connection, const ReceivedRequest &request, int status,
                               const std::string &body);
@@ -73,7 +76,7 @@
 private:
     void handleRequest(const HttpServerConnection::Ptr &connection, ReceivedRequest request);
 
-    std::string m_id;
+    std::string m_id; ///< under m_mutex
     Behaviour m_behaviour;
     EventLoop m_loop;
     std::unique_ptr<HttpListener> m_listener;
--- a/tests/platform/entrynodefixture.cpp
+++ b/tests/platform/entrynodefixture.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
 #include <unistd.h>
 #include <utility>
 
@@ -110,6 +111,29 @@
     return HttpClient::call(call);
 }
 
+FullResponse NodeUnderTest::callWithHead(const std::string &path) const
+{
+    EventLoop loop;
+    ConnectionPool pool;
+    HttpRequestHead head;
+    head.method = "GET";
+    head.target = path;
+    head.headers = {{"Host", "h.example"},
+                    {"Apricotladder-Attempt-Id", "attempt"},
+                    {"Apricotladder-Deadline-Ms", "15000"},
+                    {"Apricotladder-Token-Usage", "100,50"}};
+    ExchangeRequest request;
+    request.address = m_settings->callerAddress;
+    request.encodedRequest = encodeHttpRequest(head, {});
+    std::optional<FetchResult> result;
+    HttpFetch::start(loop, pool, std::move(request), testTimeout, [&](const FetchResult &it) { result = it; });
+    while (!result) {
+        loop.runOnce();
+    }
+    const auto *response = std::get_if<FullResponse>(&*result);
+    return response == nullptr ? FullResponse() : *response;
+}
+
 HttpReply NodeUnderTest::fetch(const std::string &address, const std::string &path) const
 {
     HttpCall call;
--- a/tests/platform/entrynodefixture.h
+++ b/tests/platform/entrynodefixture.h
@@ -5,6 +5,7 @@
 #include "platform/storestandin.h"
 #include "protocol/jsonreader.h"
 #include "transport/httpclient.h"
+#include "transport/httpfetch.h"
 #include "transport/thread.h"
 
 #include <absl/time/time.h>
@@ -46,6 +47,9 @@
     /// Sends a call, as a caller does, and returns the reply.
     HttpReply call(const std::string &path, const std::string &method = "GET", const std::string &body = {}) const;
 
+    /// Sends a call without a body and returns the whole response with its head; its status is 0 if there is none.
+    FullResponse callWithHead(const std::string &path) const;
+
     HttpReply fetch(const std::string &address, const std::string &path) const;
 
     bool isReady() const;
