entry: Keep away from an engine that asks for a back-off

What callers saw: an engine that refuses with 503 may say in Retry-After for how long it wants nothing from this node. The node ignored it: the ejection after a refusal lasts 40 ms to 640 ms, a plain endpoint without an alternative is tried even while ejected, and a decode engine that declined a KV cache was asked at once to prefill by itself. With one engine and eight callers the requests during the back-off did not end.

Change: `readEngineResponse` decodes the time, of a 503 only, once; `EngineAvailability` keeps its end beside the leaving lifetime, apart from the store's entries, and bounds it by a minute. Negative and unreadable times are ignored; these and longer ones are logged once for each engine. Neither a success nor a shorter time that arrives later ends a back-off. `ServicePool` excludes the engine in one function, `mayBeTried`, which placement, the fallback of plain endpoints, trials and `hasAlternative` share; a call that was placed and not yet sent checks it again, a declined decode goes elsewhere with its KV handle, and no handle is released at such an engine (it expires by itself). The pool is shared by all loops, so the back-off holds for all of them. When all engines that could take a call have asked for this, the call is refused at once (NoCapacity), with a Retry-After of the earliest end plus up to 0.2 s and half of the time left, at random. engine.backoff names engine, lifetime, source, call and end, engine.badretryafter the value; call.end says `allBackOff`; `explain` shows the lines and the cause; the notices are counted. Peers are not told: the wish concerns one node.

The back-off also holds for a later start time under the same id, as the refusal may have come from that lifetime before its entry was read; a new id is not concerned. Calls that already wait when the last engine asks for a back-off wait until their max wait is over.

--- a/packages/apricotladderd/entry/ownedkvhandle.cpp
+++ b/packages/apricotladderd/entry/ownedkvhandle.cpp
@@ -59,6 +59,12 @@
     EntryMetrics &metrics = m_loop.context().metrics;
     metrics.countHandle(why);
     metrics.countWastedPrefillTokens(static_cast<double>(m_promptTokens));
+    const absl::Time now = m_loop.events().now();
+    if (m_loop.context().pools.withPool(handle->engine->service,
+                                        [&](const ServicePool &pool) { return pool.isBackingOff(handle->engine->id, now); })) {
+        metrics.countHandle("not freed");
+        return;
+    }
     ExchangeRequest request;
     request.address = handle->engine->address;
     request.poolKey = connectionKey(handle->engine);
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -119,6 +119,10 @@
         handlePlacement(*placement);
         return;
     }
+    if (!m_streamStarted && retryAfterBackOff(m_loop, m_facts.service)) {
+        handleNoCapacity();
+        return;
+    }
     const absl::Duration expectedWait
         = context.pools.withPool(m_facts.service, [&](ServicePool &pool) { return pool.expectedWait(demand, now); });
     if (!m_streamStarted && expectedWait > std::max(maxWait, minRefusalWait)) {
@@ -515,15 +519,17 @@
                                   {"sincePlacedMs", absl::ToDoubleMilliseconds(m_loop.events().now() - m_placedAt)},
                                   {"memoryPart", m_basis.memoryFraction},
                                   {"runsThere", m_basis.runCount}});
-        if (isDeclined && m_kvHandle.hasHandle()) {
+        if (isDeclined && m_kvHandle.hasHandle() && !info.retryAfter) {
             // The KV cache cannot be fetched: the engine can still compute the prefill itself.
             if (m_kvHandle.isFresh(m_loop.events().now())) {
                 m_reservation.recordResult(m_kvHandle.engine()->id, EngineResult::Failed, m_loop.events().now());
             }
             m_kvHandle.release("declined");
             // An engine that declines one call after the other is full, so it would decline this one again.
-            const bool isFull
-                = m_loop.context().pools.withPool(m_facts.service, [&](const ServicePool &pool) { return pool.isRefusing(engine); });
+            const absl::Time now = m_loop.events().now();
+            const bool isFull = m_loop.context().pools.withPool(m_facts.service, [&](const ServicePool &pool) {
+                return pool.isRefusing(engine) || !pool.acceptsCalls(m_placement->decode, now);
+            });
             if (!isFull && trySpendRetry()) {
                 startLocalPrefill();
                 return;
@@ -592,8 +598,13 @@
 
 void StreamCall::refuse(ErrorKind kind, std::optional<absl::Duration> retryAfter)
 {
-    finish(errorDescriptor(kind).name.data(), errorDescriptor(kind).httpStatus);
     const bool isNotRun = errorDescriptor(kind).outcome == Outcome::NotRun;
+    const bool needsEngine = isNotRun && kind != ErrorKind::Draining;
+    if (const auto backOff = needsEngine ? retryAfterBackOff(m_loop, m_facts.service) : std::nullopt) {
+        m_isRefusedForBackOff = true;
+        retryAfter = backOff;
+    }
+    finish(errorDescriptor(kind).name.data(), errorDescriptor(kind).httpStatus);
     respondWithError(*m_caller, kind, isNotRun ? retryAfter : std::nullopt, errorDescriptor(kind).text);
 }
 
@@ -646,6 +657,7 @@
                      {"outcome", std::string(outcome)},
                      {"status", std::int64_t{status}},
                      {"arrivals", m_sentAttempts},
+                     {"allBackOff", m_isRefusedForBackOff},
                      {"waitedMs", wasPlaced ? absl::ToDoubleMilliseconds(m_placedAt - m_facts.arrival) : -1.0},
                      {"memoryPart", m_basis.memoryFraction},
                      {"runsThere", m_basis.runCount},
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -106,6 +106,7 @@
     absl::Time m_firstEventTime;
     TimerId m_stallTimer = 0;
     TimerId m_deadlineTimer = 0;
+    bool m_isRefusedForBackOff = false; ///< all engines have asked for a back-off
     bool m_finished = false;
 };
 
--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -59,7 +59,8 @@
     const std::optional<EngineEntry> engine = context.pools.withPool(
         m_facts.service, [&](ServicePool &pool) { return pool.placePlain(context.settings->dataCentre, m_excludedEngines, now); });
     if (!engine) {
-        refuse(m_mayHaveRun ? ErrorKind::AnswerIncomplete : ErrorKind::EngineUnreachable);
+        const ErrorKind kind = retryAfterBackOff(m_loop, m_facts.service) ? ErrorKind::NoCapacity : ErrorKind::EngineUnreachable;
+        refuse(m_mayHaveRun ? ErrorKind::AnswerIncomplete : kind);
         return;
     }
     send(*engine);
@@ -166,7 +167,7 @@
     facts.sentAttempts = m_sentAttempts;
     facts.maxAttempts = m_facts.route->maxAttempts;
     facts.hasAlternative
-        = context.pools.withPool(m_facts.service, [&](ServicePool &pool) { return pool.hasAlternative(m_excludedEngines); });
+        = context.pools.withPool(m_facts.service, [&](ServicePool &pool) { return pool.hasAlternative(m_excludedEngines, now); });
     facts.retryLimitAllows = context.allowsRetry(m_facts.service, now);
     facts.timeAllows = m_facts.deadline() - now > minAttemptTime;
     facts.mayHaveRun = m_mayHaveRun;
@@ -238,8 +239,11 @@
 void WholeCall::refuse(ErrorKind kind)
 {
     const bool isNotRun = errorDescriptor(kind).outcome == Outcome::NotRun;
+    const std::optional<absl::Duration> backOff = isNotRun ? retryAfterBackOff(m_loop, m_facts.service) : std::nullopt;
+    m_isRefusedForBackOff = backOff.has_value();
     finish(errorDescriptor(kind).name.data(), errorDescriptor(kind).httpStatus);
-    respondWithError(*m_caller, kind, isNotRun ? std::optional(shortRetryAfter) : std::nullopt, errorDescriptor(kind).text);
+    respondWithError(*m_caller, kind, isNotRun ? std::optional(backOff.value_or(shortRetryAfter)) : std::nullopt,
+                     errorDescriptor(kind).text);
 }
 
 void WholeCall::handleCallerDisconnected()
@@ -269,6 +273,7 @@
                      {"outcome", std::string(outcome)},
                      {"status", std::int64_t{status}},
                      {"arrivals", m_sentAttempts},
+                     {"allBackOff", m_isRefusedForBackOff},
                      {"ms", absl::ToDoubleMilliseconds(took)}});
 }
 
--- a/packages/apricotladderd/entry/wholecall.h
+++ b/packages/apricotladderd/entry/wholecall.h
@@ -60,6 +60,7 @@
     AnswerBuffer m_responseBody;
     TimerId m_deadlineTimer = 0;
     TimerId m_overdueTimer = 0;
+    bool m_isRefusedForBackOff = false; ///< all engines have asked for a back-off
     bool m_finished = false;
 };
 
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -138,9 +138,6 @@
 
 EngineNoticeResult ServicePool::recordNotice(const EngineEntry &engine, const EngineNotice &notice, absl::Time now)
 {
-    if (notice == EngineNotice{}) {
-        return {};
-    }
     const EngineNoticeResult result = m_availability[engine->id].record(notice, engine->startedMs, now);
     std::erase_if(m_availability, [&](const auto &it) { return it.second.isExpired(now) && !m_engines.contains(it.first); });
     return result;
@@ -157,9 +154,35 @@
     return engine->condition == EngineCondition::Ready && !leavingSince(engine);
 }
 
+bool ServicePool::isBackingOff(const EngineId &engine, absl::Time now) const
+{
+    const auto it = m_availability.find(engine);
+    return it != m_availability.end() && now < it->second.backOffUntil();
+}
+
+std::optional<absl::Duration> ServicePool::backOffOfAllEngines(absl::Time now) const
+{
+    absl::Time earliest = absl::InfiniteFuture();
+    for (const auto &[id, engine] : m_engines) {
+        if (engine.entry->stage == EngineStage::Prefill || !isOffered(engine.entry)) {
+            continue;
+        }
+        if (!isBackingOff(id, now)) {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest, m_availability.at(id).backOffUntil());
+    }
+    return earliest == absl::InfiniteFuture() ? std::nullopt : std::optional(earliest - now);
+}
+
+bool ServicePool::mayBeTried(const EngineEntry &engine, const std::vector<EngineId> &excludedEngines, absl::Time now) const
+{
+    return isOffered(engine) && !isBackingOff(engine->id, now) && !isExcluded(excludedEngines, engine->id);
+}
+
 bool ServicePool::isUsable(const Engine &engine, const std::vector<EngineId> &excludedEngines, absl::Time now) const
 {
-    return isOffered(engine.entry) && !isExcluded(excludedEngines, engine.entry->id) && !engine.health.isEjected(now);
+    return mayBeTried(engine.entry, excludedEngines, now) && !engine.health.isEjected(now);
 }
 
 std::vector<ServicePool::Candidate> ServicePool::candidates(EngineStage stage, const std::vector<EngineId> &excludedEngines,
@@ -177,7 +200,7 @@
     }
     // If no plain endpoint is usable, an ejected or unreachable one is still tried: it may have recovered.
     for (const auto &[id, engine] : m_engines) {
-        if (engine.entry->stage == stage && isOffered(engine.entry) && !isExcluded(excludedEngines, id)) {
+        if (engine.entry->stage == stage && mayBeTried(engine.entry, excludedEngines, now)) {
             found.push_back(Candidate{&engine, totalLoad(id, now), 0});
         }
     }
@@ -605,13 +628,13 @@
 
 bool ServicePool::acceptsCalls(const EngineEntry &engine, absl::Time now) const
 {
-    return isReady(engine) && isReachable(engine->id, now);
+    return isReady(engine) && isReachable(engine->id, now) && !isBackingOff(engine->id, now);
 }
 
-bool ServicePool::hasAlternative(const std::vector<EngineId> &excludedEngines) const
+bool ServicePool::hasAlternative(const std::vector<EngineId> &excludedEngines, absl::Time now) const
 {
     return std::any_of(m_engines.begin(), m_engines.end(),
-                       [&](const auto &entry) { return isOffered(entry.second.entry) && !isExcluded(excludedEngines, entry.first); });
+                       [&](const auto &entry) { return mayBeTried(entry.second.entry, excludedEngines, now); });
 }
 
 std::int64_t ServicePool::expectedOutputTokens(const ModelDemand &demand) const
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -117,13 +117,20 @@
     /// Whether \a engine is known under the same start time, which means that it has not restarted, and accepts work.
     bool isReady(const EngineEntry &engine) const;
 
-    /// Whether a call that was placed on \a engine may still be sent to it: it is ready, and not ejected because no connection to it
-    /// could be established.
+    /// Whether a call that was placed on \a engine may still be sent to it: it is ready, not ejected because no connection to it
+    /// could be established, and has not asked for a back-off.
     bool acceptsCalls(const EngineEntry &engine, absl::Time now) const;
 
     /// Records what an answer of \a engine has said about the engine. It holds whatever its entry in the store says.
     EngineNoticeResult recordNotice(const EngineEntry &engine, const EngineNotice &notice, absl::Time now);
 
+    /// Whether \a engine has asked this node for a back-off that has not ended.
+    bool isBackingOff(const EngineId &engine, absl::Time now) const;
+
+    /// Returns how long it takes until an engine accepts calls again, if all engines that could take a call have asked for a back-off;
+    /// nothing if another engine may be called, or there is none.
+    std::optional<absl::Duration> backOffOfAllEngines(absl::Time now) const;
+
     /// Returns since when an answer of \a engine has said that it leaves; nothing if none has.
     std::optional<absl::Time> leavingSince(const EngineEntry &engine) const;
 
@@ -185,8 +192,8 @@
         return m_loads.own();
     }
 
-    /// Whether a ready engine outside \a excludedEngines exists.
-    bool hasAlternative(const std::vector<EngineId> &excludedEngines) const;
+    /// Whether a ready engine outside \a excludedEngines exists that has not asked for a back-off.
+    bool hasAlternative(const std::vector<EngineId> &excludedEngines, absl::Time now) const;
 
     /// Returns the number of answer tokens in each stream event.
     std::int64_t tokensPerEvent() const
@@ -250,6 +257,7 @@
     };
 
     bool isOffered(const EngineEntry &engine) const;
+    bool mayBeTried(const EngineEntry &engine, const std::vector<EngineId> &excludedEngines, absl::Time now) const;
     bool isUsable(const Engine &engine, const std::vector<EngineId> &excludedEngines, absl::Time now) const;
     void removeUnreachable(std::vector<Candidate> &found, absl::Time now) const;
     std::vector<Candidate> candidates(EngineStage stage, const std::vector<EngineId> &excludedEngines, absl::Time now) const;
--- a/packages/coordination/tests/entry/testengineavailability.cpp
+++ b/packages/coordination/tests/entry/testengineavailability.cpp
@@ -9,7 +9,12 @@
 
 const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
 const DataCentreName here("here");
-const EngineNotice leavingNotice{true};
+const EngineNotice leavingNotice{true, std::nullopt, false};
+
+EngineNotice backOff(absl::Duration retryAfter)
+{
+    return EngineNotice{false, retryAfter, false};
+}
 
 EngineEntry engine(const std::string &id, EngineStage stage = EngineStage::Plain, std::int64_t startedMs = 1)
 {
@@ -93,7 +98,7 @@
     ServicePool pool = poolOf({engine("a")});
     pool.recordNotice(engine("a"), leavingNotice, start);
     BOOST_TEST(placed(pool) == "");
-    BOOST_TEST(!pool.hasAlternative({}));
+    BOOST_TEST(!pool.hasAlternative({}, start));
 }
 
 /// A restart under the same id, or another engine at the same address, must not be taken for the engine that left.
@@ -173,6 +178,111 @@
     BOOST_TEST(!pool.leavingSince(engine("gone")).has_value());
 }
 
+/// A refusal with Retry-After must keep calls away until its end, also from the last engine, which is else tried while ejected.
+BOOST_AUTO_TEST_CASE(anEngineThatAsksForABackOffGetsNoCallsUntilItsEnd)
+{
+    ServicePool pool = poolOf({engine("a")});
+    BOOST_TEST((pool.recordNotice(engine("a"), backOff(absl::Seconds(2)), start).backOffUntil == start + absl::Seconds(2)));
+    for (int ms = 0; ms < 2000; ms += 50) {
+        BOOST_TEST(placed(pool, start + absl::Milliseconds(ms)) == "");
+        BOOST_TEST(!pool.placePlain(here, {EngineId("failed")}, start + absl::Milliseconds(ms)).has_value());
+        BOOST_TEST(!pool.hasAlternative({}, start + absl::Milliseconds(ms)));
+        BOOST_TEST(!pool.acceptsCalls(engine("a"), start + absl::Milliseconds(ms)));
+    }
+    BOOST_TEST(placed(pool, start + absl::Seconds(2)) == "a");
+    BOOST_TEST(pool.hasAlternative({}, start + absl::Seconds(2)));
+}
+
+/// After an ejection, an engine gets a trial; not before the end of the back-off that it has asked for.
+BOOST_AUTO_TEST_CASE(aTrialAfterAnEjectionWaitsForTheEndOfTheBackOff)
+{
+    ServicePool pool = modelPool({engine("d0", EngineStage::Decode)});
+    const EngineEntry refusing = engine("d0", EngineStage::Decode);
+    pool.recordNotice(refusing, backOff(absl::Seconds(3)), start);
+    pool.recordResult(refusing->id, EngineResult::Refused, start);
+    pool.recordResult(refusing->id, EngineResult::Unreachable, start);
+    for (int ms = 0; ms < 3000; ms += 100) {
+        BOOST_TEST(!pool.placeModel(demand(), start + absl::Milliseconds(ms)).has_value());
+    }
+    BOOST_TEST(pool.placeModel(demand(), start + absl::Seconds(3)).has_value());
+}
+
+/// Calls that were sent before the refusal are answered after it: neither a success nor a shorter time may end the back-off.
+BOOST_AUTO_TEST_CASE(laterAnswersDoNotShortenABackOff)
+{
+    ServicePool pool = poolOf({engine("a")});
+    pool.recordNotice(engine("a"), backOff(absl::Seconds(2)), start);
+    pool.recordResult(EngineId("a"), EngineResult::Succeeded, start);
+    pool.recordAccepted(EngineId("a"), start);
+    BOOST_TEST(!pool.recordNotice(engine("a"), backOff(absl::Milliseconds(100)), start).backOffUntil.has_value());
+    BOOST_TEST(!pool.recordNotice(engine("a"), backOff(absl::ZeroDuration()), start).backOffUntil.has_value());
+    BOOST_TEST(placed(pool, start + absl::Milliseconds(1900)) == "");
+    pool.recordNotice(engine("a"), backOff(absl::Seconds(3)), start);
+    BOOST_TEST(placed(pool, start + absl::Milliseconds(2900)) == "");
+}
+
+/// The entry of the engine is read again, removed, or that of a restart under the same id, which may itself have sent the refusal.
+BOOST_AUTO_TEST_CASE(entriesOfTheStoreDoNotEndABackOff)
+{
+    ServicePool pool = poolOf({engine("a")});
+    pool.recordNotice(engine("a"), backOff(absl::Seconds(2)), start);
+    pool.apply(engine("a").with(&EngineEntryFields::slots, 9));
+    BOOST_TEST(placed(pool) == "");
+    pool.remove(EngineId("a"));
+    pool.apply(engine("a"));
+    BOOST_TEST(placed(pool) == "");
+    pool.apply(engine("a", EngineStage::Plain, 2));
+    BOOST_TEST(placed(pool) == "");
+    pool.apply(engine("another at the same address"));
+    BOOST_TEST(placed(pool) == "another at the same address");
+}
+
+/// A time without end or without meaning must not take the engine away for good, and is reported once.
+BOOST_AUTO_TEST_CASE(badBackOffTimesAreBoundedAndReportedOnce)
+{
+    constexpr absl::Duration longest = absl::Minutes(1);
+    for (const absl::Duration absurd : {absl::InfiniteDuration(), absl::Hours(1000000), longest + absl::Milliseconds(1)}) {
+        ServicePool pool = poolOf({engine("a")});
+        const EngineNoticeResult result = pool.recordNotice(engine("a"), backOff(absurd), start);
+        BOOST_TEST((result.backOffUntil == start + longest));
+        BOOST_TEST(result.isFirstBadRetryAfter);
+        BOOST_TEST(!pool.recordNotice(engine("a"), backOff(absurd), start).isFirstBadRetryAfter);
+        BOOST_TEST(placed(pool, start + longest) == "a");
+    }
+    ServicePool pool = poolOf({engine("a")});
+    EngineNotice unusable;
+    unusable.hasUnusableRetryAfter = true;
+    BOOST_TEST((pool.recordNotice(engine("a"), unusable, start) == EngineNoticeResult{false, std::nullopt, true}));
+    BOOST_TEST((pool.recordNotice(engine("a"), unusable, start) == EngineNoticeResult{}));
+    BOOST_TEST(placed(pool) == "a");
+}
+
+/// Only if all engines that could take a call have asked for a back-off, waiting is in vain; the earliest end counts.
+BOOST_AUTO_TEST_CASE(theBackOffOfAllEnginesEndsWithTheEarliest)
+{
+    ServicePool pool = modelPool({engine("p0", EngineStage::Prefill), engine("d0", EngineStage::Decode), engine("d1", EngineStage::Decode),
+                                  engine("d2", EngineStage::Decode)});
+    BOOST_TEST(!pool.backOffOfAllEngines(start).has_value());
+    pool.recordNotice(engine("d0", EngineStage::Decode), backOff(absl::Seconds(3)), start);
+    pool.recordNotice(engine("d1", EngineStage::Decode), backOff(absl::Seconds(2)), start);
+    BOOST_TEST(!pool.backOffOfAllEngines(start).has_value());
+    pool.recordNotice(engine("d2", EngineStage::Decode), leavingNotice, start);
+    BOOST_TEST((pool.backOffOfAllEngines(start) == absl::Seconds(2)));
+    BOOST_TEST((pool.backOffOfAllEngines(start + absl::Seconds(1)) == absl::Seconds(1)));
+    BOOST_TEST(!pool.backOffOfAllEngines(start + absl::Seconds(2)).has_value());
+    BOOST_TEST(!poolOf({}).backOffOfAllEngines(start).has_value());
+}
+
+/// Callers that are refused during a back-off must neither return before its end nor all at once.
+BOOST_AUTO_TEST_CASE(refusedCallersReturnSpreadAfterTheBackOff)
+{
+    const absl::Duration timeLeft = absl::Seconds(2);
+    BOOST_TEST((retryAfterBackOff(timeLeft, 0) == timeLeft));
+    BOOST_TEST((retryAfterBackOff(timeLeft, 0.5) > retryAfterBackOff(timeLeft, 0.25)));
+    BOOST_TEST((retryAfterBackOff(timeLeft, 1) >= timeLeft + absl::Seconds(1)));
+    BOOST_TEST((retryAfterBackOff(absl::ZeroDuration(), 1) >= absl::Milliseconds(200)));
+}
+
 /// A handle at an engine that may exit before the KV cache is fetched makes the decode engine refuse.
 BOOST_AUTO_TEST_CASE(aHandleIsNotUsedOnceItsEngineMayHaveExited)
 {
--- a/packages/protocol/logjson.cpp
+++ b/packages/protocol/logjson.cpp
@@ -17,7 +17,7 @@
 constexpr const char *engineFields[] = {"engine", "decode", "prefill", "from"};
 
 /// Events that record what the answers of an engine have said about it.
-constexpr const char *noticeEvents[] = {"engine.leaving"};
+constexpr const char *noticeEvents[] = {"engine.leaving", "engine.backoff"};
 
 /// Whether \a change records a change in the view of the node that logged \a line, in something that \a line depends on: an
 /// engine that it names, the desired state or the store.
@@ -76,6 +76,10 @@
         return absl::StrCat("the node's grace period ended after ", ms, " of the call; ", sentAttempts,
                             " engine(s) had the call, which may have run");
     }
+    if (outcome == "NoCapacity" && callEnd.value("allBackOff", false)) {
+        return absl::StrCat("refused, not run: all engines of its service have asked this node to send no calls for some time; ",
+                            sentAttempts, " engine(s) declined it within ", ms);
+    }
     if (outcome == "NoCapacity" && numberOf(callEnd, "waitedMs") < 0) {
         return absl::StrCat("refused, not run: no decode engine had capacity for ", jsonInteger(callEnd, "promptTokens"),
                             " prompt tokens within ", ms, ", according to heartbeats of peers up to ",
--- a/packages/protocol/tests/log/testlog.cpp
+++ b/packages/protocol/tests/log/testlog.cpp
@@ -55,11 +55,13 @@
     const std::vector<LogLine> history
         = requestHistory("r",
                          lines({R"({"time":"1","node":"n","event":"engine.leaving","engine":"e1","lifetime":7,"source":"answer"})",
+                                R"({"time":"1","node":"n","event":"engine.backoff","engine":"e1","until":"4"})",
                                 R"({"time":"2","node":"n","event":"engine","engine":"e1","state":"ready","revision":7})",
                                 endLine("answered", R"("engine":"e1","status":200,"ms":12)")}));
-    BOOST_REQUIRE(history.size() == 3U);
+    BOOST_REQUIRE(history.size() == 4U);
     BOOST_TEST(lineText(history[0]) == "1 n engine.leaving engine=e1 lifetime=7 source=answer");
-    BOOST_TEST(history[1].event == "engine");
+    BOOST_TEST(lineText(history[1]) == "1 n engine.backoff engine=e1 until=4");
+    BOOST_TEST(history[2].event == "engine");
 }
 
 BOOST_AUTO_TEST_CASE(causeOfEachOutcomeContainsItsFields)
@@ -69,6 +71,8 @@
                   "peers up to 35 ms old");
     BOOST_TEST(causeForOutcome("NoCapacity", R"("engine":"e","arrivals":1,"ms":3)").find("declined it (1 asked, the last one e)")
                != std::string::npos);
+    BOOST_TEST(causeForOutcome("NoCapacity", R"("decode":"","waitedMs":-1.0,"allBackOff":true,"arrivals":0,"ms":0)").find("all engines")
+               != std::string::npos);
     BOOST_TEST(causeForOutcome("OutcomeUnknown", R"("engine":"e","ms":1000)").find("e had the call and did not answer within 1000 ms")
                != std::string::npos);
     BOOST_TEST(causeForOutcome("AnswerIncomplete", R"("engine":"e","ms":9)").find("may have run") != std::string::npos);
--- a/packages/transport/tests/exchange/testexchange.cpp
+++ b/packages/transport/tests/exchange/testexchange.cpp
@@ -199,6 +199,26 @@
     BOOST_TEST(server.connectionCount() == 2U); // A connection with a response to another request is not reused.
 }
 
+/// What the head of a response to another request says must not be taken for what this response says.
+BOOST_AUTO_TEST_CASE(onlyTheHeadOfTheOwnResponseIsObserved)
+{
+    RawServer server(events, [](const auto &connection, const std::string &) {
+        connection->write("HTTP/1.1 103 Early Hints\r\nX-For: me\r\n\r\nHTTP/1.1 503 Service Unavailable\r\nX-For: other\r\n"
+                          "Retry-After: 9\r\nContent-Length: 5\r\n\r\nwrong"
+                          + goodResponse);
+    });
+    ExchangeRequest observedRequest = request(server.address());
+    observedRequest.matchesRequest = [](const HttpResponseHead &head) {
+        return headerValue(head.headers, "X-For") == "me";
+    };
+    std::vector<int> statuses;
+    observedRequest.observeHead = [&](const HttpResponseHead &head) {
+        statuses.push_back(head.status);
+    };
+    BOOST_TEST(exchange(observedRequest).body == "good");
+    BOOST_TEST(statuses == std::vector<int>{200}, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(extraBytesAfterAResponsePreventReuse)
 {
     RawServer server(events, [](const auto &connection, const std::string &) { connection->write(goodResponse + "more"); });
--- a/tests/platform/enginestandin.cpp
+++ b/tests/platform/enginestandin.cpp
@@ -27,7 +27,7 @@
 {
     HttpListener::Hooks hooks;
     hooks.onRequest = [this](const HttpServerConnection::Ptr &connection, const HttpRequestHead &head, const std::string &body) {
-        handleRequest(connection, ReceivedRequest{head, body});
+        handleRequest(connection, ReceivedRequest{head, body, m_loop.now()});
     };
     m_listener = std::make_unique<HttpListener>(m_loop, "127.0.0.1:0", AddressSharing::Exclusive, std::move(hooks));
     m_address = "127.0.0.1:" + std::to_string(m_listener->port());
--- a/tests/platform/enginestandin.h
+++ b/tests/platform/enginestandin.h
@@ -17,6 +17,7 @@
 {
     HttpRequestHead head;
     std::string body;
+    absl::Time arrivedAt;
 
     std::string header(const char *name) const
     {
--- a/tests/platform/entrynodefixture.cpp
+++ b/tests/platform/entrynodefixture.cpp
@@ -170,6 +170,12 @@
     store.put("servers", engine.id(), spec);
 }
 
+void PlatformWithNode::startNode()
+{
+    node = std::make_unique<NodeUnderTest>("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node->isReady(); }));
+}
+
 void respondSuccessfully(EventLoop &, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request)
 {
     PlatformEngineStandIn::respondSigned(connection, request, 200, "done " + request.body);
--- a/tests/platform/entrynodefixture.h
+++ b/tests/platform/entrynodefixture.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Apricot {
@@ -95,6 +96,40 @@
     std::vector<Engine> engines;
 };
 
+/// Fixture: the platform with a node, which the test starts once its engines are registered.
+struct PlatformWithNode : Platform
+{
+    void startNode();
+
+    std::unique_ptr<NodeUnderTest> node; ///< after the engines, which it calls
+};
+
+/**
+ * \class Gate
+ * \brief Holds back what engines do until the test opens it.
+ */
+class Gate
+{
+public:
+    void open()
+    {
+        m_isOpen = true;
+    }
+
+    /// Runs \a function on \a loop once the gate is open.
+    void whenOpen(EventLoop &loop, std::function<void()> function)
+    {
+        if (m_isOpen) {
+            function();
+            return;
+        }
+        loop.after(absl::Milliseconds(5), [this, &loop, function = std::move(function)] { whenOpen(loop, function); });
+    }
+
+private:
+    std::atomic<bool> m_isOpen{false};
+};
+
 /// Answers with status 200 and the body of the request.
 void respondSuccessfully(EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request);
 
--- a/tests/platform/testenginenotices.cpp
+++ b/tests/platform/testenginenotices.cpp
@@ -3,7 +3,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
-#include <functional>
 #include <memory>
 #include <utility>
 
@@ -36,43 +35,9 @@
     connection->endStream();
 }
 
-/**
- * \class Gate
- * \brief Holds back what engines do until the test opens it.
- */
-class Gate
+/// Fixture: each engine is the only one of its service or stage, so that only what it has said keeps further calls away from it.
+struct LoneEngines : PlatformWithNode
 {
-public:
-    void open()
-    {
-        m_isOpen = true;
-    }
-
-    /// Runs \a function on \a loop once the gate is open.
-    void whenOpen(EventLoop &loop, std::function<void()> function)
-    {
-        if (m_isOpen) {
-            function();
-            return;
-        }
-        loop.after(absl::Milliseconds(5), [this, &loop, function = std::move(function)] { whenOpen(loop, function); });
-    }
-
-private:
-    std::atomic<bool> m_isOpen{false};
-};
-
-/// Fixture: the platform with a node. Each engine is the only one of its service or stage, so that only what it has said keeps
-/// further calls away from it.
-struct PlatformWithNode : Platform
-{
-    /// Starts the node once the engines of the test are registered.
-    void startNode()
-    {
-        node = std::make_unique<NodeUnderTest>("n1", store.address());
-        BOOST_REQUIRE(eventually([&] { return node->isReady(); }));
-    }
-
     /// Sends calls to \a path, of which the first must reach \a engine and the others must not.
     void requireOneRequest(const PlatformEngineStandIn &engine, const std::string &path)
     {
@@ -89,13 +54,11 @@
         const std::string metrics = node->fetch(node->settings()->metricsAddress, "/metrics").body;
         return metrics.find("engine_notices_total{kind=\"leaving\"} 1") != std::string::npos;
     }
-
-    std::unique_ptr<NodeUnderTest> node; ///< after the engines, which it calls
 };
 
 }
 
-BOOST_FIXTURE_TEST_SUITE(EngineNotices, PlatformWithNode)
+BOOST_FIXTURE_TEST_SUITE(EngineNotices, LoneEngines)
 
 /// A whole answer says that the engine leaves, the store does not yet: a later call reached the engine. The caller gets the header.
 BOOST_AUTO_TEST_CASE(noCallFollowsAWholeAnswerOfALeavingEngine)
