--- a/packages/apricotladderd/entry/entrymetrics.h
+++ b/packages/apricotladderd/entry/entrymetrics.h
@@ -27,6 +27,7 @@
     void countStoreCall(const std::string &call, const std::string &outcome);
     void countClosedConnection(const std::string &reason);
     void countMalformedEntries(const std::string &kind, std::size_t count);
+    void countEngineNotice(const std::string &kind);
     void countHandle(const std::string &outcome);
     void countWastedPrefillTokens(double tokens);
     void countBrokenPrompt();
@@ -45,6 +46,7 @@
     prometheus::Family<prometheus::Counter> &m_storeCalls;
     prometheus::Family<prometheus::Counter> &m_closedConnections;
     prometheus::Family<prometheus::Counter> &m_malformed;
+    prometheus::Family<prometheus::Counter> &m_engineNotices;
     prometheus::Family<prometheus::Counter> &m_handles;
     prometheus::Counter &m_wastedPrefillTokens;
     prometheus::Family<prometheus::Histogram> &m_firstAnswer;
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -1,5 +1,6 @@
 #include "apricotladderd/entry/streamcall.h"
 
+#include "apricotladderd/entry/enginenotices.h"
 #include "apricotladderd/entry/enginerequest.h"
 #include "apricotladderd/entry/errorresponse.h"
 #include "state/abslview.h"
@@ -119,6 +120,10 @@
         handlePlacement(*placement);
         return;
     }
+    if (!m_streamStarted && retryAfterBackOff(m_loop, m_facts.service)) {
+        handleNoCapacity();
+        return;
+    }
     const absl::Duration expectedWait
         = context.pools.withPool(m_facts.service, [&](ServicePool &pool) { return pool.expectedWait(demand, now); });
     if (!m_streamStarted && expectedWait > std::max(maxWait, minRefusalWait)) {
@@ -141,9 +146,12 @@
     m_placedAt = m_loop.events().now();
     m_basis = placement.basis;
     m_reservation.adopt(placement);
+    if (!m_kvHandle.isFresh(m_placedAt)) {
+        m_kvHandle.release("expired");
+    }
     if (!placement.prefill || m_streamStarted) {
         startDecode();
-    } else if (m_kvHandle.isFresh(m_placedAt)) {
+    } else if (m_kvHandle.hasHandle()) {
         // The prefill is complete and only its decode engine was lost: the newly placed prefill engine is not needed.
         m_reservation.release((*placement.prefill)->id, m_loop.events().now());
         startDecode();
@@ -154,7 +162,6 @@
     } else if (m_sentPrefills > 0 && !trySpendRetry()) {
         refuse(ErrorKind::NoCapacity, shortRetryAfter);
     } else {
-        m_kvHandle.release("expired");
         startPrefill();
     }
 }
@@ -190,6 +197,7 @@
 ExchangeRequest StreamCall::makeEngineRequest(const EngineEntry &engine, const EngineRequestOptions &options) const
 {
     ExchangeRequest request = makeEngineExchange(engine, m_head, m_body, options, m_facts.call->requestId);
+    observeEngineNotices(m_loop, engine, m_facts.call->requestId, request);
     // Always a new connection: a handshake costs far less than a generation that is lost on a kept connection which its
     // engine has just closed.
     request.maxIdleTime = absl::ZeroDuration();
@@ -204,6 +212,12 @@
     }
     const EngineEntry engine = *m_placement->prefill;
     m_stageStart = m_loop.events().now();
+    if (!m_loop.context().pools.withPool(m_facts.service,
+                                         [&](const ServicePool &pool) { return pool.acceptsCalls(engine, m_stageStart); })) {
+        abandonPlacement(engine->id);
+        requestPlacement(m_facts.route->targetLatency);
+        return;
+    }
     EngineRequestOptions options = makeRequestOptions(engine);
     options.prefillOnly = true;
     m_prefillFetch = HttpFetch::start(m_loop.events(), m_loop.engines(), makeEngineRequest(engine, options),
@@ -312,9 +326,7 @@
     const EngineEntry engine = m_placement->decode;
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
-    const bool isUsable = context.pools.withPool(
-        m_facts.service, [&](ServicePool &pool) { return pool.isReady(engine) && pool.isReachable(engine->id, now); });
-    if (!isUsable) {
+    if (!context.pools.withPool(m_facts.service, [&](const ServicePool &pool) { return pool.acceptsCalls(engine, now); })) {
         abandonPlacement(engine->id);
         requestPlacement(m_facts.route->targetLatency);
         return;
@@ -560,15 +572,17 @@
                                   {"sincePlacedMs", absl::ToDoubleMilliseconds(m_loop.events().now() - m_placedAt)},
                                   {"memoryPart", m_basis.memoryFraction},
                                   {"runsThere", m_basis.runCount}});
-        if (isDeclined && m_kvHandle.hasHandle()) {
+        if (isDeclined && m_kvHandle.hasHandle() && !info.retryAfter) {
             // The KV cache cannot be fetched: the engine can still compute the prefill itself.
             if (m_kvHandle.isFresh(m_loop.events().now())) {
                 m_reservation.recordResult(m_kvHandle.engine()->id, EngineResult::Failed, m_loop.events().now());
             }
             m_kvHandle.release("declined");
             // An engine that declines one call after the other is full, so it would decline this one again.
-            const bool isFull
-                = m_loop.context().pools.withPool(m_facts.service, [&](const ServicePool &pool) { return pool.isRefusing(engine); });
+            const absl::Time now = m_loop.events().now();
+            const bool isFull = m_loop.context().pools.withPool(m_facts.service, [&](const ServicePool &pool) {
+                return pool.isRefusing(engine) || !pool.acceptsCalls(m_placement->decode, now);
+            });
             if (!isFull && trySpendRetry()) {
                 startLocalPrefill();
                 return;
@@ -637,8 +651,13 @@
 
 void StreamCall::refuse(ErrorKind kind, std::optional<absl::Duration> retryAfter)
 {
-    finish(errorDescriptor(kind).name.data(), errorDescriptor(kind).httpStatus);
     const bool isNotRun = errorDescriptor(kind).outcome == Outcome::NotRun;
+    const bool needsEngine = isNotRun && kind != ErrorKind::Draining;
+    if (const auto backOff = needsEngine ? retryAfterBackOff(m_loop, m_facts.service) : std::nullopt) {
+        m_isRefusedForBackOff = true;
+        retryAfter = backOff;
+    }
+    finish(errorDescriptor(kind).name.data(), errorDescriptor(kind).httpStatus);
     respondWithError(*m_caller, kind, isNotRun ? retryAfter : std::nullopt, errorDescriptor(kind).text);
 }
 
@@ -704,6 +723,7 @@
                      {"outcome", std::string(outcome)},
                      {"status", std::int64_t{status}},
                      {"arrivals", m_sentAttempts},
+                     {"allBackOff", m_isRefusedForBackOff},
                      {"waitedMs", wasPlaced ? absl::ToDoubleMilliseconds(m_placedAt - m_facts.arrival) : -1.0},
                      {"memoryPart", m_basis.memoryFraction},
                      {"runsThere", m_basis.runCount},
--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -1,5 +1,6 @@
 #include "apricotladderd/entry/wholecall.h"
 
+#include "apricotladderd/entry/enginenotices.h"
 #include "apricotladderd/entry/enginerequest.h"
 #include "apricotladderd/entry/errorresponse.h"
 #include "platform/callheaders.h"
@@ -75,7 +76,8 @@
         return;
     }
     if (!engine) {
-        refuse(m_mayHaveRun ? ErrorKind::AnswerIncomplete : ErrorKind::EngineUnreachable);
+        const ErrorKind kind = retryAfterBackOff(m_loop, m_facts.service) ? ErrorKind::NoCapacity : ErrorKind::EngineUnreachable;
+        refuse(m_mayHaveRun ? ErrorKind::AnswerIncomplete : kind);
         return;
     }
     send(*engine);
@@ -91,6 +93,7 @@
     options.timeLeft = m_facts.deadline() - now;
     const bool isIdempotent = m_facts.route->repeatability == Repeatability::Idempotent;
     ExchangeRequest request = makeEngineExchange(engine, m_head, m_body, options, m_facts.call->requestId);
+    observeEngineNotices(m_loop, engine, m_facts.call->requestId, request);
     request.responseHasNoBody = m_head.method == "HEAD";
     if (!m_facts.call->requestId.isEmpty()) {
         // Without an id, its response could not be told from a late one to an earlier request.
@@ -206,7 +209,7 @@
     facts.sentAttempts = m_sentAttempts;
     facts.maxAttempts = m_facts.route->maxAttempts;
     facts.hasAlternative
-        = context.pools.withPool(m_facts.service, [&](ServicePool &pool) { return pool.hasAlternative(m_excludedEngines); });
+        = context.pools.withPool(m_facts.service, [&](ServicePool &pool) { return pool.hasAlternative(m_excludedEngines, now); });
     facts.retryLimitAllows = context.allowsRetry(m_facts.service, now);
     facts.timeAllows = m_facts.deadline() - now > minAttemptTime;
     facts.mayHaveRun = m_mayHaveRun;
@@ -295,8 +298,11 @@
 void WholeCall::refuse(ErrorKind kind)
 {
     const bool isNotRun = errorDescriptor(kind).outcome == Outcome::NotRun;
+    const std::optional<absl::Duration> backOff = isNotRun ? retryAfterBackOff(m_loop, m_facts.service) : std::nullopt;
+    m_isRefusedForBackOff = backOff.has_value();
     finish(errorDescriptor(kind).name.data(), errorDescriptor(kind).httpStatus);
-    respondWithError(*m_caller, kind, isNotRun ? std::optional(shortRetryAfter) : std::nullopt, errorDescriptor(kind).text);
+    respondWithError(*m_caller, kind, isNotRun ? std::optional(backOff.value_or(shortRetryAfter)) : std::nullopt,
+                     errorDescriptor(kind).text);
 }
 
 void WholeCall::handleCallerDisconnected()
@@ -327,6 +333,7 @@
                      {"outcome", std::string(outcome)},
                      {"status", std::int64_t{status}},
                      {"arrivals", m_sentAttempts},
+                     {"allBackOff", m_isRefusedForBackOff},
                      {"ms", absl::ToDoubleMilliseconds(took)}});
 }
 
--- a/packages/apricotladderd/entry/wholecall.h
+++ b/packages/apricotladderd/entry/wholecall.h
@@ -85,6 +85,7 @@
     bool m_mayHaveRun = false; ///< whether an earlier attempt may have run
     TimerId m_deadlineTimer = 0;
     TimerId m_overdueTimer = 0;
+    bool m_isRefusedForBackOff = false; ///< all engines have asked for a back-off
     bool m_finished = false;
 };
 
--- a/packages/protocol/logjson.cpp
+++ b/packages/protocol/logjson.cpp
@@ -16,6 +16,9 @@
 /// Fields that contain the id of an engine.
 constexpr const char *engineFields[] = {"engine", "decode", "prefill", "from"};
 
+/// Events that record what the answers of an engine have said about it.
+constexpr const char *noticeEvents[] = {"engine.leaving", "engine.backoff"};
+
 /// Whether \a change records a change in the view of the node that logged \a line, in something that \a line depends on: an
 /// engine that it names, the desired state or the store.
 bool dependsOn(const LogLine &line, const LogLine &change)
@@ -32,6 +35,14 @@
     });
 }
 
+/// Returns the kind of the change that \a line records: a later change of the same kind replaces it. What an engine's answers have said
+/// is not replaced by what the store says of the engine.
+std::string changeKind(const LogLine &line)
+{
+    const bool isNotice = std::find(std::begin(noticeEvents), std::end(noticeEvents), line.event) != std::end(noticeEvents);
+    return (isNotice ? line.event : line.event.substr(0, line.event.find('.'))) + jsonText(line.fields, "engine");
+}
+
 std::string fieldsText(const Json &fields)
 {
     std::string text;
@@ -65,6 +76,10 @@
         return absl::StrCat("the node's grace period ended after ", ms, " of the call; ", sentAttempts,
                             " engine(s) had the call, which may have run");
     }
+    if (outcome == "NoCapacity" && callEnd.value("allBackOff", false)) {
+        return absl::StrCat("refused, not run: all engines of its service have asked this node to send no calls for some time; ",
+                            sentAttempts, " engine(s) declined it within ", ms);
+    }
     if (outcome == "NoCapacity" && numberOf(callEnd, "waitedMs") < 0) {
         return absl::StrCat("refused, not run: no decode engine had capacity for ", jsonInteger(callEnd, "promptTokens"),
                             " prompt tokens within ", ms, ", according to heartbeats of peers up to ",
@@ -126,9 +141,7 @@
         included.insert(i);
         std::set<std::string> includedKinds; // kinds of changes whose latest line is already included
         for (std::size_t earlier = i; earlier-- > 0;) {
-            const std::string kind
-                = lines[earlier].event.substr(0, lines[earlier].event.find('.')) + jsonText(lines[earlier].fields, "engine");
-            if (dependsOn(lines[i], lines[earlier]) && includedKinds.insert(kind).second) {
+            if (dependsOn(lines[i], lines[earlier]) && includedKinds.insert(changeKind(lines[earlier])).second) {
                 included.insert(earlier);
             }
         }
--- a/packages/transport/httpexchange.cpp
+++ b/packages/transport/httpexchange.cpp
@@ -146,6 +146,9 @@
         m_headReceived = true;
         const HttpResponseHead &head = m_parser.head();
         identifyResponse(head);
+        if (!m_skippingResponse && m_request.observeHead) {
+            m_request.observeHead(head);
+        }
         if (!m_skippingResponse && callbacks->onHead) {
             callbacks->onHead(head);
         }
--- a/packages/transport/httpexchange.h
+++ b/packages/transport/httpexchange.h
@@ -42,6 +42,9 @@
     /// Returns which request a response belongs to; responses to other requests are skipped, and so are unidentified ones on a
     /// connection that has carried another response. If null, every response belongs to this request.
     std::function<ResponseOwner(const HttpResponseHead &)> findOwner;
+
+    /// Called with the head of the response before all callbacks that receive the response, also if its body never arrives.
+    std::function<void(const HttpResponseHead &)> observeHead;
 };
 
 /**
--- a/tests/platform/enginestandin.cpp
+++ b/tests/platform/enginestandin.cpp
@@ -15,13 +15,19 @@
     return head;
 }
 
+HttpResponseHead PlatformEngineStandIn::leavingHead(HttpResponseHead head)
+{
+    head.headers.push_back(HttpHeader{"Server-Leaving", "1"});
+    return head;
+}
+
 PlatformEngineStandIn::PlatformEngineStandIn(std::string id, Behaviour behaviour)
     : m_id(std::move(id))
     , m_behaviour(std::move(behaviour))
 {
     HttpListener::Hooks hooks;
     hooks.onRequest = [this](const HttpServerConnection::Ptr &connection, const HttpRequestHead &head, const std::string &body) {
-        handleRequest(connection, ReceivedRequest{head, body});
+        handleRequest(connection, ReceivedRequest{head, body, m_loop.now()});
     };
     m_listener = std::make_unique<HttpListener>(m_loop, "127.0.0.1:0", AddressSharing::Exclusive, std::move(hooks));
     m_address = "127.0.0.1:" + std::to_string(m_listener->port());
@@ -45,7 +51,7 @@
     m_receivedRequests.push_back(request);
     pthread_mutex_unlock(&m_mutex);
     const std::string expected = request.header("Apricotladder-Expected-Instance");
-    if (!expected.empty() && expected != m_id) {
+    if (!expected.empty() && expected != id()) {
         HttpResponseHead head;
         head.status = 421;
         head.reason = "Misdirected Request";
@@ -55,6 +61,21 @@
     m_behaviour(m_loop, connection, request);
 }
 
+std::string PlatformEngineStandIn::id() const
+{
+    pthread_mutex_lock(&m_mutex);
+    std::string copy = m_id;
+    pthread_mutex_unlock(&m_mutex);
+    return copy;
+}
+
+void PlatformEngineStandIn::restartAs(const std::string &id)
+{
+    pthread_mutex_lock(&m_mutex);
+    m_id = id;
+    pthread_mutex_unlock(&m_mutex);
+}
+
 std::vector<ReceivedRequest> PlatformEngineStandIn::receivedRequests() const
 {
     pthread_mutex_lock(&m_mutex);
--- a/tests/platform/nodefixture.cpp
+++ b/tests/platform/nodefixture.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// Far longer than any step of these tests takes; a test that waits this long fails.
-constexpr absl::Duration testTimeout = absl::Seconds(30);
-
 /// Returns a loopback address that no other node of this or another test process uses.
 std::string nextLoopbackAddress()
 {
@@ -99,16 +96,21 @@
     m_thread.join();
 }
 
+std::map<std::string, std::string> NodeUnderTest::callHeaders(const std::string &requestId)
+{
+    return {{"Host", "h.example"},
+            {"Apricotladder-Attempt-Id", requestId},
+            {"Apricotladder-Deadline-Ms", "15000"},
+            {"Apricotladder-Token-Usage", "100,50"}};
+}
+
 HttpReply NodeUnderTest::call(const std::string &path, const std::string &method, const std::string &body,
                               const std::string &requestId) const
 {
     HttpCall call;
     call.method = method;
     call.url = "http://" + m_settings->callerAddress + path;
-    call.headers = {{"Host", "h.example"},
-                    {"Apricotladder-Attempt-Id", requestId},
-                    {"Apricotladder-Deadline-Ms", "15000"},
-                    {"Apricotladder-Token-Usage", "100,50"}};
+    call.headers = callHeaders(requestId);
     call.body = body;
     call.timeout = testTimeout;
     call.dedicatedConnection = true;
@@ -120,16 +122,35 @@
     HttpCall call;
     call.method = "POST";
     call.url = "http://" + m_settings->callerAddress + path;
-    call.headers = {{"Host", "h.example"},
-                    {"Apricotladder-Attempt-Id", "attempt"},
-                    {"Apricotladder-Deadline-Ms", "15000"},
-                    {"Apricotladder-Token-Usage", "100,50"},
-                    {"Apricotladder-Prefix-Hash", parts}};
+    call.headers = callHeaders("attempt");
+    call.headers["Apricotladder-Prefix-Hash"] = parts;
     call.timeout = testTimeout;
     call.dedicatedConnection = true;
     return HttpClient::call(call);
 }
 
+FullResponse NodeUnderTest::callWithHead(const std::string &path) const
+{
+    EventLoop loop;
+    ConnectionPool pool;
+    HttpRequestHead head;
+    head.method = "GET";
+    head.target = path;
+    for (const auto &[name, value] : callHeaders("attempt")) {
+        head.headers.push_back(HttpHeader{name, value});
+    }
+    ExchangeRequest request;
+    request.address = m_settings->callerAddress;
+    request.encodedRequest = encodeHttpRequest(head, {});
+    std::optional<FetchResult> result;
+    HttpFetch::start(loop, pool, std::move(request), testTimeout, [&](const FetchResult &it) { result = it; });
+    while (!result) {
+        loop.runOnce();
+    }
+    const auto *response = std::get_if<FullResponse>(&*result);
+    return response == nullptr ? FullResponse() : *response;
+}
+
 HttpReply NodeUnderTest::fetch(const std::string &address, const std::string &path) const
 {
     HttpCall call;
@@ -157,15 +178,21 @@
 }
 
 void Platform::publishEngine(const PlatformEngineStandIn &engine, const std::string &service, const std::string &stage,
-                             const std::string &state)
+                             const std::string &state, std::int64_t startedMs)
 {
-    Json spec{{"service", service}, {"address", engine.address()}, {"zone", "here"}, {"slots", 8}, {"state", state}, {"born", 1}};
+    Json spec{{"service", service}, {"address", engine.address()}, {"zone", "here"}, {"slots", 8}, {"state", state}, {"born", startedMs}};
     if (!stage.empty()) {
         spec["phase"] = stage;
     }
     store.put("servers", engine.id(), spec);
 }
 
+void PlatformWithNode::startNode()
+{
+    node = std::make_unique<NodeUnderTest>("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node->isReady(); }));
+}
+
 void respondSuccessfully(EventLoop &, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request)
 {
     PlatformEngineStandIn::respondSigned(connection, request, 200, "done " + request.body);
--- a/tests/platform/nodefixture.h
+++ b/tests/platform/nodefixture.h
@@ -5,6 +5,7 @@
 #include "platform/storestandin.h"
 #include "protocol/jsonreader.h"
 #include "transport/httpclient.h"
+#include "transport/httpfetch.h"
 #include "transport/thread.h"
 
 #include <absl/time/time.h>
@@ -12,12 +13,17 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Apricot {
 
+/// Far longer than any step of these tests takes; a test that waits this long fails.
+inline constexpr absl::Duration testTimeout = absl::Seconds(30);
+
 /// Polls until \a condition is true; returns false if that takes far longer than any step of these tests.
 bool eventually(const std::function<bool()> &condition);
 
@@ -48,6 +54,9 @@
     /// Sends a call to a streaming route whose prompt consists of \a parts, the ids of parts separated by commas.
     HttpReply callWithPrompt(const std::string &path, const std::string &parts) const;
 
+    /// Sends a call without a body and returns the whole response with its head; its status is 0 if there is none.
+    FullResponse callWithHead(const std::string &path) const;
+
     HttpReply fetch(const std::string &address, const std::string &path) const;
 
     bool isReady() const;
@@ -68,6 +77,8 @@
     }
 
 private:
+    static std::map<std::string, std::string> callHeaders(const std::string &requestId);
+
     EntrySettings m_settings;
     std::unique_ptr<EntryNode> m_node;
     std::atomic<bool> m_ended{false};
@@ -86,12 +97,52 @@
     PlatformEngineStandIn &addEngine(const std::string &id, const std::string &service, const std::string &stage,
                                      PlatformEngineStandIn::Behaviour behaviour);
 
-    void publishEngine(const PlatformEngineStandIn &engine, const std::string &service, const std::string &stage, const std::string &state);
+    /// Writes the entry of \a engine to the store, for its lifetime that started at \a startedMs.
+    void publishEngine(const PlatformEngineStandIn &engine, const std::string &service, const std::string &stage, const std::string &state,
+                       std::int64_t startedMs = 1);
 
     PlatformStoreStandIn store;
     std::vector<std::unique_ptr<PlatformEngineStandIn>> engines;
 };
 
+/**
+ * \class PlatformWithNode
+ * \brief Fixture: the platform with a node, which the test starts once its engines are registered.
+ */
+class PlatformWithNode : public Platform
+{
+public:
+    void startNode();
+
+    std::unique_ptr<NodeUnderTest> node; ///< after the engines, which it calls
+};
+
+/**
+ * \class Gate
+ * \brief Holds back what engines do until the test opens it.
+ */
+class Gate
+{
+public:
+    void open()
+    {
+        m_isOpen = true;
+    }
+
+    /// Runs \a function on \a loop once the gate is open.
+    void whenOpen(EventLoop &loop, std::function<void()> function)
+    {
+        if (m_isOpen) {
+            function();
+            return;
+        }
+        loop.after(absl::Milliseconds(5), [this, &loop, function = std::move(function)] { whenOpen(loop, function); });
+    }
+
+private:
+    std::atomic<bool> m_isOpen{false};
+};
+
 void respondSuccessfully(EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request);
 
 void respondWithKvHandle(EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request);
--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -584,7 +584,7 @@
     }
     const auto deadlyArrivals = [&] {
         std::size_t n = 0;
-        for (const Engine &engine : engines) {
+        for (const std::unique_ptr<PlatformEngineStandIn> &engine : engines) {
             for (const ReceivedRequest &request : engine->receivedRequests()) {
                 n += request.header("Apricotladder-Prefix-Hash").find("dead:") != std::string::npos ? 1 : 0;
             }
