--- a/packages/protocol/tests/log/testlog.cpp
+++ b/packages/protocol/tests/log/testlog.cpp
@@ -59,6 +59,8 @@
     BOOST_TEST(causeForOutcome("OutcomeUnknown", R"("engine":"e","ms":1000)").find("e had the call and did not answer within 1000 ms")
                != std::string::npos);
     BOOST_TEST(causeForOutcome("AnswerIncomplete", R"("engine":"e","ms":9)").find("may have run") != std::string::npos);
+    BOOST_TEST(causeForOutcome("PromptQuarantined", R"("quarantined":"91bd","ms":0)").find("not run: part 91bd of its prompt")
+               != std::string::npos);
     BOOST_TEST(causeForOutcome("EngineUnreachable", R"("engine":"e")").find("tried was e") != std::string::npos);
     BOOST_TEST(causeForOutcome("node stopped", R"("engine":"e","arrivals":1,"ms":40)").find("grace period ended after 40 ms")
                != std::string::npos);
