soak: Let engines announce that they leave or back off, and check DRAIN and BUDGET

`--profile notices` adds two steps: an engine leaves and only its answers say so, and an engine refuses for a while with Retry-After (whole seconds and fractions in turn). `EngineNoticeLedger` checks from what engines saw, for each lifetime of an engine and each process of a node: DRAIN from the moment at which the caller had an answer of that engine only, BUDGET from the moment at which the refusal was handed to the connection. A restart excuses, as the process is part of the key; there are no pauses and cuts in this profile.

--- a/tests/soak/soakengine.cpp
+++ b/tests/soak/soakengine.cpp
@@ -1,6 +1,7 @@
 #include "soak/soakengine.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
 
 #include <algorithm>
 #include <utility>
@@ -28,28 +29,6 @@
 /// No event at which a stream is broken off.
 constexpr int neverBreaksOff = 0;
 
-HttpResponseHead makeHead(int status)
-{
-    HttpResponseHead head;
-    head.status = status;
-    head.reason = std::string(reasonPhrase(status));
-    return head;
-}
-
-HttpResponseHead signedHead(const std::string &attemptId, const char *contentType)
-{
-    HttpResponseHead head = makeHead(statusOk);
-    head.headers = {{"Content-Type", contentType}, {"Apricotladder-Attempt-Id", attemptId}, {"Apricotladder-Response-Signature", "signed"}};
-    return head;
-}
-
-HttpResponseHead declinedHead()
-{
-    HttpResponseHead head = makeHead(statusUnavailable);
-    head.headers = {{"Apricotladder-Not-Executed", "1"}};
-    return head;
-}
-
 BodyFraming framingOf(std::uint64_t requestNumber)
 {
     return requestNumber % unframedEveryNth == 0 ? BodyFraming::UntilClose : BodyFraming::Delimited;
@@ -107,6 +86,60 @@
     });
 }
 
+void SoakEngine::announceLeaving()
+{
+    m_loop.post([this] { m_isLeaving = true; });
+}
+
+void SoakEngine::backOff(absl::Duration duration)
+{
+    m_loop.post([this, duration] { m_backsOffUntil = m_loop.now() + duration; });
+}
+
+HttpResponseHead SoakEngine::makeHead(int status) const
+{
+    HttpResponseHead head;
+    head.status = status;
+    head.reason = std::string(reasonPhrase(status));
+    if (m_isLeaving) {
+        head.headers = {{"Server-Leaving", "1"}};
+    }
+    return head;
+}
+
+HttpResponseHead SoakEngine::signedHead(const std::string &attemptId, const char *contentType) const
+{
+    HttpResponseHead head = makeHead(statusOk);
+    head.headers.push_back({"Content-Type", contentType});
+    head.headers.push_back({"Apricotladder-Attempt-Id", attemptId});
+    head.headers.push_back({"Apricotladder-Response-Signature", "signed"});
+    if (m_isLeaving) {
+        m_ledger.recordLeavingAnswer(attemptId, m_identity.lifetime());
+    }
+    return head;
+}
+
+HttpResponseHead SoakEngine::declinedHead() const
+{
+    HttpResponseHead head = makeHead(statusUnavailable);
+    head.headers.push_back({"Apricotladder-Not-Executed", "1"});
+    return head;
+}
+
+void SoakEngine::refuseWithRetryAfter(const SoakServerConnection::Ptr &connection, const std::string &attemptId)
+{
+    // Every other refusal names whole seconds, which is the usual form.
+    const absl::Duration remaining = m_backsOffUntil - m_loop.now();
+    const absl::Duration timeLeft = ++m_requestCount % 2 == 0 ? absl::Ceil(remaining, absl::Seconds(1)) : remaining;
+    HttpResponseHead head = declinedHead();
+    head.headers.push_back({"Retry-After", absl::StrCat(absl::ToDoubleSeconds(timeLeft))});
+    connection->respond(head, {}, BodyFraming::Delimited);
+    connection->afterOutput([this, attemptId, timeLeft] {
+        const absl::Time now = absl::Now();
+        m_ledger.recordBackOff(attemptId, m_identity.lifetime(), EngineBackOff{now, now + timeLeft});
+    });
+}
+
 void SoakEngine::setSilent(bool silent)
 {
     const std::vector<SoakServerConnection::Ptr> connections(m_connections.begin(), m_connections.end());
@@ -131,10 +164,16 @@
 void SoakEngine::handleRequest(const SoakServerConnection::Ptr &connection, Request request)
 {
     const std::string expected = request.header("Apricotladder-Expected-Instance");
-    if (!expected.empty() && expected != m_identity.id) {
+    const bool isMisdirected = !expected.empty() && expected != m_identity.id;
+    if (!isMisdirected && request.head.method != "DELETE") {
+        m_ledger.recordArrival(request.header("Apricotladder-Attempt-Id"), m_identity.lifetime());
+    }
+    if (isMisdirected) {
         connection->respond(makeHead(statusMisdirected), {}, BodyFraming::Delimited);
     } else if (request.head.method == "DELETE") {
         connection->respond(signedHead(request.header("Apricotladder-Attempt-Id"), "text/plain"), {}, BodyFraming::Delimited);
+    } else if (m_loop.now() < m_backsOffUntil) {
+        refuseWithRetryAfter(connection, request.header("Apricotladder-Attempt-Id"));
     } else if (request.number = ++m_requestCount; request.number % declineEveryNth == 0) {
         connection->respond(declinedHead(), {}, BodyFraming::Delimited);
     } else if (request.header("Apricotladder-Inference-Phase") == "prefill") {
@@ -148,7 +187,7 @@
 
 void SoakEngine::runPrefill(const SoakServerConnection::Ptr &connection, const Request &request)
 {
-    m_loop.after(prefillTime, [connection, request] {
+    m_loop.after(prefillTime, [this, connection, request] {
         connection->respond(signedHead(request.header("Apricotladder-Attempt-Id"), "application/json"),
                             R"({"kv-handle":"h","tokens":100,"version":1})", framingOf(request.number));
     });
--- a/tests/soak/soakengine.h
+++ b/tests/soak/soakengine.h
@@ -60,6 +60,12 @@
     /// Breaks off the answers that begin during \a duration in the given \a manner. Thread-safe.
     void breakAnswers(BreakOff manner, absl::Duration duration);
 
+    /// Says in all answers from now on that the engine is leaving. Thread-safe.
+    void announceLeaving();
+
+    /// Refuses all requests for \a duration with a Retry-After that ends with it. Thread-safe.
+    void backOff(absl::Duration duration);
+
 private:
     struct Request
     {
@@ -82,6 +88,10 @@
     void sendEvents(const SoakServerConnection::Ptr &connection, const std::string &attemptId, int next, int breakOffAt);
     void breakInsideEvent(const SoakServerConnection::Ptr &connection, const std::string &attemptId, int event);
     bool breaksAnswers() const;
+    void refuseWithRetryAfter(const SoakServerConnection::Ptr &connection, const std::string &attemptId);
+    HttpResponseHead makeHead(int status) const;
+    HttpResponseHead signedHead(const std::string &attemptId, const char *contentType) const;
+    HttpResponseHead declinedHead() const;
 
     SoakEngineIdentity m_identity;
     SoakLedger &m_ledger;
@@ -92,6 +102,8 @@
     absl::Time m_silentUntil = absl::InfinitePast();
     absl::Time m_breaksUntil = absl::InfinitePast();
     BreakOff m_breakOff = BreakOff::Reset;
+    absl::Time m_backsOffUntil = absl::InfinitePast();
+    bool m_isLeaving = false;
     std::unique_ptr<TcpListener> m_listener;
     std::string m_address;
     Thread m_thread;
--- a/tests/soak/soakledger.cpp
+++ b/tests/soak/soakledger.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <absl/time/clock.h>
 
 #include <map>
 #include <optional>
@@ -128,6 +129,11 @@
                       call.circumstances.node);
 }
 
+EngineAtNode engineAtNode(const SoakCall &call, const std::string &engine)
+{
+    return EngineAtNode{engine, NodeLifetime{call.node, call.incarnation}};
+}
+
 /// Returns what helps to find a call in the logs.
 std::string describe(const SoakCall &call)
 {
@@ -211,6 +217,22 @@
     });
 }
 
+void SoakLedger::recordArrival(const std::string &attemptId, const std::string &engine)
+{
+    const SoakCall call = m_calls.find(attemptId);
+    m_notices.recordArrival(engineAtNode(call, engine), EngineArrival{attemptId, call.sentAt, absl::Now()});
+}
+
+void SoakLedger::recordBackOff(const std::string &attemptId, const std::string &engine, const EngineBackOff &backOff)
+{
+    m_notices.recordBackOff(engineAtNode(m_calls.find(attemptId), engine), backOff);
+}
+
+void SoakLedger::recordLeavingAnswer(const std::string &attemptId, const std::string &engine)
+{
+    m_calls.update(attemptId, [&](SoakCall &it) { it.leavingEngines.insert(engine); });
+}
+
 void SoakLedger::recordBrokenOff(const std::string &attemptId)
 {
     m_calls.update(attemptId, [&](SoakCall &it) { it.wasBrokenOff = true; });
@@ -218,10 +240,16 @@
 
 void SoakLedger::recordOutcome(const std::string &attemptId, const SoakOutcome &outcome, const CallCircumstances &circumstances)
 {
-    m_calls.update(attemptId, [&](SoakCall &it) {
+    const SoakCall call = m_calls.update(attemptId, [&](SoakCall &it) {
         it.outcome = outcome;
         it.circumstances = circumstances;
+        return it;
     });
+    // If several engines ran the call, the answer may be that of another one.
+    const bool isItsOnlyRun = call.runs.size() == 1 && call.leavingEngines.contains(call.runs.front());
+    if (isItsOnlyRun && std::holds_alternative<ResponseComplete>(outcome)) {
+        m_notices.recordLeavingPassedOn(engineAtNode(call, call.runs.front()), absl::Now());
+    }
 }
 
 std::vector<std::string> SoakLedger::findViolations() const
@@ -259,7 +287,9 @@
                             },
                             call.outcome)];
     });
-    return absl::StrJoin(counts, ", ", [](std::string *out, const auto &it) { absl::StrAppend(out, it.second, " ", it.first); });
+    return absl::StrCat(
+        absl::StrJoin(counts, ", ", [](std::string *out, const auto &it) { absl::StrAppend(out, it.second, " ", it.first); }), "; ",
+        m_notices.summary());
 }
 
 }
--- a/tests/soak/soakledger.h
+++ b/tests/soak/soakledger.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "soak/enginenotices.h"
 #include "state/mutex.h"
 #include "state/shardedmap.h"
 
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -105,6 +107,7 @@
     int incarnation = 0; ///< incarnation of that node's process
     bool usesSlowPath = false; ///< sent by a caller that calls rarely, over a slow path
     absl::Time sentAt; ///< wall clock time, as in the nodes' logs
+    std::set<std::string> leavingEngines; ///< engines whose answer to it said that they are leaving
     bool wasBrokenOff = false; ///< an engine broke off an answer to it
     CallCircumstances circumstances;
     std::vector<std::string> runs; ///< engines that ran it
@@ -141,6 +144,15 @@
     /// Records that \a engine runs a call.
     void recordRun(const std::string &attemptId, const std::string &engine, const std::string &target, const std::string &body);
 
+    /// Records that a request of a call has reached an engine.
+    void recordArrival(const std::string &attemptId, const std::string &engine);
+
+    /// Records that an engine has refused a call with a Retry-After.
+    void recordBackOff(const std::string &attemptId, const std::string &engine, const EngineBackOff &backOff);
+
+    /// Records that an engine's answer to a call says that the engine is leaving.
+    void recordLeavingAnswer(const std::string &attemptId, const std::string &engine);
+
     /// Records that an engine breaks off its answer to a call.
     void recordBrokenOff(const std::string &attemptId);
 
@@ -149,6 +161,12 @@
     /// Returns descriptions of the violated guarantees of all calls, each with the attempt's id.
     std::vector<std::string> findViolations() const;
 
+    /// Returns descriptions of the requests that engines did not want any more, and had said so.
+    std::vector<std::string> findUnwantedRequests() const
+    {
+        return m_notices.findViolations();
+    }
+
     /// Returns the calls for which isNodeFailure() holds.
     std::vector<SoakCall> callsFailedByNodes() const;
 
@@ -157,6 +175,7 @@
 
 private:
     ShardedMap<std::string, SoakCall, 8> m_calls;
+    EngineNoticeLedger m_notices;
 };
 
 }
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -29,11 +29,17 @@
     SoakSize size;
 };
 
-/// Word that selects SoakProfile::Planned.
-constexpr const char *plannedProfile = "planned";
+/// Returns the profile that \a word selects; SoakProfile::Faults for every other word.
+SoakProfile profileFromWord(const std::string &word)
+{
+    if (word == "planned") {
+        return SoakProfile::Planned;
+    }
+    return word == "notices" ? SoakProfile::Notices : SoakProfile::Faults;
+}
 
-/// Reads the cases of a file. Each line holds the seed, the number of nodes and engines, the duration in seconds, the word "planned" if
-/// the run has that profile, and a description of the fault that the case once found.
+/// Reads the cases of a file. Each line holds the seed, the number of nodes and engines, the duration in seconds, the profile unless
+/// it is "faults", and a description of the fault that the case once found.
 std::vector<RunCase> readCases(const std::string &path)
 {
     std::vector<RunCase> cases;
@@ -45,7 +51,8 @@
         if (text >> it.seed >> it.size.nodes >> it.size.engines >> seconds) {
             it.size.duration = absl::Seconds(seconds);
             std::string word;
-            it.size.profile = text >> word && word == plannedProfile ? SoakProfile::Planned : SoakProfile::Faults;
+            text >> word;
+            it.size.profile = profileFromWord(word);
             cases.push_back(it);
         }
     }
@@ -62,8 +69,7 @@
     for (std::uint64_t seed = first; seed < first + options["seeds"].as<std::uint64_t>(); ++seed) {
         cases.push_back(RunCase{seed,
                                 {options["nodes"].as<std::size_t>(), options["engines"].as<std::size_t>(),
-                                 absl::Seconds(options["seconds"].as<double>()),
-                                 options["profile"].as<std::string>() == plannedProfile ? SoakProfile::Planned : SoakProfile::Faults}});
+                                 absl::Seconds(options["seconds"].as<double>()), profileFromWord(options["profile"].as<std::string>())}});
     }
     return cases;
 }
@@ -115,7 +121,9 @@
         "seconds", "Duration of the fault phase of each run, in seconds",
         cxxopts::value<double>()->default_value("20"))("nodes", "Number of entry nodes", cxxopts::value<std::size_t>()->default_value("3"))(
         "engines", "Number of engines of all kinds", cxxopts::value<std::size_t>()->default_value("7"))(
-        "profile", "Kind of steps: faults, or planned for planned operations and engines that are silent or break off answers",
+        "profile",
+        "Kind of steps: faults, planned (planned operations, engines that are silent or break off answers) or notices (also engines that "
+        "announce in their answers that they leave or for how long they refuse)",
         cxxopts::value<std::string>()->default_value("faults"))("cases", "File with cases to run instead of the given seeds and sizes",
                                                                 cxxopts::value<std::string>())(
         "folder", "Parent folder for settings and logs", cxxopts::value<std::string>()->default_value("/tmp"))("h,help", "Show this help");
--- a/tests/soak/soakplatform.cpp
+++ b/tests/soak/soakplatform.cpp
@@ -15,6 +15,9 @@
 /// How long an engine continues to serve after it has announced that it is leaving.
 constexpr absl::Duration leavingTime = absl::Milliseconds(2500);
 
+/// How long the store lists a leaving engine as ready if only its answers say that it leaves.
+const absl::Duration unlistedLeavingTime = 3 * drainTime;
+
 /// Engines of the second services, which the steps do not name.
 constexpr std::size_t secondPlainEngines = 2;
 constexpr std::size_t secondModelEngines = 4;
@@ -35,7 +38,7 @@
         const std::string phase = phases[i % std::size(phases)];
         addEngine(SoakEngineIdentity{absl::StrCat("engine-", i), phase.empty() ? "desk" : "model", phase, 0});
     }
-    if (size.profile == SoakProfile::Planned) {
+    if (size.profile != SoakProfile::Faults) {
         for (std::size_t i = 0; i < secondPlainEngines; ++i) {
             addEngine(SoakEngineIdentity{absl::StrCat("desk-2-engine-", i), "desk-2", "", 0});
         }
@@ -91,9 +94,20 @@
 }
 
 void SoakPlatform::replaceEngine(std::size_t engine)
+{
+    registerEngine(m_engines.at(engine), "draining");
+    startSuccessor(engine, leavingTime);
+}
+
+void SoakPlatform::leaveUnlisted(std::size_t engine)
+{
+    startSuccessor(engine, unlistedLeavingTime);
+}
+
+void SoakPlatform::startSuccessor(std::size_t engine, absl::Duration removalDelay)
 {
     EngineEntry &entry = m_engines.at(engine);
-    registerEngine(entry, "draining");
+    entry.engine->announceLeaving();
     const std::string leavingId = entry.identity.id;
     m_leavingEngines.push_back(std::move(entry.engine));
     m_leavingPaths.push_back(std::move(entry.path));
@@ -101,7 +115,12 @@
     entry.path = nullptr;
     startEngine(entry);
     registerEngine(entry, "ready");
-    m_loop.after(leavingTime, [this, leavingId] { m_store.remove("servers", leavingId); });
+    m_loop.after(removalDelay, [this, leavingId] { m_store.remove("servers", leavingId); });
+}
+
+void SoakPlatform::backOffEngine(std::size_t engine, absl::Duration duration)
+{
+    m_engines.at(engine).engine->backOff(duration);
 }
 
 void SoakPlatform::crashEngine(std::size_t engine)
--- a/tests/soak/soakplatform.h
+++ b/tests/soak/soakplatform.h
@@ -39,6 +39,12 @@
 
     /// Replaces an engine as planned: the old one serves for a while longer, and a new one with another id starts.
     void replaceEngine(std::size_t engine);
+
+    /// Like replaceEngine(), but the store learns late that the engine leaves.
+    void leaveUnlisted(std::size_t engine);
+
+    /// Makes an engine refuse all requests for \a duration.
+    void backOffEngine(std::size_t engine, absl::Duration duration);
     void crashEngine(std::size_t engine);
 
     /// Makes an engine silent for \a duration; it stays sound.
@@ -61,6 +67,7 @@
     void addEngine(const SoakEngineIdentity &identity);
     void startEngine(EngineEntry &entry);
     void registerEngine(const EngineEntry &entry, const char *state);
+    void startSuccessor(std::size_t engine, absl::Duration removalDelay);
 
     EventLoop &m_loop;
     SoakLedger &m_ledger;
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -166,6 +166,10 @@
     checkFailuresExplained();
     const std::vector<std::string> ledgerViolations = m_ledger.findViolations();
     m_violations.insert(m_violations.end(), ledgerViolations.begin(), ledgerViolations.end());
+    if (m_size.profile == SoakProfile::Notices) {
+        const std::vector<std::string> unwanted = m_ledger.findUnwantedRequests();
+        m_violations.insert(m_violations.end(), unwanted.begin(), unwanted.end());
+    }
     m_violations.insert(m_violations.end(), m_callers->lostRoutes().begin(), m_callers->lostRoutes().end());
     return m_violations;
 }
@@ -342,4 +346,14 @@
     m_platform->breakAnswers(it.engine, it.manner, it.duration);
 }
 
+void SoakRun::apply(const LeaveUnlisted &it)
+{
+    m_platform->leaveUnlisted(it.engine);
+}
+
+void SoakRun::apply(const BackOffEngine &it)
+{
+    m_platform->backOffEngine(it.engine, it.duration);
+}
+
 }
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -70,6 +70,8 @@
     void apply(const ChangeDesiredState &it);
     void apply(const SilenceEngine &it);
     void apply(const BreakAnswers &it);
+    void apply(const LeaveUnlisted &it);
+    void apply(const BackOffEngine &it);
     NodeCondition nodeCondition(std::size_t node, int incarnation, absl::Time start) const;
     void pollProcesses();
     void handleProcessExit(std::size_t node, int status);
--- a/tests/soak/soakserverconnection.h
+++ b/tests/soak/soakserverconnection.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace Apricot {
 
@@ -57,6 +58,12 @@
     /// Sends \a bytes as they are.
     void write(std::string_view bytes);
 
+    /// Runs \a task when all output before it has been sent.
+    void afterOutput(std::function<void()> task)
+    {
+        perform(std::move(task));
+    }
+
     /// Closes the connection in order.
     void close();
 
--- a/tests/soak/soakstep.cpp
+++ b/tests/soak/soakstep.cpp
@@ -21,6 +21,9 @@
 constexpr absl::Duration seriesInterval = absl::Milliseconds(300);
 constexpr absl::Duration maxSeriesStartInterval = absl::Milliseconds(1600);
 
+constexpr absl::Duration minBackOff = absl::Milliseconds(800);
+constexpr absl::Duration maxBackOff = absl::Seconds(4);
+
 constexpr absl::Duration minFaultDuration = absl::Milliseconds(200);
 constexpr absl::Duration maxFaultDuration = absl::Milliseconds(3500);
 
@@ -86,7 +89,8 @@
     /// Draws a series of actions of one kind, with their times since the start of the series.
     std::vector<SoakStep> drawSeries()
     {
-        switch (drawUpTo(6)) {
+        const std::int64_t kinds = m_size.profile == SoakProfile::Notices ? 9 : 7;
+        switch (drawUpTo(kinds - 1)) {
         case 0:
         case 1:
             return drawRepeated(seriesInterval, [this] { return ChangeDesiredState{drawChange()}; });
@@ -98,6 +102,12 @@
             return drawRepeated(2 * seriesInterval, [this] { return ReplaceEngine{drawEngine()}; });
         case 5:
             return drawRepeated(seriesInterval, [this] { return SilenceEngine{drawEngine(), drawSilence()}; });
+        case 7:
+            return drawRepeated(2 * seriesInterval, [this] { return LeaveUnlisted{drawEngine()}; });
+        case 8:
+            return drawRepeated(2 * seriesInterval, [this] {
+                return BackOffEngine{drawEngine(), minBackOff + drawUpTo(maxBackOff - minBackOff)};
+            });
         default:
             return drawRepeated(2 * seriesInterval, [this] {
                 return BreakAnswers{drawEngine(), static_cast<BreakOff>(drawUpTo(2)), absl::Milliseconds(300)};
@@ -215,7 +225,7 @@
 std::vector<SoakStep> planSoak(std::uint64_t seed, const SoakSize &size)
 {
     StepGenerator source(seed, size);
-    if (size.profile == SoakProfile::Planned) {
+    if (size.profile != SoakProfile::Faults) {
         return planSeries(source, size);
     }
     std::vector<SoakStep> steps;
@@ -248,6 +258,10 @@
             [](const CrashEngine &it) { return absl::StrCat("engine ", it.engine, " crashes and restarts with the same id"); },
             [](const ChangeDesiredState &it) { return "the desired state changes: " + describeChange(it.change); },
             [](const SilenceEngine &it) { return absl::StrCat("engine ", it.engine, " is silent", durationText(it.duration)); },
+            [](const LeaveUnlisted &it) { return absl::StrCat("engine ", it.engine, " leaves; only its answers say so"); },
+            [](const BackOffEngine &it) {
+                return absl::StrCat("engine ", it.engine, " refuses with Retry-After", durationText(it.duration));
+            },
             [](const BreakAnswers &it) {
                 return absl::StrCat("engine ", it.engine, " breaks off its answers (", breakOffName(it.manner), ")",
                                     durationText(it.duration));
@@ -259,9 +273,18 @@
 
 bool isPlannedOperation(const SoakAction &action)
 {
-    return std::holds_alternative<RestartNode>(action) || std::holds_alternative<ReloadNode>(action)
-        || std::holds_alternative<ReplaceEngine>(action) || std::holds_alternative<ChangeDesiredState>(action)
-        || std::holds_alternative<SilenceEngine>(action) || std::holds_alternative<BreakAnswers>(action);
+    return std::visit(Overloaded{
+                          [](const RestartNode &) { return true; },
+                          [](const ReloadNode &) { return true; },
+                          [](const ReplaceEngine &) { return true; },
+                          [](const ChangeDesiredState &) { return true; },
+                          [](const SilenceEngine &) { return true; },
+                          [](const BreakAnswers &) { return true; },
+                          [](const LeaveUnlisted &) { return true; },
+                          [](const BackOffEngine &) { return true; },
+                          [](const auto &) { return false; },
+                      },
+                      action);
 }
 
 absl::Duration disturbanceDuration(const SoakAction &action)
--- a/tests/soak/soakstep.h
+++ b/tests/soak/soakstep.h
@@ -119,15 +119,30 @@
     friend bool operator==(const BreakAnswers &, const BreakAnswers &) = default;
 };
 
+/// An engine leaves and is replaced. Only its answers say so; its entry in the store stays ready for long.
+struct LeaveUnlisted
+{
+    std::size_t engine = 0;
+    friend bool operator==(const LeaveUnlisted &, const LeaveUnlisted &) = default;
+};
+
+/// An engine refuses all requests for a while, and says for how long.
+struct BackOffEngine
+{
+    std::size_t engine = 0;
+    absl::Duration duration;
+    friend bool operator==(const BackOffEngine &, const BackOffEngine &) = default;
+};
+
 struct ChangeDesiredState
 {
     DesiredChange change;
     friend bool operator==(const ChangeDesiredState &, const ChangeDesiredState &) = default;
 };
 
-using SoakAction
-    = std::variant<KillNode, KillAllNodes, RestartNode, PauseNode, ReloadNode, DisturbStorePath, DisturbEnginePath, TakeStoreDown,
-                   DropStoreHistory, ReplaceEngine, CrashEngine, ChangeDesiredState, SilenceEngine, BreakAnswers>;
+using SoakAction = std::variant<KillNode, KillAllNodes, RestartNode, PauseNode, ReloadNode, DisturbStorePath, DisturbEnginePath,
+                                TakeStoreDown, DropStoreHistory, ReplaceEngine, CrashEngine, ChangeDesiredState, SilenceEngine,
+                                BreakAnswers, LeaveUnlisted, BackOffEngine>;
 
 /// One planned operation or injected fault.
 struct SoakStep
@@ -142,6 +157,7 @@
 enum class SoakProfile : std::uint8_t {
     Faults, ///< all kinds of faults beside planned operations
     Planned, ///< series of planned operations that overlap, silent engines, and engines that break off single answers
+    Notices, ///< as Planned, and engines that say in their answers that they are leaving or for how long they refuse
 };
 
 /// Size of the deployment, duration and steps of a run.
