soak: Bound the silence of an engine, and what callers take for the idle timeout in force

Callers now count with the lowest one that was in force from 2 s before a call until its end. The check is the same.

--- a/tests/soak/soakcallers.cpp
+++ b/tests/soak/soakcallers.cpp
@@ -49,6 +49,7 @@
     SoakCall sent;
     std::size_t node = 0;
     int incarnation = 0;
+    std::size_t caller = 0; ///< index of its connection pool
     absl::Time startTime;
     std::shared_ptr<HttpExchange> exchange;
     HttpResponseHead head;
@@ -66,6 +67,8 @@
     , m_hooks(std::move(hooks))
     , m_random(seed)
     , m_pools(1 + slowCallerCount)
+    , m_idleTimeoutSince(loop.now())
+    , m_idleTimeoutBefore(m_desired.idleTimeout)
     , m_sizeLimitsSince(loop.now())
     , m_knownRoutes(m_nodes.size())
 {
@@ -82,9 +85,20 @@
     if (state.bodyBytes != m_desired.bodyBytes || state.headerBytes != m_desired.headerBytes) {
         m_sizeLimitsSince = m_loop.now();
     }
+    if (state.idleTimeout != m_desired.idleTimeout) {
+        m_idleTimeoutBefore = m_loop.now() - m_idleTimeoutSince > changeApplyTime ? m_desired.idleTimeout
+                                                                                  : std::min(m_idleTimeoutBefore, m_desired.idleTimeout);
+        m_idleTimeoutSince = m_loop.now();
+    }
     m_desired = state;
 }
 
+absl::Duration SoakCallers::usableIdleTime() const
+{
+    const bool hasJustChanged = m_loop.now() - m_idleTimeoutSince <= changeApplyTime;
+    return (hasJustChanged ? std::min(m_idleTimeoutBefore, m_desired.idleTimeout) : m_desired.idleTimeout) * usedIdleFraction;
+}
+
 void SoakCallers::start()
 {
     sendNextCall();
@@ -180,7 +194,7 @@
     request.encodedRequest = encodeHttpRequest(head, call.body);
     request.connectTimeout = absl::Seconds(1);
     request.maxIdleTime = absl::InfiniteDuration();
-    request.keepAliveTime = m_desired.idleTimeout * usedIdleFraction;
+    request.keepAliveTime = usableIdleTime();
     HttpExchange::Callbacks callbacks;
     callbacks.onHead = [it](const HttpResponseHead &answer) {
         it->head = answer;
@@ -202,8 +216,8 @@
             return;
         }
     };
-    ConnectionPool &pool = m_pools.at(isSlow ? 1 + m_random() % slowCallerCount : 0);
-    it->exchange = HttpExchange::start(m_loop, pool, std::move(request), std::move(callbacks));
+    it->caller = isSlow ? 1 + m_random() % slowCallerCount : 0;
+    it->exchange = HttpExchange::start(m_loop, m_pools.at(it->caller), std::move(request), std::move(callbacks));
     const bool disconnects = m_random() % disconnectEveryNth == 0 && !onEnded;
     const absl::Duration timeout = disconnects ? absl::Milliseconds(m_random() % maxDisconnectDelayMs) : callTimeout;
     it->timer = m_loop.after(timeout, [this, it, disconnects] {
@@ -219,6 +233,13 @@
         return;
     }
     --m_activeCalls;
+    if (m_idleTimeoutSince >= call->startTime) {
+        // The pool keeps the connection for as long as the idle timeout at the start of the call allowed.
+        if (const std::shared_ptr<TcpConnection> last
+            = m_pools.at(call->caller).acquire(m_nodes.at(call->node), absl::InfiniteDuration(), m_loop.now())) {
+            last->close();
+        }
+    }
     m_loop.cancel(call->timer);
     m_ledger.recordOutcome(call->sent.attemptId, outcome, circumstancesOf(*call));
     if (std::holds_alternative<ResponseComplete>(outcome)) {
--- a/tests/soak/soakcallers.h
+++ b/tests/soak/soakcallers.h
@@ -22,7 +22,7 @@
  * \brief Sends calls of all kinds to random nodes over persistent connections, and sometimes disconnects early.
  *
  * Some callers call rarely, over a slow path. They use connections that have been idle for up to four fifths of the idle timeout that
- * was in force when the connection was last used.
+ * was in force when the connection was last used: the lowest one, if it changed about then.
  *
  * Used only on the thread of its event loop.
  */
@@ -74,6 +74,7 @@
     SoakCall drawCall();
     SoakCall makeCall(CallKind kind, const std::string &prefix);
     std::size_t drawBodySize();
+    absl::Duration usableIdleTime() const;
     bool isAllowed(const Call &call) const;
     CallCircumstances circumstancesOf(const Call &call) const;
 
@@ -93,6 +94,8 @@
     std::vector<ConnectionPool> m_pools; ///< one per caller; the first one belongs to the callers that call often
     std::vector<std::unique_ptr<LoopbackProxy>> m_slowPaths; ///< indexed by node
     SoakDesiredState m_desired;
+    absl::Time m_idleTimeoutSince; ///< when the idle timeout last changed
+    absl::Duration m_idleTimeoutBefore; ///< the lowest idle timeout of the changes shortly before that
     absl::Time m_sizeLimitsSince; ///< when the size limits last changed
     std::vector<KnownRoute> m_knownRoutes; ///< indexed by node
     std::vector<std::string> m_lostRoutes;
--- a/tests/soak/soakengine.cpp
+++ b/tests/soak/soakengine.cpp
@@ -3,7 +3,6 @@
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -23,6 +22,8 @@
 constexpr std::uint64_t unframedEveryNth = 5;
 constexpr absl::Duration slowRunTime = absl::Milliseconds(700);
 
+constexpr absl::Duration minTimeBetweenSilences = absl::Seconds(1);
+
 /// An event is cut after this many bytes when a stream is broken off inside it.
 constexpr std::size_t partOfEventBytes = 9;
 
@@ -68,13 +69,12 @@
 void SoakEngine::fallSilent(absl::Duration duration)
 {
     m_loop.post([this, duration] {
-        m_silentUntil = std::max(m_silentUntil, m_loop.now() + duration);
+        if (m_loop.now() < m_silentUntil + minTimeBetweenSilences) {
+            return; // Two silences in a row would be a longer one than a sound engine has.
+        }
+        m_silentUntil = m_loop.now() + duration;
         setSilent(true);
-        m_loop.after(duration, [this] {
-            if (m_loop.now() >= m_silentUntil) {
-                setSilent(false);
-            }
-        });
+        m_loop.after(duration, [this] { setSilent(false); });
     });
 }
 
--- a/tests/soak/soakengine.h
+++ b/tests/soak/soakengine.h
@@ -54,7 +54,7 @@
         return m_address;
     }
 
-    /// Sends nothing for \a duration, and then goes on where it was. Thread-safe.
+    /// Sends nothing for \a duration, and then goes on where it was. Does nothing shortly after another silence. Thread-safe.
     void fallSilent(absl::Duration duration);
 
     /// Breaks off the answers that begin during \a duration in the given \a manner. Thread-safe.
