frontend: Use the service with which a call was decoded

A configuration that removes a plain service could end the process, and with it every call in progress. Cause: handlePlainCall() decodes a call with one configuration, PlainFlow looked its service up in the current one with at(); if the service was removed in between, the exception left a worker thread, which ends the process. PlainFlow now gets the service that the call was checked against.

No test: the window is a few microseconds, and the constructor no longer has the look-up.

--- a/packages/apricotladderd/frontend.cpp
+++ b/packages/apricotladderd/frontend.cpp
@@ -332,7 +332,7 @@
     }
     const PlainCall &call = std::get<PlainCall>(decoded);
     const CallThreads::ActiveScope activeScope(m_callThreads);
-    const auto result = PlainFlow(m_context, call, m_sequence++).run();
+    const auto result = PlainFlow(m_context, call, (*config)->services.at(call->service), m_sequence++).run();
     if (const auto *error = std::get_if<Error>(&result)) {
         return errorResponse(*error, call->id, absl::Milliseconds(500));
     }
--- a/packages/apricotladderd/plainflow.cpp
+++ b/packages/apricotladderd/plainflow.cpp
@@ -30,10 +30,10 @@
 
 }
 
-PlainFlow::PlainFlow(NodeContext context, PlainCall call, std::uint64_t sequence)
+PlainFlow::PlainFlow(NodeContext context, PlainCall call, Service service, std::uint64_t sequence)
     : m_context(context)
     , m_call(std::move(call))
-    , m_service((*m_context.config.current())->services.at(m_call->service))
+    , m_service(std::move(service))
     , m_sequence(sequence)
     , m_attemptId(
           absl::StrCat(m_call->id.text(), "/", m_context.settings->node.text(), "/", absl::ToUnixMicros(absl::Now()), "/", sequence))
--- a/packages/apricotladderd/plainflow.h
+++ b/packages/apricotladderd/plainflow.h
@@ -27,7 +27,8 @@
 class PlainFlow
 {
 public:
-    PlainFlow(NodeContext context, PlainCall call, std::uint64_t sequence);
+    /// \a service is the service of \a call in the configuration with which the call was decoded.
+    PlainFlow(NodeContext context, PlainCall call, Service service, std::uint64_t sequence);
 
     /// Executes the call on the calling thread; returns the response or the error.
     std::variant<PlainResponse, Error> run();
