entry: Do not take a slow caller for a stalled engine

A stream whose caller did not read for 1.5 s was taken from its sound engine and resumed at another, which costs a retry and a prefill and counts against the sound engine; when the second one declines, the stream is cut. Cause: reading from the engine is paused while too many bytes wait for the caller, but the stall timeout went on. It now starts anew when reading goes on.

--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -399,7 +399,10 @@
     m_reservation.recordEvents(m_events.count(), m_stageStart, now);
     if (m_caller->unsentBytes() > maxUnsentBytes) {
         m_exchange->setReading(false);
-        m_caller->setDrainedHandler([self = shared_from_this()] { self->m_exchange->setReading(true); });
+        m_caller->setDrainedHandler([self = shared_from_this()] {
+            self->m_lastEventTime = self->m_loop.events().now();
+            self->m_exchange->setReading(true);
+        });
     }
 }
 
@@ -423,7 +426,8 @@
 
 void StreamCall::handleStall()
 {
-    if (!m_streamStarted || m_finished || !canResumeOnOtherEngine()) {
+    // While the caller does not read, the engine is not read either, and its silence means nothing.
+    if (!m_streamStarted || m_finished || m_caller->unsentBytes() > 0 || !canResumeOnOtherEngine()) {
         return;
     }
     // The engine may be sound and go on, so it is only given up for one that has capacity now.
--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -130,6 +130,19 @@
     }
 
     HttpReply call(const std::string &path, const std::string &method = "GET", const std::string &body = {}) const
+    {
+        return HttpClient::call(makeCall(path, method, body));
+    }
+
+    /// Sends a call and passes the parts of its response to \a receiver.
+    HttpReply stream(const std::string &path, const StreamReceiver &receiver) const
+    {
+        HttpCall call = makeCall(path, "POST", "prompt");
+        call.idleTimeout = testTimeout;
+        return HttpClient::stream(call, receiver);
+    }
+
+    HttpCall makeCall(const std::string &path, const std::string &method, const std::string &body) const
     {
         HttpCall call;
         call.method = method;
@@ -141,7 +154,7 @@
         call.body = body;
         call.timeout = testTimeout;
         call.dedicatedConnection = true;
-        return HttpClient::call(call);
+        return call;
     }
 
     HttpReply fetch(const std::string &address, const std::string &path) const
@@ -562,6 +575,35 @@
     BOOST_TEST(sound.receivedRequests().front().header("Last-Event-Id") == "2");
 }
 
+/// Guards against a sound engine that is replaced because its caller reads slowly.
+BOOST_AUTO_TEST_CASE(anEngineIsNotStalledWhileItsCallerReadsSlowly)
+{
+    constexpr int eventCount = 40;
+    store.put("config", "main", desiredState(3, Json::array({resumableRouteWithShortPauses()})));
+    addEngine("d-1", "model", "decode", [](EventLoop &, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request) {
+        PlatformEngineStandIn::beginEventStream(connection, request, 1, 1);
+        for (int i = 2; i <= eventCount; ++i) {
+            connection->sendChunk("id: " + std::to_string(i) + "\ndata: " + std::string(500'000, 'x') + "\n\n");
+        }
+        connection->endStream();
+    });
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    PlatformEngineStandIn *other = nullptr;
+    std::string received;
+    const HttpReply reply = node.stream("/quick/x", [&](std::string_view part) {
+        if (other == nullptr && !part.empty()) {
+            other = &addEngine("d-2", "model", "decode", streamSlowly);
+            absl::SleepFor(absl::Milliseconds(2200));
+        }
+        received.append(part);
+        return true;
+    });
+    BOOST_TEST((reply.outcome == CallOutcome::Answered));
+    BOOST_TEST(countEventIds(received) == eventCount);
+    BOOST_TEST(other->receivedRequests().empty());
+}
+
 /// Guards against a stream that looks complete although its engine broke off inside an event.
 BOOST_AUTO_TEST_CASE(aStreamThatEndsInsideAnEventIsBroken)
 {
