transport: Let a raised header timeout apply at once

A caller on an open connection got 408 for a request whose head took longer than the old limit, though a change had raised the limit before the request was sent. Evidence: the test failed before, with a 408.

--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -271,12 +271,13 @@
     }
     const absl::Duration elapsed = m_loop.now() - m_phaseStart;
     const bool isReadingHead = m_parser && m_parser->state() == ParseState::Head;
-    if (!m_requestInProgress && isReadingHead && elapsed > m_limits.headerTimeout) {
+    // The client may rely on the limits of its last response, so lower ones apply from its next response on.
+    const HttpServerLimits current = m_hooks->limits();
+    if (!m_requestInProgress && isReadingHead && elapsed > std::max(m_limits.headerTimeout, current.headerTimeout)) {
         rejectRequest(ParseState::Head);
         return;
     }
-    // The client may rely on the limit of its last response, so a lower one applies from its next response on.
-    const absl::Duration idleTimeout = std::max(m_limits.idleTimeout, m_hooks->limits().idleTimeout);
+    const absl::Duration idleTimeout = std::max(m_limits.idleTimeout, current.idleTimeout);
     if (!m_requestInProgress && elapsed > idleTimeout) {
         close(ServerCloseReason::IdleTimeout);
         return;
--- a/packages/transport/tests/exchange/testserverconnection.cpp
+++ b/packages/transport/tests/exchange/testserverconnection.cpp
@@ -175,6 +175,20 @@
     BOOST_TEST(!client.isEnded());
 }
 
+/// Guards against a call that is rejected as late by a limit that a change has raised before the call was sent.
+BOOST_AUTO_TEST_CASE(aRaisedHeaderTimeoutAppliesToTheNextRequest)
+{
+    RawClient client(listener->port());
+    client.send(getRequest);
+    runUntil([&] { return client.responseCount() == 1; });
+    limits.headerTimeout = longIdleTimeout;
+    client.send("GET /x HTTP/1.1\r\n");
+    runFor(shortIdleTimeout * 5);
+    client.send("Host: h\r\n\r\n");
+    runUntil([&] { return client.responseCount() == 2; });
+    BOOST_TEST(client.received().find("408") == std::string::npos);
+}
+
 /// Guards against a call that is rejected as too large by a limit that a change has raised before the call was sent.
 BOOST_AUTO_TEST_CASE(raisedSizeLimitsApplyToTheNextRequest)
 {
