--- a/tests/platform/nodefixture.cpp
+++ b/tests/platform/nodefixture.cpp
@@ -104,8 +104,8 @@
             {"Apricotladder-Token-Usage", "100,50"}};
 }
 
-HttpReply NodeUnderTest::call(const std::string &path, const std::string &method, const std::string &body,
-                              const std::string &requestId) const
+HttpCall NodeUnderTest::makeCall(const std::string &path, const std::string &method, const std::string &body,
+                                 const std::string &requestId) const
 {
     HttpCall call;
     call.method = method;
@@ -114,21 +114,29 @@
     call.body = body;
     call.timeout = testTimeout;
     call.dedicatedConnection = true;
-    return HttpClient::call(call);
+    return call;
+}
+
+HttpReply NodeUnderTest::call(const std::string &path, const std::string &method, const std::string &body,
+                              const std::string &requestId) const
+{
+    return HttpClient::call(makeCall(path, method, body, requestId));
 }
 
 HttpReply NodeUnderTest::callWithPrompt(const std::string &path, const std::string &parts) const
 {
-    HttpCall call;
-    call.method = "POST";
-    call.url = "http://" + m_settings->callerAddress + path;
-    call.headers = callHeaders("attempt");
+    HttpCall call = makeCall(path, "POST", {}, "attempt");
     call.headers["Apricotladder-Prefix-Hash"] = parts;
-    call.timeout = testTimeout;
-    call.dedicatedConnection = true;
     return HttpClient::call(call);
 }
 
+HttpReply NodeUnderTest::stream(const std::string &path, const StreamReceiver &receiver) const
+{
+    HttpCall call = makeCall(path, "POST", "prompt", "attempt");
+    call.idleTimeout = testTimeout;
+    return HttpClient::stream(call, receiver);
+}
+
 FullResponse NodeUnderTest::callWithHead(const std::string &path) const
 {
     EventLoop loop;
--- a/tests/platform/nodefixture.h
+++ b/tests/platform/nodefixture.h
@@ -54,6 +54,9 @@
     /// Sends a call to a streaming route whose prompt consists of \a parts, the ids of parts separated by commas.
     HttpReply callWithPrompt(const std::string &path, const std::string &parts) const;
 
+    /// Sends a call to a streaming route and passes the parts of its response to \a receiver.
+    HttpReply stream(const std::string &path, const StreamReceiver &receiver) const;
+
     /// Sends a call without a body and returns the whole response with its head; its status is 0 if there is none.
     FullResponse callWithHead(const std::string &path) const;
 
@@ -77,6 +80,7 @@
     }
 
 private:
+    HttpCall makeCall(const std::string &path, const std::string &method, const std::string &body, const std::string &requestId) const;
     static std::map<std::string, std::string> callHeaders(const std::string &requestId);
 
     EntrySettings m_settings;
