coordination: Do not take an engine that fails fast for a fast one

Callers got the error of a failing engine although a sound one was there (500 instead of 200). Cause: the time of a failed attempt was recorded like that of an answer, so an engine whose errors come in a millisecond looked far cheaper than a sound one that takes longer, even with its penalty; call after call went there first and spent a retry, until the retry quota was used up. A failure now only counts as a time if it took longer than expected.

The network-free test uses a new function, so it does not compile on the code before.

--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -279,8 +279,12 @@
         if (!result) {
             return;
         }
+        if (*result == EngineResult::Failed) {
+            pool.recordFailedAttempt(attempt.engine->id, now - attempt.startedAt, now);
+            return;
+        }
         pool.recordResult(attempt.engine->id, *result, now);
-        if (*result == EngineResult::Succeeded || *result == EngineResult::Failed) {
+        if (*result == EngineResult::Succeeded) {
             pool.recordCost(attempt.engine->id, 1, now - attempt.startedAt, now);
         }
     });
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -609,6 +609,15 @@
     }
 }
 
+void ServicePool::recordFailedAttempt(const EngineId &engine, absl::Duration duration, absl::Time now)
+{
+    recordResult(engine, EngineResult::Failed, now);
+    const auto it = m_engines.find(engine);
+    if (it != m_engines.end() && duration > it->second.health.cost(expectedCost(it->second.entry->stage), now)) {
+        it->second.health.recordCost(1, duration, now);
+    }
+}
+
 std::vector<EngineId> ServicePool::unreachableEngines(absl::Time now) const
 {
     std::vector<EngineId> unreachable;
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -170,6 +170,9 @@
     /// Records that \a units of work took \a duration at an engine.
     void recordCost(const EngineId &engine, double units, absl::Duration duration, absl::Time now);
 
+    /// Records that an attempt at a plain endpoint has failed after \a duration. A fast failure says nothing about the endpoint's speed.
+    void recordFailedAttempt(const EngineId &engine, absl::Duration duration, absl::Time now);
+
     /// Replaces the loads that \a node has placed on the engines of this service, and its calls that wait for capacity there.
     void setPeerLoads(const NodeId &node, const std::vector<EngineLoad> &loads, const std::vector<WaitingCall> &waiting, absl::Time now)
     {
--- a/packages/coordination/tests/entry/testservicepool.cpp
+++ b/packages/coordination/tests/entry/testservicepool.cpp
@@ -131,6 +131,24 @@
     BOOST_TEST((*pool.placePlain(here, {}, start))->id.text() == "good");
 }
 
+/// Guards against an engine that attracts calls because its errors come faster than the answers of a sound one.
+BOOST_AUTO_TEST_CASE(anEngineThatFailsFastDoesNotCountAsFast)
+{
+    ServicePool pool;
+    pool.apply(engine("failing", EngineStage::Plain));
+    pool.apply(engine("sound", EngineStage::Plain));
+    pool.apply(engine("slower", EngineStage::Plain));
+    pool.recordFailedAttempt(EngineId("failing"), absl::Milliseconds(1), start);
+    pool.recordResult(EngineId("sound"), EngineResult::Succeeded, start);
+    pool.recordCost(EngineId("sound"), 1, absl::Milliseconds(30), start);
+    pool.recordResult(EngineId("slower"), EngineResult::Succeeded, start);
+    pool.recordCost(EngineId("slower"), 1, absl::Milliseconds(40), start);
+    BOOST_TEST((*pool.placePlain(here, {}, start))->id.text() == "sound");
+    // A failure that took long does count: the engine is slow.
+    pool.recordFailedAttempt(EngineId("sound"), absl::Seconds(1), start);
+    BOOST_TEST((*pool.placePlain(here, {}, start))->id.text() == "slower");
+}
+
 BOOST_AUTO_TEST_CASE(decodeMemoryIsNeverReservedTwice)
 {
     ServicePool pool = modelPool(1, 2);
--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -100,6 +100,22 @@
     }
 }
 
+/// Guards against calls that fail although a sound engine exists: an engine whose errors come fast used up the retry quota.
+BOOST_AUTO_TEST_CASE(anEngineThatFailsFastDoesNotUseUpTheRetryQuota)
+{
+    addEngine("i-1", "desk", "", [](EventLoop &, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request) {
+        PlatformEngineStandIn::respondSigned(connection, request, 500, "bad");
+    });
+    addEngine("i-2", "desk", "", [](EventLoop &loop, const HttpServerConnection::Ptr &connection, const ReceivedRequest &request) {
+        loop.after(absl::Milliseconds(60), [&loop, connection, request] { respondSuccessfully(loop, connection, request); });
+    });
+    const NodeUnderTest node("n1", store.address());
+    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+    for (int i = 0; i < 6; ++i) {
+        BOOST_TEST(node.call("/read/x").status == 200);
+    }
+}
+
 /// The store's object of an engine that is gone can name an address that another engine has taken since.
 BOOST_AUTO_TEST_CASE(rejectsAddressReusedByAnotherEngine)
 {
