entry: Log which call was refused as malformed, too large or late

explain found no cause for a 413, as call.malformed had no request id: at a length beyond the limit the parser discarded the head that it had read. The head now goes to the handler, and the log line has the call's id and path.

--- a/packages/apricotladderd/entry/calldispatch.cpp
+++ b/packages/apricotladderd/entry/calldispatch.cpp
@@ -95,8 +95,9 @@
     hooks.onRequest = [&loop](const HttpServerConnection::Ptr &connection, HttpRequestHead head, std::string body) {
         startCall(loop, connection, std::move(head), std::move(body));
     };
-    hooks.onMalformed = [&loop](const HttpServerConnection::Ptr &connection, ParseState state) {
-        loop.context().log.add(LogLevel::Warning, "call.malformed", RequestId(), {{"state", static_cast<std::int64_t>(state)}});
+    hooks.onMalformed = [&loop](const HttpServerConnection::Ptr &connection, ParseState state, const HttpRequestHead &head) {
+        loop.context().log.add(LogLevel::Warning, "call.malformed", decodeCall(head)->requestId,
+                               {{"state", static_cast<std::int64_t>(state)}, {"path", head.target}});
         HttpListener::respondToMalformed(connection, state);
     };
     hooks.keepsConnectionsOpen = [&loop] {
--- a/packages/protocol/logjson.cpp
+++ b/packages/protocol/logjson.cpp
@@ -169,6 +169,9 @@
         return absl::StrCat("cause: no route of version ", jsonInteger(last->fields, "version"), " matches ",
                             jsonText(last->fields, "host"), jsonText(last->fields, "path"));
     }
+    if (last->event == "call.malformed") {
+        return "cause: refused, not run: the request was malformed, exceeded a size limit or was not received in time";
+    }
     if (last->event == "call.unconfigured") {
         return "cause: refused, not run: the node had not yet received a desired state";
     }
--- a/packages/protocol/tests/log/testlog.cpp
+++ b/packages/protocol/tests/log/testlog.cpp
@@ -88,6 +88,9 @@
     BOOST_TEST(outcomeCause(requestHistory(
                    "r", lines({R"({"time":"1","node":"n","event":"call.noroute","request":"r","host":"h","path":"/p","version":3})"})))
                == "cause: no route of version 3 matches h/p");
+    BOOST_TEST(outcomeCause(requestHistory("r", lines({R"({"time":"1","node":"n","event":"call.malformed","request":"r","state":5})"})))
+                   .find("exceeded a size limit")
+               != std::string::npos);
     BOOST_TEST(
         outcomeCause(requestHistory("r", lines({R"({"time":"1","node":"n","event":"call.repeat","request":"r"})"}))).find("call.repeat")
         != std::string::npos);
--- a/packages/transport/httplistener.h
+++ b/packages/transport/httplistener.h
@@ -27,7 +27,10 @@
             return HttpServerLimits();
         };
         std::function<void(const HttpServerConnection::Ptr &, HttpRequestHead, std::string body)> onRequest;
-        std::function<void(const HttpServerConnection::Ptr &, ParseState)> onMalformed = respondToMalformed;
+        std::function<void(const HttpServerConnection::Ptr &, ParseState, const HttpRequestHead &)> onMalformed
+            = [](const HttpServerConnection::Ptr &connection, ParseState state, const HttpRequestHead &) {
+                  respondToMalformed(connection, state);
+              };
         std::function<bool()> keepsConnectionsOpen = [] {
             return true;
         };
--- a/packages/transport/httpparser.cpp
+++ b/packages/transport/httpparser.cpp
@@ -145,6 +145,9 @@
     }
     ErrorCode ec;
     const std::size_t n = feedParser(m_data->parser, m_data->pending, bytes, ec);
+    if (ec == http::error::body_limit && !m_data->hasHead) {
+        m_data->storeHead(); // The length in the head exceeds the limit.
+    }
     if (ec) {
         m_data->state = stateOfError(ec);
         return n;
--- a/packages/transport/httpparser.h
+++ b/packages/transport/httpparser.h
@@ -47,7 +47,7 @@
 
     ParseState state() const;
 
-    /// Returns the head; valid from ParseState::Body on.
+    /// Returns the head; valid from ParseState::Body on, and at ParseState::BodyTooLarge.
     const HttpRequestHead &head() const;
 
     /// Returns the body; valid at ParseState::Done.
--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -94,7 +94,7 @@
     m_requestInProgress = true;
     m_requestKeepsAlive = false;
     m_hasUnreadInput = true;
-    m_hooks->onMalformed(shared_from_this(), state);
+    m_hooks->onMalformed(shared_from_this(), state, m_parser->head());
 }
 
 void HttpServerConnection::dispatchRequest()
--- a/packages/transport/httpserverconnection.h
+++ b/packages/transport/httpserverconnection.h
@@ -50,9 +50,9 @@
         /// Handles a complete request. The owner must call one of respond(), endStream() and abort(), now or later.
         std::function<void(const Ptr &, HttpRequestHead, std::string body)> onRequest;
 
-        /// Handles a malformed, oversized or late request. It needs a response like a valid request; the connection is closed
-        /// afterwards.
-        std::function<void(const Ptr &, ParseState)> onMalformed;
+        /// Handles a malformed, oversized or late request, whose head is empty if it could not be parsed. It needs a response like a
+        /// valid request; the connection is closed afterwards.
+        std::function<void(const Ptr &, ParseState, const HttpRequestHead &)> onMalformed;
 
         std::function<bool()> keepsConnectionsOpen; ///< returns whether connections stay open after a response
         std::function<void(const Ptr &, ServerCloseReason)> onClosed; ///< runs once after the connection was closed, as the last callback
--- a/packages/transport/tests/parser/testparser.cpp
+++ b/packages/transport/tests/parser/testparser.cpp
@@ -82,6 +82,16 @@
     BOOST_TEST((stateAfter("GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n") == ParseState::HeadTooLarge));
 }
 
+/// Guards against a refusal as too large that the log cannot attribute to its request.
+BOOST_AUTO_TEST_CASE(theHeadOfARequestWhoseBodyIsTooLargeIsKnown)
+{
+    HttpRequestParser parser(limits);
+    parser.feed("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n");
+    BOOST_TEST((parser.state() == ParseState::BodyTooLarge));
+    BOOST_TEST(parser.head().target == "/x");
+    BOOST_TEST(headerValue(parser.head().headers, "Host") == "h");
+}
+
 BOOST_AUTO_TEST_CASE(aResponseWithoutLengthEndsAtAnOrderlyClose)
 {
     const std::string text = "HTTP/1.1 200 OK\r\nX: 1\r\n\r\nwhole";
