transport: Bound the wait for a response after one that names no request

The exchange now ends after a second, with an unknown outcome. The soak's engines echo the attempt's id in refusals, as the platform's engines do.

The new test of the exchange passes; on the code before it would wait for ever, which was not run.

--- a/packages/transport/httpexchange.cpp
+++ b/packages/transport/httpexchange.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// How long the response to a request may still follow one that names no request.
+constexpr absl::Duration maxWaitAfterUnidentifiedResponse = absl::Seconds(1);
+
 constexpr int firstFinalStatus = 200;
 
 /// A connection is no longer reused this long before the idle timeout of the server, to avoid a race with its close.
@@ -104,6 +107,7 @@
     }
     m_finished = true;
     m_loop.cancel(m_connectTimer);
+    m_loop.cancel(m_unidentifiedTimer);
     if (m_connection) {
         m_connection->abort();
     }
@@ -165,6 +169,17 @@
     }
 }
 
+void HttpExchange::limitWaitAfterUnidentifiedResponse()
+{
+    // The skipped response may have been the response to this request, in which case no other one follows.
+    if (m_unidentifiedTimer == 0) {
+        m_unidentifiedTimer = m_loop.after(maxWaitAfterUnidentifiedResponse, [self = shared_from_this()] {
+            self->m_unidentifiedTimer = 0;
+            self->finish(ExchangeOutcome::Incomplete);
+        });
+    }
+}
+
 void HttpExchange::identifyResponse(const HttpResponseHead &head)
 {
     const bool isInterim = head.status < firstFinalStatus;
@@ -175,6 +190,11 @@
     const ResponseOwner owner = m_request.findOwner(head);
     m_skippingResponse = owner == ResponseOwner::OtherRequest || (owner == ResponseOwner::Unidentified && m_hasEarlierResponse);
     m_hasEarlierResponse = m_hasEarlierResponse || m_skippingResponse;
+    if (owner == ResponseOwner::ThisRequest) {
+        m_loop.cancel(std::exchange(m_unidentifiedTimer, 0));
+    } else if (owner == ResponseOwner::Unidentified && m_skippingResponse) {
+        limitWaitAfterUnidentifiedResponse();
+    }
     // A copy of an unidentified response could not be told from the response to the next request.
     m_reusable = m_reusable && owner == ResponseOwner::ThisRequest;
 }
@@ -222,6 +242,7 @@
     }
     m_finished = true;
     m_loop.cancel(m_connectTimer);
+    m_loop.cancel(m_unidentifiedTimer);
     if (m_connection && outcome == ExchangeOutcome::Complete) {
         m_connection->close();
     } else if (m_connection) {
--- a/packages/transport/httpexchange.h
+++ b/packages/transport/httpexchange.h
@@ -79,6 +79,7 @@
     TcpConnection::Callbacks connectionCallbacks();
     void handleData(std::string_view bytes);
     void processParsed(std::string_view rest);
+    void limitWaitAfterUnidentifiedResponse();
     void identifyResponse(const HttpResponseHead &head);
     void handleClosed(TcpCloseReason reason);
     void complete(bool hasRest);
@@ -91,6 +92,7 @@
     std::shared_ptr<TcpConnection> m_connection;
     HttpResponseParser m_parser;
     TimerId m_connectTimer = 0;
+    TimerId m_unidentifiedTimer = 0; ///< ends the exchange if no identified response follows an unidentified one
     bool m_headReceived = false;
     bool m_skippingResponse = false; ///< the current response is an interim one or belongs to another request
     bool m_hasEarlierResponse = false; ///< the connection has carried a response to another request
--- a/packages/transport/tests/exchange/testexchange.cpp
+++ b/packages/transport/tests/exchange/testexchange.cpp
@@ -227,6 +227,19 @@
     BOOST_TEST(server.connectionCount() == 3U);
 }
 
+/// Guards against a call that hangs because the server's response to it names no request.
+BOOST_AUTO_TEST_CASE(anUnidentifiedResponseOnAKeptConnectionEndsTheExchangeAfterAWhile)
+{
+    std::string response = goodResponse;
+    RawServer server(events, [&](const auto &connection, const std::string &) { connection->write(response); });
+    ExchangeRequest matchingRequest = request(server.address());
+    matchingRequest.findOwner = ownerByHeader;
+    BOOST_TEST(exchange(matchingRequest).body == "good");
+    response = "HTTP/1.1 503 Unavailable\r\nContent-Length: 4\r\n\r\nfull";
+    BOOST_TEST((exchange(matchingRequest).outcome == ExchangeOutcome::Incomplete));
+    BOOST_TEST(server.connectionCount() == 1U);
+}
+
 /// What the head of a response to another request says must not be taken for what this response says.
 BOOST_AUTO_TEST_CASE(onlyTheHeadOfTheOwnResponseIsObserved)
 {
--- a/tests/soak/soakengine.cpp
+++ b/tests/soak/soakengine.cpp
@@ -119,9 +119,10 @@
     return head;
 }
 
-HttpResponseHead SoakEngine::declinedHead() const
+HttpResponseHead SoakEngine::declinedHead(const std::string &attemptId) const
 {
     HttpResponseHead head = makeHead(statusUnavailable);
+    head.headers.push_back({"Apricotladder-Attempt-Id", attemptId});
     head.headers.push_back({"Apricotladder-Not-Executed", "1"});
     return head;
 }
@@ -131,7 +132,7 @@
     // Every other refusal names whole seconds, which is the usual form.
     const absl::Duration remaining = m_backsOffUntil - m_loop.now();
     const absl::Duration timeLeft = ++m_requestCount % 2 == 0 ? absl::Ceil(remaining, absl::Seconds(1)) : remaining;
-    HttpResponseHead head = declinedHead();
+    HttpResponseHead head = declinedHead(attemptId);
     head.headers.push_back({"Retry-After", absl::StrCat(absl::ToDoubleSeconds(timeLeft))});
     connection->respond(head, {}, BodyFraming::Delimited);
     connection->afterOutput([this, attemptId, timeLeft] {
@@ -175,7 +176,7 @@
     } else if (m_loop.now() < m_backsOffUntil) {
         refuseWithRetryAfter(connection, request.header("Apricotladder-Attempt-Id"));
     } else if (request.number = ++m_requestCount; request.number % declineEveryNth == 0) {
-        connection->respond(declinedHead(), {}, BodyFraming::Delimited);
+        connection->respond(declinedHead(request.header("Apricotladder-Attempt-Id")), {}, BodyFraming::Delimited);
     } else if (request.header("Apricotladder-Inference-Phase") == "prefill") {
         runPrefill(connection, request);
     } else if (m_identity.phase.empty()) {
--- a/tests/soak/soakengine.h
+++ b/tests/soak/soakengine.h
@@ -91,7 +91,7 @@
     void refuseWithRetryAfter(const SoakServerConnection::Ptr &connection, const std::string &attemptId);
     HttpResponseHead makeHead(int status) const;
     HttpResponseHead signedHead(const std::string &attemptId, const char *contentType) const;
-    HttpResponseHead declinedHead() const;
+    HttpResponseHead declinedHead(const std::string &attemptId) const;
 
     SoakEngineIdentity m_identity;
     SoakLedger &m_ledger;
