--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for program in endless deadly standby unsigned; do
+for program in endless deadly standby stall; do
     g++ -std=c++17 -O2 -Wall -Wextra -pthread "review/standins/$program.cpp" -o "target/review/$program"
 done
