--- a/review/standins/endless.cpp
+++ b/review/standins/endless.cpp
@@ -1,5 +1,5 @@
-// A plain service with three engines and two entry nodes. Two engines fall into trouble: their answers consist of bytes without end. Do
-// the nodes stay within their memory, and do the callers of the requests at the sound engine get their answers?
+// A plain service with three engines and two or three entry nodes. Two engines fall into trouble: their answers consist of bytes without
+// end. Do the nodes stay within their memory, and do the callers of the requests at the sound engine get their answers?
 //
 // usage: endless MODE RECORD
 //   MODE body: the answer is chunked, and its body is one byte without end, which is no chunk.
@@ -8,10 +8,12 @@
 #include "deployment.h"
 
 #include <algorithm>
+#include <array>
 
 namespace {
 
-constexpr int nodeCount = 2;
+constexpr int bodyNodeCount = 3;
+constexpr int headNodeCount = 2;
 constexpr int engineCount = 3;
 constexpr int faultyCount = 2; // of the engines, a share of 0.6 as in the days with spoilt answers
 constexpr int routeTimeoutMs = 1000;
@@ -22,7 +24,7 @@
 constexpr std::int64_t trafficMs = 70000;
 constexpr std::int64_t workMs = 15;
 
-/// Rate of all endless answers together: 800 Mbit/s, under the 1,000 Mbit/s of a machine's link.
+/// Rate of all endless answers to one node together: 800 Mbit/s, under the 1,000 Mbit/s of a machine's link.
 constexpr std::size_t endlessBytesPerMs = 100000;
 constexpr std::int64_t troubleMs = 60000;
 
@@ -51,6 +53,7 @@
 public:
     Run(std::string mode, const std::string &recordPath, bool hasTrouble)
         : m_mode(std::move(mode))
+        , m_nodeCount(m_mode == "body" ? bodyNodeCount : headNodeCount)
         , m_hasTrouble(hasTrouble)
         , m_record(recordPath)
         , m_directory(makeTemporaryDirectory())
@@ -96,7 +99,7 @@
     void startNodes()
     {
         std::vector<std::string> seeds;
-        for (int i = 0; i < nodeCount; ++i) {
+        for (int i = 0; i < m_nodeCount; ++i) {
             m_nodes.push_back(std::make_unique<Node>(i, m_directory, m_ports, m_store.openPort()));
             seeds.push_back(Node::seed(i, m_ports));
         }
@@ -157,25 +160,32 @@
         std::int64_t parts = 0;
         while (nowMs() < end && socket.write(part, end)) {
             ++parts;
-            waitForRate();
+            waitForRate(id);
         }
         m_record.add("the answer to %s %s after %lld ms and %lld MB", id.c_str(), nowMs() < end ? "was cut off" : "ended",
                      static_cast<long long>(nowMs() - start),
                      static_cast<long long>(parts * static_cast<std::int64_t>(part.size()) / 1000000));
     }
 
-    /// Sleeps so that all endless answers together send at most one part each millisecond.
-    void waitForRate()
+    /// Sleeps so that all endless answers to the node of request \a id together send at most one part each millisecond.
+    void waitForRate(const std::string &id)
     {
         std::int64_t next = 0;
         {
             const std::lock_guard lock(m_rateMutex);
-            m_nextPartMs = std::max(m_nextPartMs + 1, nowMs());
-            next = m_nextPartMs;
+            std::int64_t &nextPartMs = m_nextPartMs[nodeOf(id)];
+            nextPartMs = std::max(nextPartMs + 1, nowMs());
+            next = nextPartMs;
         }
         sleepMs(next - nowMs());
     }
 
+    /// Returns the index of the node that got request \a id.
+    static std::size_t nodeOf(const std::string &id)
+    {
+        return static_cast<std::size_t>(std::atoi(id.substr(id.find('-') + 1).c_str()));
+    }
+
     /// Ends a process that exceeds its memory, and starts it again, as the platform does.
     void watchMemory()
     {
@@ -201,7 +211,7 @@
         m_trafficStart = nowMs();
         std::vector<std::thread> callers;
         for (std::int64_t i = 0; i * requestIntervalMs < trafficMs; ++i) {
-            for (int node = 0; node < nodeCount; ++node) {
+            for (int node = 0; node < m_nodeCount; ++node) {
                 callers.emplace_back(
                     [this, i, node] { sendRequest("r" + std::to_string(i) + "-" + std::to_string(node), *m_nodes[node]); });
             }
@@ -268,12 +278,13 @@
         }
         const bool isConfigBroken = atTimeout >= minUnanswered && 2 * later > atTimeout;
         m_record.add("Fault: %s; CONFIG: %s", faulty >= faultMachines ? "BROKEN" : "held", isConfigBroken ? "BROKEN" : "held");
-        const bool isBroken = isConfigBroken || faulty >= faultMachines;
+        const bool isBroken = m_mode == "body" ? faulty >= faultMachines : isConfigBroken;
         m_record.add(isBroken ? "BROKEN" : "held");
         return isBroken ? 1 : 0;
     }
 
     std::string m_mode;
+    int m_nodeCount;
     bool m_hasTrouble;
     Record m_record;
     std::string m_directory;
@@ -289,7 +300,7 @@
     std::map<std::string, Outcome> m_outcomes;
     std::set<std::string> m_atFaultyEngine;
     std::mutex m_rateMutex;
-    std::int64_t m_nextPartMs = 0;
+    std::array<std::int64_t, bodyNodeCount> m_nextPartMs{};
 };
 
 }
