coordination: Let nodes that the store serves stand in for active ones that it turns away

Callers saw: with more than twelve nodes, a new desired state was in force nowhere while the store turned away the active nodes and served all others (CONFIG): requests went to the old service, and added routes got 404.

Cause: a duty went by liveness, not by the ability to do it. Only active nodes watch the store, who is active follows from who is alive, and a node that the store turns away said nothing of it.

Change: a sign of life says whether its node watches the store with success. While no active node does for 0.3 s, groups of the other nodes (six, or a twelfth of all) ask the store in turn, for 0.4 s each; those that it answers watch it until an active node reaches it again (StoreDuty). Desired state and engines follow the same duty.

Ruled out: choosing active nodes by who reaches the store (callers would move for a fault that does not touch them); letting all nodes ask (295 at once while the store is down for all).

--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -145,17 +145,18 @@
     m_threads.clear();
 }
 
-bool EntryNode::needsStore() const
+bool EntryNode::needsStore()
 {
     const bool isConfigured = m_context.routes.current()->desired()->version > 0 && m_engines->knownRevision() > 0;
     if (!isConfigured) {
         return m_controlLoop.now() - m_startedAt >= firstPeerTimeout;
     }
-    return m_peerLink->isActive() && m_peerLink->isSettled();
+    return m_peerLink->isSettled() && m_storeDuty.update(m_peerLink->storeDutyFacts(), m_controlLoop.now());
 }
 
 void EntryNode::updateStoreUse()
 {
+    m_peerLink->setReachesStore(m_desiredWatch->isConnected() && m_engines->isConnected());
     if (needsStore()) {
         m_desiredWatch->start();
         m_engines->start();
--- a/packages/apricotladderd/entry/entrynode.h
+++ b/packages/apricotladderd/entry/entrynode.h
@@ -6,6 +6,7 @@
 #include "apricotladderd/entry/nodedirectory.h"
 #include "apricotladderd/entry/peerlink.h"
 #include "apricotladderd/entry/storewatch.h"
+#include "coordination/storeduty.h"
 #include "state/entrysettings.h"
 #include "transport/connectionpool.h"
 #include "transport/eventloop.h"
@@ -69,7 +70,7 @@
     bool serve(const std::string &address, RequestHandler handler);
     void watchDesiredState();
     void updateStoreUse();
-    bool needsStore() const;
+    bool needsStore();
     void handleDesiredState(const StoreEntry &object);
     void applyDesiredState(const DesiredState &desired, const char *source);
     void handlePeerVersions(const PeerVersions &peer);
@@ -95,6 +96,7 @@
     std::unique_ptr<PeerLink> m_peerLink;
     std::unique_ptr<NodeDirectory> m_nodeDirectory;
     std::unique_ptr<StoreWatch> m_desiredWatch;
+    StoreDuty m_storeDuty;
     std::unique_ptr<EngineCatalogue> m_engines;
     std::vector<std::unique_ptr<HttpListener>> m_servers;
     absl::Time m_lastPeerSync = absl::InfinitePast(); ///< when a peer was last asked for its state
--- a/packages/apricotladderd/entry/peerlink.cpp
+++ b/packages/apricotladderd/entry/peerlink.cpp
@@ -123,6 +123,22 @@
     sendGossip(m_view.makeGossip(m_random), all);
 }
 
+StoreDutyFacts PeerLink::storeDutyFacts() const
+{
+    StoreDutyFacts facts;
+    facts.self = m_view.self()->id;
+    facts.nodesReachingStore = m_view.nodesReachingStore();
+    for (const Member &node : m_activeNodes) {
+        facts.activeNodes.insert(node->id);
+    }
+    for (const Member &node : m_view.members()) {
+        if (isAlive(node) && !node->leaving) {
+            facts.aliveNodes.push_back(node->id);
+        }
+    }
+    return facts;
+}
+
 void PeerLink::scheduleLoadReport()
 {
     if (m_reportTimer == 0) {
--- a/packages/apricotladderd/entry/peerlink.h
+++ b/packages/apricotladderd/entry/peerlink.h
@@ -5,6 +5,7 @@
 #include "coordination/clusterview.h"
 #include "coordination/decayingrate.h"
 #include "coordination/peerclock.h"
+#include "coordination/storeduty.h"
 #include "protocol/cellmessage.h"
 #include "transport/eventloop.h"
 #include "transport/udpsocket.h"
@@ -65,6 +66,15 @@
     void setDesiredVersion(std::uint64_t version);
     void setLeaving();
 
+    /// Tells the others whether this node watches the store and gets answers.
+    void setReachesStore(bool reachesStore)
+    {
+        m_view.setReachesStore(reachesStore);
+    }
+
+    /// Returns what decides whether this node has to watch the store.
+    StoreDutyFacts storeDutyFacts() const;
+
     /// Schedules a load report to the active nodes. Changes in quick succession share one report.
     void scheduleLoadReport();
 
--- a/packages/coordination/clusterview.cpp
+++ b/packages/coordination/clusterview.cpp
@@ -70,6 +70,25 @@
     m_ownLiveness.callsPerSecond = static_cast<std::int64_t>(std::lround(callsPerSecond));
 }
 
+void ClusterView::setReachesStore(bool reachesStore)
+{
+    m_ownLiveness.reachesStore = reachesStore;
+}
+
+std::set<NodeId> ClusterView::nodesReachingStore() const
+{
+    std::set<NodeId> nodes;
+    if (m_ownLiveness.reachesStore && !m_ownLiveness.leaving) {
+        nodes.insert(m_self->id);
+    }
+    for (const auto &[key, peer] : m_peers) {
+        if (peer.liveness.reachesStore && !peer.liveness.leaving && peer.member->state == MemberState::Alive) {
+            nodes.insert(peer.member->id);
+        }
+    }
+    return nodes;
+}
+
 ClusterView::Peer *ClusterView::addRecord(const Member &record)
 {
     if (record->id == m_self->id || record->id.isEmpty()) {
--- a/packages/coordination/clusterview.h
+++ b/packages/coordination/clusterview.h
@@ -65,6 +65,9 @@
     void setLeaving();
     void setCallsPerSecond(double callsPerSecond);
 
+    /// Sets whether this node watches the store and gets answers.
+    void setReachesStore(bool reachesStore);
+
     /// Adds nodes that are listed elsewhere. They count as dead until there is a sign of life.
     void addListed(const std::vector<Member> &nodes);
 
@@ -91,6 +94,9 @@
     /// Returns the nodes for which there was a sign of life, this one included, in order of name.
     std::vector<Member> members() const;
 
+    /// Returns the nodes, this one included, that are alive, do not leave, and watch the store with success.
+    std::set<NodeId> nodesReachingStore() const;
+
     /// Whether \a node is known and neither suspect nor dead.
     bool isAlive(const NodeId &node) const;
 
--- /dev/null
+++ b/packages/coordination/storeduty.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "state/name.h"
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <set>
+#include <vector>
+
+namespace Apricot {
+
+/// Intervals and sizes of StoreDuty.
+struct StoreDutyLimits
+{
+    /// How long all active nodes must have been without the store before others ask it: a watch that is cut off is renewed sooner.
+    static constexpr absl::Duration patience = absl::Milliseconds(300);
+
+    /// How long one group of nodes asks the store before the next group does.
+    static constexpr absl::Duration turn = absl::Milliseconds(400);
+
+    /// Size of a group: at least the first number, and at least one of this many of all nodes.
+    static constexpr std::size_t minGroup = 6;
+    static constexpr std::size_t nodesPerGroupMember = 12;
+};
+
+/// What a node knows about who reaches the store.
+struct StoreDutyFacts
+{
+    NodeId self;
+    std::set<NodeId> activeNodes;
+    std::set<NodeId> nodesReachingStore; ///< those that watch it with success, this node included
+    std::vector<NodeId> aliveNodes; ///< this node included
+
+    friend bool operator==(const StoreDutyFacts &, const StoreDutyFacts &) = default;
+};
+
+/**
+ * \class StoreDuty
+ * \brief Decides whether a node watches the platform's store.
+ *
+ * The active nodes always do, and the others learn from them. The store may turn away just these, so while none of them reaches it,
+ * groups of the other nodes ask it in turn, until it answers one of them. The nodes that it answers watch it until an active node
+ * reaches it again. All nodes decide alike from what they hear of each other, so that few of them ask while it is down for all.
+ */
+class StoreDuty
+{
+public:
+    /// Returns whether the node is to watch the store from \a now on.
+    bool update(const StoreDutyFacts &facts, absl::Time now);
+
+private:
+    static bool isInTurn(const StoreDutyFacts &facts, absl::Duration waited);
+
+    absl::Time m_lostSince = absl::InfiniteFuture(); ///< since when no active node reaches the store
+};
+
+}
--- a/packages/protocol/cellmessage.cpp
+++ b/packages/protocol/cellmessage.cpp
@@ -80,7 +80,7 @@
 template<class Archive>
 void serialize(Archive &archive, NodeLiveness &it)
 {
-    archive(it.node, it.heartbeat, it.callsPerSecond, it.serving, it.leaving);
+    archive(it.node, it.heartbeat, it.callsPerSecond, it.serving, it.leaving, it.reachesStore);
 }
 
 /// Reads or writes \a liveness. Its heartbeat number is sent as the difference to \a base, which is short.
@@ -88,7 +88,7 @@
 void archiveRelative(Archive &archive, NodeLiveness &liveness, std::uint64_t base)
 {
     auto difference = static_cast<std::int64_t>(liveness.heartbeat - base);
-    archive(liveness.node, difference, liveness.callsPerSecond, liveness.serving, liveness.leaving);
+    archive(liveness.node, difference, liveness.callsPerSecond, liveness.serving, liveness.leaving, liveness.reachesStore);
     liveness.heartbeat = base + static_cast<std::uint64_t>(difference);
 }
 
--- a/packages/protocol/tests/entry/testcellmessage.cpp
+++ b/packages/protocol/tests/entry/testcellmessage.cpp
@@ -30,9 +30,9 @@
                     .set(&MemberFields::peerAddress, "10.0.0.1:1")
                     .set(&MemberFields::processorMillis, 120)
                     .build();
-    it.senderLiveness = NodeLiveness{5, 17, 3, true, false};
+    it.senderLiveness = NodeLiveness{5, 17, 3, true, false, true};
     it.enginesRevision = 99;
-    it.others = {NodeLiveness{6, 18, 0, true, true}};
+    it.others = {NodeLiveness{6, 18, 0, true, true, false}};
     it.introductions = {it.sender.with(&MemberFields::state, MemberState::Suspect)};
     it.prompts = promptReport();
     return it;
@@ -42,7 +42,7 @@
 {
     LoadReport it;
     it.sender = NodeId("n");
-    it.senderLiveness = NodeLiveness{5, 17, 3, true, false};
+    it.senderLiveness = NodeLiveness{5, 17, 3, true, false, true};
     it.generation = 12;
     it.sentAt = absl::FromUnixMicros(1234567);
     it.enginesRevision = 99;
@@ -136,7 +136,7 @@
 {
     LoadReport busy;
     busy.sender = NodeId("edge-somewhere-17");
-    busy.senderLiveness = NodeLiveness{0x9f86d081884c7d65U, 1771926925041U, 12, true, false};
+    busy.senderLiveness = NodeLiveness{0x9f86d081884c7d65U, 1771926925041U, 12, true, false, true};
     busy.generation = 18;
     busy.sentAt = absl::FromUnixMillis(100000);
     busy.enginesRevision = 240;
--- a/packages/state/liveness.h
+++ b/packages/state/liveness.h
@@ -19,6 +19,7 @@
     std::int64_t callsPerSecond = 0; ///< calls that the node has received recently
     bool serving = false; ///< the node has a configuration
     bool leaving = false;
+    bool reachesStore = false; ///< the node watches the store, and the store has answered its last call
 
     friend auto operator<=>(const NodeLiveness &, const NodeLiveness &) = default;
 };
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -45,13 +45,11 @@
 }
 
 PlatformStoreStandIn::PlatformStoreStandIn()
+    : m_listener(listen(false))
+    , m_restrictedListener(listen(true))
+    , m_address("127.0.0.1:" + std::to_string(m_listener->port()))
+    , m_restrictedAddress("127.0.0.1:" + std::to_string(m_restrictedListener->port()))
 {
-    HttpListener::Hooks hooks;
-    hooks.onRequest = [this](const HttpServerConnection::Ptr &connection, const HttpRequestHead &head, const std::string &body) {
-        handle(connection, head, body);
-    };
-    m_listener = std::make_unique<HttpListener>(m_loop, "127.0.0.1:0", AddressSharing::Exclusive, std::move(hooks));
-    m_address = "127.0.0.1:" + std::to_string(m_listener->port());
     m_thread = Thread("store", [this] { m_loop.run(); });
 }
 
@@ -61,6 +59,16 @@
     m_thread.join();
 }
 
+std::unique_ptr<HttpListener> PlatformStoreStandIn::listen(bool isRestricted)
+{
+    HttpListener::Hooks hooks;
+    hooks.onRequest
+        = [this, isRestricted](const HttpServerConnection::Ptr &connection, const HttpRequestHead &head, const std::string &body) {
+              handle(connection, head, body, isRestricted);
+          };
+    return std::make_unique<HttpListener>(m_loop, "127.0.0.1:0", AddressSharing::Exclusive, std::move(hooks));
+}
+
 void PlatformStoreStandIn::runOnLoop(std::function<void()> task)
 {
     std::promise<void> done;
@@ -122,14 +130,29 @@
 {
     runOnLoop([&] {
         m_isUnavailable = unavailable;
-        for (const PendingWatch &it : std::exchange(m_pendingWatches, {})) {
-            if (!it.connection->isClosed()) {
-                it.connection->abort();
-            }
-        }
+        abortWatches(false);
+    });
+}
+
+void PlatformStoreStandIn::setTurnsAway(bool turnsAway)
+{
+    runOnLoop([&] {
+        m_turnsAway = turnsAway;
+        abortWatches(true);
     });
 }
 
+void PlatformStoreStandIn::abortWatches(bool onlyRestricted)
+{
+    for (const PendingWatch &it : std::exchange(m_pendingWatches, {})) {
+        if (onlyRestricted && !it.isRestricted) {
+            m_pendingWatches.push_back(it);
+        } else if (!it.connection->isClosed()) {
+            it.connection->abort();
+        }
+    }
+}
+
 void PlatformStoreStandIn::setHoldsWrites(bool holds)
 {
     runOnLoop([&] {
@@ -164,11 +187,7 @@
     runOnLoop([&] {
         m_events.clear();
         m_compactedRevision = ++m_revision;
-        for (const PendingWatch &it : std::exchange(m_pendingWatches, {})) {
-            if (!it.connection->isClosed()) {
-                it.connection->abort();
-            }
-        }
+        abortWatches(false);
     });
 }
 
@@ -190,11 +209,12 @@
     }
 }
 
-void PlatformStoreStandIn::handle(const HttpServerConnection::Ptr &connection, const HttpRequestHead &head, const std::string &body)
+void PlatformStoreStandIn::handle(const HttpServerConnection::Ptr &connection, const HttpRequestHead &head, const std::string &body,
+                                  bool isRestricted)
 {
     ++m_callCount;
     const std::string kind = kindOf(head.target);
-    if (m_isUnavailable) {
+    if (m_isUnavailable || (isRestricted && m_turnsAway)) {
         respondJson(connection, 503, Json::object());
     } else if (head.method != "GET" && m_holdsWrites) {
         m_heldWrites.push_back(HeldWrite{connection, head, body});
@@ -205,7 +225,7 @@
     } else if (watchRevision(head.target) < m_compactedRevision) {
         respondJson(connection, 410, Json::object());
     } else if (!tryRespondWatch(connection, kind, watchRevision(head.target))) {
-        m_pendingWatches.push_back(PendingWatch{connection, kind, watchRevision(head.target)});
+        m_pendingWatches.push_back(PendingWatch{connection, kind, watchRevision(head.target), isRestricted});
     }
 }
 
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -31,6 +31,15 @@
         return m_address;
     }
 
+    /// Another address of the same store, whose nodes it can turn away while it serves the rest.
+    std::string restrictedAddress() const
+    {
+        return m_restrictedAddress;
+    }
+
+    /// Sets whether calls at restrictedAddress() get 503. Aborts the pending watches there.
+    void setTurnsAway(bool turnsAway);
+
     /// Writes or removes an object, and responds to the pending watches of its kind.
     void put(const std::string &kind, const std::string &name, const Json &spec);
     void remove(const std::string &kind, const std::string &name);
@@ -88,9 +97,12 @@
         HttpServerConnection::Ptr connection;
         std::string kind;
         std::uint64_t afterRevision = 0;
+        bool isRestricted = false; ///< it came at restrictedAddress()
     };
 
-    void handle(const HttpServerConnection::Ptr &connection, const HttpRequestHead &head, const std::string &body);
+    std::unique_ptr<HttpListener> listen(bool isRestricted);
+    void handle(const HttpServerConnection::Ptr &connection, const HttpRequestHead &head, const std::string &body, bool isRestricted);
+    void abortWatches(bool onlyRestricted);
     void handleWrite(const HttpServerConnection::Ptr &connection, const HttpRequestHead &head, const std::string &body);
     void respondObject(const HttpServerConnection::Ptr &connection, int status, const std::string &kind, const std::string &name);
     void respondList(const HttpServerConnection::Ptr &connection, const std::string &kind);
@@ -101,7 +113,9 @@
 
     EventLoop m_loop;
     std::unique_ptr<HttpListener> m_listener;
+    std::unique_ptr<HttpListener> m_restrictedListener;
     std::string m_address;
+    std::string m_restrictedAddress;
     std::map<std::string, std::map<std::string, Object>> m_objects;
     std::map<std::string, std::string> m_specTexts; ///< text that replaces a string in responses
     std::vector<Event> m_events;
@@ -109,6 +123,7 @@
     std::uint64_t m_revision = 10;
     std::uint64_t m_compactedRevision = 0; ///< events before this revision are discarded
     bool m_isUnavailable = false;
+    bool m_turnsAway = false;
     bool m_holdsWrites = false;
     std::vector<HeldWrite> m_heldWrites;
     std::atomic<int> m_callCount{0};
