transport: Read once per event, and bound the responses that an exchange skips

Cause: TcpConnection read on for as long as each read filled its buffer, before the loop's timers and other descriptors had their turn. A peer that sends faster than the node parses kept the thread there, so that its own deadline did not end it either. Interim responses and responses to other requests were skipped without a limit.

An exchange ends as incomplete after 32 skipped responses. This holds for engines, callers, peers and the store alike.

Tests: interimHeadsWithoutEndEndTheExchange, aFastPeerDoesNotDelayTimers, someInterimHeadsPrecedeTheResponse.

--- a/packages/transport/httpexchange.cpp
+++ b/packages/transport/httpexchange.cpp
@@ -16,6 +16,10 @@
 
 constexpr int firstFinalStatus = 200;
 
+/// Interim responses, and responses to other requests, that may precede the response to a request: a server in trouble may send them
+/// without end.
+constexpr int maxSkippedResponses = 32;
+
 /// A connection is no longer reused this long before the idle timeout of the server, to avoid a race with its close.
 constexpr absl::Duration keepAliveMargin = absl::Seconds(1);
 
@@ -206,7 +210,7 @@
         m_parser = HttpResponseParser(m_request.responseHasNoBody);
         m_headReceived = false;
         m_skippingResponse = false;
-        if (!keepAlive) {
+        if (!keepAlive || ++m_skippedResponses > maxSkippedResponses) {
             finish(ExchangeOutcome::Incomplete);
         }
         return;
--- a/packages/transport/httpexchange.h
+++ b/packages/transport/httpexchange.h
@@ -95,6 +95,7 @@
     TimerId m_unidentifiedTimer = 0; ///< ends the exchange if no identified response follows an unidentified one
     bool m_headReceived = false;
     bool m_skippingResponse = false; ///< the current response is an interim one or belongs to another request
+    int m_skippedResponses = 0;
     bool m_hasEarlierResponse = false; ///< the connection has carried a response to another request
     bool m_reusable = true;
     bool m_finished = false;
--- a/packages/transport/tcpconnection.cpp
+++ b/packages/transport/tcpconnection.cpp
@@ -93,7 +93,7 @@
         return;
     }
     if (m_reading) {
-        readAvailable();
+        readOnce();
     } else if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
         handleClosed(TcpCloseReason::Reset);
     } else if (m_reportsCloseWhilePaused && (events & EPOLLRDHUP) != 0) {
@@ -122,29 +122,20 @@
     }
 }
 
-void TcpConnection::readAvailable()
+void TcpConnection::readOnce()
 {
     const std::shared_ptr<TcpConnection> self = shared_from_this();
     std::vector<char> &buf = m_loop.scratchBuffer();
-    while (m_descriptor >= 0) {
-        const ssize_t n = recv(m_descriptor, buf.data(), buf.size(), 0);
-        if (n > 0) {
-            const std::shared_ptr<Callbacks> callbacks = m_callbacks;
-            if (callbacks->onData) {
-                callbacks->onData(std::string_view(buf.data(), static_cast<std::size_t>(n)));
-            }
-            // A short read means that the socket is empty; epoll reports when there is more.
-            if (static_cast<std::size_t>(n) < buf.size() || !m_reading) {
-                return;
-            }
-            continue;
-        }
-        if (n == 0) {
-            handleClosed(TcpCloseReason::ClosedByPeer);
-        } else if (errno != EAGAIN && errno != EINTR) {
-            handleClosed(TcpCloseReason::Reset);
+    const ssize_t n = recv(m_descriptor, buf.data(), buf.size(), 0);
+    if (n > 0) {
+        const std::shared_ptr<Callbacks> callbacks = m_callbacks;
+        if (callbacks->onData) {
+            callbacks->onData(std::string_view(buf.data(), static_cast<std::size_t>(n)));
         }
-        return;
+    } else if (n == 0) {
+        handleClosed(TcpCloseReason::ClosedByPeer);
+    } else if (errno != EAGAIN && errno != EINTR) {
+        handleClosed(TcpCloseReason::Reset);
     }
 }
 
--- a/packages/transport/tcpconnection.h
+++ b/packages/transport/tcpconnection.h
@@ -100,7 +100,9 @@
     void start(bool connecting);
     void handleEvents(std::uint32_t events);
     void finishConnect();
-    void readAvailable();
+    /// Reads once, so that a peer that sends fast does not keep the loop from its timers and other descriptors. The loop calls again
+    /// while there is more.
+    void readOnce();
     void flush();
     void updateEvents();
     void handleClosed(TcpCloseReason reason);
--- a/packages/transport/tests/exchange/testexchange.cpp
+++ b/packages/transport/tests/exchange/testexchange.cpp
@@ -2,7 +2,9 @@
 #include "transport/httpexchange.h"
 #include "transport/httpfetch.h"
 #include "transport/httplistener.h"
+#include "transport/thread.h"
 
+#include <absl/time/clock.h>
 #include <boost/test/unit_test.hpp>
 
 #include <arpa/inet.h>
@@ -258,6 +260,79 @@
     BOOST_TEST(statuses == std::vector<int>{200}, boost::test_tools::per_element());
 }
 
+/// Writes \a bytes to \a connection without end, faster than its peer parses them.
+void writeWithoutEnd(EventLoop &loop, const std::shared_ptr<TcpConnection> &connection, const std::string &bytes)
+{
+    constexpr std::size_t maxBufferedBytes = 1U << 20;
+    while (connection->isOpen() && connection->unsentBytes() < maxBufferedBytes) {
+        connection->write(bytes);
+    }
+    if (connection->isOpen()) {
+        loop.post([&loop, connection, bytes] { writeWithoutEnd(loop, connection, bytes); });
+    }
+}
+
+std::string repeated(const std::string &text, int count)
+{
+    std::string result;
+    for (int i = 0; i < count; ++i) {
+        result += text;
+    }
+    return result;
+}
+
+/// Guards against CONFIG: interim heads without end kept the thread of the loop reading, so that no deadline and no other caller was
+/// served.
+BOOST_AUTO_TEST_CASE(interimHeadsWithoutEndEndTheExchange)
+{
+    constexpr int headsPerWrite = 4000;
+    RawServer server(events, [&](const auto &connection, const std::string &) {
+        writeWithoutEnd(events, connection, repeated("HTTP/1.1 100 Continue\r\n\r\n", headsPerWrite));
+    });
+    const ExchangeResult result = exchange(request(server.address()));
+    BOOST_TEST((result.outcome == ExchangeOutcome::Incomplete));
+    BOOST_TEST(result.body.empty());
+}
+
+/// A few interim responses are legitimate.
+BOOST_AUTO_TEST_CASE(someInterimHeadsPrecedeTheResponse)
+{
+    constexpr int someHeads = 20;
+    RawServer server(events, [&](const auto &connection, const std::string &) {
+        connection->write(repeated("HTTP/1.1 102 Processing\r\n\r\n", someHeads) + goodResponse);
+    });
+    BOOST_TEST(exchange(request(server.address())).body == "good");
+}
+
+/// Guards against CONFIG: a peer that sends faster than its bytes are handled kept the loop from its timers.
+BOOST_AUTO_TEST_CASE(aFastPeerDoesNotDelayTimers)
+{
+    // The peer writes from a thread of its own, as it could not outrun this loop from within it.
+    EventLoop peerLoop;
+    RawServer server(peerLoop, [&](const auto &connection, const std::string &) {
+        writeWithoutEnd(peerLoop, connection, "HTTP/1.1 200 OK\r\n\r\n" + std::string(100000, 'x'));
+    });
+    Thread peer("peer", [&] { peerLoop.run(); });
+    bool isTimerDue = false;
+    std::size_t readsAfterwards = 0;
+    HttpExchange::Callbacks callbacks;
+    TimerId timer = 0;
+    callbacks.onBody = [&](const std::string &) {
+        if (timer == 0) {
+            timer = events.after(absl::ZeroDuration(), [&] { isTimerDue = true; });
+        } else {
+            ++readsAfterwards;
+        }
+        absl::SleepFor(absl::Milliseconds(2)); // slower than the peer, so that each read fills its buffer
+    };
+    const auto running = HttpExchange::start(events, pool, request(server.address()), std::move(callbacks));
+    runUntil([&] { return isTimerDue; });
+    running->cancel();
+    peerLoop.stop();
+    peer.join();
+    BOOST_TEST(readsAfterwards == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(extraBytesAfterAResponsePreventReuse)
 {
     RawServer server(events, [](const auto &connection, const std::string &) { connection->write(goodResponse + "more"); });
