entry: Relay a success on a streaming route only if it is signed and names its request

Cause: one decision stood twice. WholeCall::classifyOutcome() checked signature and id, StreamCall::handleNonStreamOutcome() did not.

Change: classifyOutcome() of enginerequest.h serves both.

--- a/packages/apricotladderd/entry/enginerequest.cpp
+++ b/packages/apricotladderd/entry/enginerequest.cpp
@@ -31,4 +31,23 @@
     return request;
 }
 
+AttemptOutcome classifyOutcome(const HttpResponseHead &head, ExchangeOutcome outcome)
+{
+    if (outcome == ExchangeOutcome::NotSent) {
+        return NotSent{};
+    }
+    if (outcome == ExchangeOutcome::Incomplete) {
+        return NoUsableAnswer{};
+    }
+    const EngineResponseInfo info = readEngineResponse(head);
+    if (provesNotRun(head.status, info)) {
+        return Declined{};
+    }
+    const bool isSuccess = head.status >= 200 && head.status < 300;
+    if (info.isEncoded || (isSuccess && (!info.isSigned || info.requestId.empty()))) {
+        return NoUsableAnswer{};
+    }
+    return Answered{head.status};
+}
+
 }
--- a/packages/apricotladderd/entry/enginerequest.h
+++ b/packages/apricotladderd/entry/enginerequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/attemptdecision.h"
 #include "platform/callheaders.h"
 #include "state/engineentry.h"
 #include "transport/httpexchange.h"
@@ -15,4 +16,8 @@
 ExchangeRequest makeEngineExchange(const EngineEntry &engine, const HttpRequestHead &head, const std::string &body,
                                    const EngineRequestOptions &options, const RequestId &requestId);
 
+/// Returns what an exchange with an engine has shown, given the \a head of its response. A success counts as an answer only if it is
+/// signed and names its request.
+AttemptOutcome classifyOutcome(const HttpResponseHead &head, ExchangeOutcome outcome);
+
 }
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -567,7 +567,8 @@
 {
     const EngineId engine = m_placement->decode->id;
     const EngineResponseInfo info = readEngineResponse(m_responseHead);
-    const bool isDeclined = outcome == ExchangeOutcome::Complete && provesNotRun(m_responseHead.status, info);
+    const AttemptOutcome result = classifyOutcome(m_responseHead, outcome);
+    const bool isDeclined = std::holds_alternative<Declined>(result);
     m_loop.context().metrics.countAttempt("decode",
                                           outcome == ExchangeOutcome::NotSent ? "unreachable"
                                               : isDeclined                    ? "declined"
@@ -609,7 +610,7 @@
         return;
     }
     m_reservation.releaseAll(m_loop.events().now());
-    const bool mayRelay = outcome == ExchangeOutcome::Complete && !info.isEncoded && m_responseHead.status != statusOk;
+    const bool mayRelay = std::holds_alternative<Answered>(result) && m_responseHead.status != statusOk;
     m_reservation.recordResult(engine, mayRelay && m_responseHead.status < 500 ? EngineResult::Succeeded : EngineResult::Failed,
                                m_loop.events().now());
     if (m_facts.route->repeatability == Repeatability::Idempotent && (!mayRelay || m_responseHead.status >= 500)
--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -127,25 +127,6 @@
     return callbacks;
 }
 
-AttemptOutcome WholeCall::classifyOutcome(const Attempt &attempt, ExchangeOutcome outcome)
-{
-    if (outcome == ExchangeOutcome::NotSent) {
-        return NotSent{};
-    }
-    if (outcome == ExchangeOutcome::Incomplete) {
-        return NoUsableAnswer{};
-    }
-    const EngineResponseInfo info = readEngineResponse(attempt.head);
-    if (provesNotRun(attempt.head.status, info)) {
-        return Declined{};
-    }
-    const bool isSuccess = attempt.head.status >= 200 && attempt.head.status < 300;
-    if (info.isEncoded || (isSuccess && (!info.isSigned || info.requestId.empty()))) {
-        return NoUsableAnswer{};
-    }
-    return Answered{attempt.head.status};
-}
-
 void WholeCall::handleBody(const AttemptPtr &attempt, const std::string &chunk)
 {
     if (!attempt->body.append(chunk)) {
@@ -159,7 +140,7 @@
     if (m_finished) {
         return;
     }
-    const AttemptOutcome result = classifyOutcome(*attempt, outcome);
+    const AttemptOutcome result = classifyOutcome(attempt->head, outcome);
     releaseEngine(*attempt, engineResult(result));
     if (attempt == m_overdueAttempt) {
         m_overdueAttempt.reset();
--- a/packages/apricotladderd/entry/wholecall.h
+++ b/packages/apricotladderd/entry/wholecall.h
@@ -55,7 +55,6 @@
     HttpExchange::Callbacks exchangeCallbacks(const AttemptPtr &attempt);
     void handleBody(const AttemptPtr &attempt, const std::string &chunk);
     void handleExchangeOutcome(const AttemptPtr &attempt, ExchangeOutcome outcome);
-    static AttemptOutcome classifyOutcome(const Attempt &attempt, ExchangeOutcome outcome);
     void handleAttemptOutcome(const AttemptOutcome &outcome);
     void handleOverdueOutcome(const AttemptPtr &attempt, const AttemptOutcome &outcome);
     void handleOverdue();
