entry: Keep a silent engine until another one has taken over its stream

Cause: break before make. At a stall the node reset the connection to the silent engine and then asked the other one. If that one declined, or could not be reached, there was no way back; the decline used up maxAttempts, although it proves that nothing has run.

Change: StreamTakeover asks the other engine while the silent one is still read. If the silent one goes on, the other is cancelled; if the other one declines, nothing changes and its attempt does not count.

Ruled out: waiting for the response of the other engine without a limit (both would work on the stream while it reads the prompt).

The soak's silences end later than the stall timeout now, not at it.

--- a/packages/apricotladderd/entry/modelreservation.cpp
+++ b/packages/apricotladderd/entry/modelreservation.cpp
@@ -25,6 +25,12 @@
     m_context.onLoadsChanged();
 }
 
+void ModelReservation::replaceBy(ModelReservation &other, absl::Time now)
+{
+    releaseAll(now);
+    m_reservations = std::exchange(other.m_reservations, {});
+}
+
 void ModelReservation::add(const EngineReservation &reservation)
 {
     m_context.pools.withPool(m_service, [&](ServicePool &pool) { pool.add(reservation); });
--- a/packages/apricotladderd/entry/modelreservation.h
+++ b/packages/apricotladderd/entry/modelreservation.h
@@ -26,6 +26,9 @@
     /// Takes ownership of the reservations of \a placement.
     void adopt(const ModelPlacement &placement);
 
+    /// Releases all reservations and takes over those of \a other.
+    void replaceBy(ModelReservation &other, absl::Time now);
+
     /// Makes and owns a further reservation.
     void add(const EngineReservation &reservation);
 
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -66,6 +66,7 @@
     , m_head(std::move(head))
     , m_body(std::move(body))
     , m_reservation(loop.context(), m_facts.service)
+    , m_takeoverReservation(loop.context(), m_facts.service)
     , m_kvHandle(loop, m_facts.call->promptTokens)
     , m_promptGuard(loop.context().quarantine, m_facts)
     , m_responseBody(loop.context().bufferedAnswerBytes)
@@ -331,17 +332,27 @@
         requestPlacement(m_facts.route->targetLatency);
         return;
     }
+    beginResponse(engine, now);
+    m_wasSent = false;
+    EngineRequestOptions options = makeRequestOptions(engine);
+    options.kvSource = m_kvHandle.source();
+    options.lastEventId = m_events.lastId();
+    m_exchange = HttpExchange::start(m_loop.events(), m_loop.engines(), makeEngineRequest(engine, options), decodeCallbacks(engine));
+}
+
+void StreamCall::beginResponse(const EngineEntry &engine, absl::Time now)
+{
     m_stageStart = now;
     m_lastDecodeEngine = engine->id;
-    m_wasSent = false;
     m_responseHead = {};
     m_responseBody.clear();
     m_isStream = false;
     m_answerBegin.reset();
     m_events.beginResponse();
-    EngineRequestOptions options = makeRequestOptions(engine);
-    options.kvSource = m_kvHandle.source();
-    options.lastEventId = m_events.lastId();
+}
+
+HttpExchange::Callbacks StreamCall::decodeCallbacks(const EngineEntry &engine)
+{
     const std::shared_ptr<StreamCall> self = shared_from_this();
     HttpExchange::Callbacks callbacks;
     callbacks.onSent = [self] {
@@ -360,7 +371,7 @@
         }
         self->handleDecodeOutcome(outcome);
     };
-    m_exchange = HttpExchange::start(m_loop.events(), m_loop.engines(), makeEngineRequest(engine, options), std::move(callbacks));
+    return callbacks;
 }
 
 void StreamCall::handleDecodeHead(const HttpResponseHead &head)
@@ -414,6 +425,7 @@
 
 void StreamCall::forwardEvents(const std::string &events)
 {
+    cancelTakeover(); // The engine goes on.
     const absl::Time now = m_loop.events().now();
     if (!m_answerBegin) {
         m_answerBegin = now;
@@ -461,11 +473,14 @@
 void StreamCall::handleStall()
 {
     // While the caller does not read, the engine is not read either, and its silence means nothing.
-    if (!m_streamStarted || m_finished || m_caller->unsentBytes() > 0 || !canResumeOnOtherEngine()) {
+    if (!m_streamStarted || m_finished || m_takeover || m_caller->unsentBytes() > 0 || !canResumeOnOtherEngine()) {
         return;
     }
-    // The engine may be sound and go on, so it is only given up for one that has capacity now.
     const absl::Time now = m_loop.events().now();
+    if (!m_promptGuard.isOutlived() && m_promptGuard.check(now)) {
+        return;
+    }
+    // The engine may be sound and go on, so it is only given up for one that has accepted the stream.
     const EngineId stalled = m_placement->decode->id;
     ModelDemand demand = makeDemand(absl::ZeroDuration());
     demand.excludedEngines.push_back(stalled);
@@ -474,19 +489,83 @@
     if (!placement) {
         return;
     }
+    m_takeoverReservation.adopt(*placement);
     if (!trySpendRetry()) {
-        for (const EngineReservation &reservation : placement->reservations) {
-            m_loop.context().pools.release(m_facts.service, reservation, now);
-        }
+        m_takeoverReservation.releaseAll(now);
         return;
     }
     m_loop.context().log.add(
         LogLevel::Info, "call.stall", m_facts.call->requestId,
         {{"engine", stalled.text()}, {"after", m_events.lastId()}, {"silentMs", absl::ToDoubleMilliseconds(now - m_lastEventTime)}});
+    startTakeover(*placement);
+}
+
+void StreamCall::startTakeover(const ModelPlacement &placement)
+{
+    const std::shared_ptr<StreamCall> self = shared_from_this();
+    EngineRequestOptions options = makeRequestOptions(placement.decode);
+    options.lastEventId = m_events.lastId();
+    StreamTakeover::Callbacks callbacks;
+    callbacks.onSent = [self] {
+        ++self->m_sentAttempts;
+    };
+    callbacks.onAccepted = [self] {
+        self->handleTakeoverAccepted();
+    };
+    callbacks.onDeclined = [self](const HttpResponseHead &head, ExchangeOutcome outcome) {
+        self->handleTakeoverDeclined(head, outcome);
+    };
+    callbacks.stream = decodeCallbacks(placement.decode);
+    m_takeover = StreamTakeover::start(m_loop.events(), m_loop.engines(), placement, makeEngineRequest(placement.decode, options),
+                                       std::move(callbacks));
+}
+
+void StreamCall::handleTakeoverAccepted()
+{
+    m_reservation.recordResult(m_placement->decode->id, EngineResult::Failed, m_loop.events().now());
+    switchToTakeover();
+}
+
+void StreamCall::switchToTakeover()
+{
+    const std::shared_ptr<StreamTakeover> takeover = std::exchange(m_takeover, nullptr);
+    const absl::Time now = m_loop.events().now();
     m_exchange->cancel();
-    m_reservation.recordResult(stalled, EngineResult::Failed, now);
     leaveEngine();
-    handlePlacement(*placement);
+    m_reservation.replaceBy(m_takeoverReservation, now);
+    m_placement = takeover->placement();
+    m_placedAt = now;
+    m_basis = m_placement->basis;
+    m_exchange = takeover->exchange();
+    m_wasSent = true;
+    m_lastEventTime = now;
+    beginResponse(m_placement->decode, now);
+}
+
+void StreamCall::handleTakeoverDeclined(const HttpResponseHead &head, ExchangeOutcome outcome)
+{
+    const EngineId engine = std::exchange(m_takeover, nullptr)->placement().decode->id;
+    const AttemptOutcome result = classifyOutcome(head, outcome);
+    const bool isDeclined = std::holds_alternative<Declined>(result);
+    m_sentAttempts -= isDeclined ? 1 : 0; // It has run nothing.
+    const absl::Time now = m_loop.events().now();
+    m_takeoverReservation.recordResult(engine,
+                                       isDeclined                                    ? EngineResult::Refused
+                                           : std::holds_alternative<NotSent>(result) ? EngineResult::Unreachable
+                                                                                     : EngineResult::Failed,
+                                       now);
+    m_takeoverReservation.releaseAll(now);
+    m_excludedEngines.push_back(engine);
+    m_loop.context().log.add(LogLevel::Info, "call.takeoverfailed", m_facts.call->requestId,
+                             {{"engine", engine.text()}, {"status", std::int64_t{head.status}}, {"declined", isDeclined}});
+}
+
+void StreamCall::cancelTakeover()
+{
+    if (const std::shared_ptr<StreamTakeover> takeover = std::exchange(m_takeover, nullptr)) {
+        takeover->cancel();
+        m_takeoverReservation.releaseAll(m_loop.events().now());
+    }
 }
 
 void StreamCall::handleDecodeOutcome(ExchangeOutcome outcome)
@@ -551,6 +630,11 @@
 
 void StreamCall::resumeOnOtherEngine()
 {
+    if (m_takeover) {
+        m_takeover->adopt();
+        switchToTakeover();
+        return;
+    }
     if (!canResumeOnOtherEngine() || !trySpendRetry()) {
         if (m_streamStarted) {
             abortStream("the engine broke off");
@@ -657,6 +741,7 @@
     if (m_exchange) {
         m_exchange->cancel();
     }
+    cancelTakeover();
 }
 
 void StreamCall::refuse(ErrorKind kind, std::optional<absl::Duration> retryAfter)
@@ -709,6 +794,7 @@
         context.pools.withPool(m_facts.service, [&](ServicePool &pool) { pool.removeWaiter(m_waiter); });
         context.onLoadsChanged();
     }
+    cancelTakeover();
     m_reservation.releaseAll(m_loop.events().now());
     m_kvHandle.release("unused");
     const absl::Time now = events.now();
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -6,6 +6,7 @@
 #include "apricotladderd/entry/modelreservation.h"
 #include "apricotladderd/entry/ownedkvhandle.h"
 #include "apricotladderd/entry/promptguard.h"
+#include "apricotladderd/entry/streamtakeover.h"
 #include "coordination/attemptdecision.h"
 #include "platform/callheaders.h"
 #include "protocol/sseeventsplitter.h"
@@ -52,12 +53,21 @@
     void continueAfterFailedPrefill(EngineResult result, const char *why);
 
     void startDecode();
+    /// Makes the call ready for the response of \a engine.
+    void beginResponse(const EngineEntry &engine, absl::Time now);
+    HttpExchange::Callbacks decodeCallbacks(const EngineEntry &engine);
     void handleDecodeHead(const HttpResponseHead &head);
     void handleDecodeBody(const std::string &chunk);
     void handleDecodeOutcome(ExchangeOutcome outcome);
     void forwardEvents(const std::string &events);
     void cutOffEngine();
     void handleStall();
+    void startTakeover(const ModelPlacement &placement);
+    void handleTakeoverAccepted();
+    /// Gives up the current engine of the stream for that of the takeover.
+    void switchToTakeover();
+    void handleTakeoverDeclined(const HttpResponseHead &head, ExchangeOutcome outcome);
+    void cancelTakeover();
     void armStallTimer();
     void handleStreamOutcome(ExchangeOutcome outcome);
     void handleNonStreamOutcome(ExchangeOutcome outcome);
@@ -88,6 +98,8 @@
     std::optional<ModelPlacement> m_placement;
     PlacementBasis m_basis; ///< basis of the last placement, for the log
     ModelReservation m_reservation;
+    ModelReservation m_takeoverReservation;
+    std::shared_ptr<StreamTakeover> m_takeover; ///< of the stream, while its engine is silent
     std::vector<EngineId> m_excludedEngines;
     std::shared_ptr<HttpExchange> m_exchange;
     std::shared_ptr<HttpFetch> m_prefillFetch;
--- a/tests/soak/soakstep.cpp
+++ b/tests/soak/soakstep.cpp
@@ -158,7 +158,7 @@
 
     absl::Duration drawSilence()
     {
-        return absl::Milliseconds(1000 + drawUpTo(500));
+        return absl::Milliseconds(1000 + drawUpTo(800));
     }
 
     std::int64_t drawUpTo(std::int64_t max)
