entry: Take no call that may outlast a planned stop, and answer those that do

Callers saw (a report of other operators): in a planned stop, requests that came late in the grace period were passed on and cut at its end with no answer, also such as may not be repeated (LOST).

Cause: work was accepted without asking whether it can end in time. Only streams were refused, from 3 s after the stop request; a whole call was taken whenever it was received, such as on a connection whose request came slowly. At the end of the grace period all connections were reset, also those of calls that no engine had seen.

Calls still in progress there are answered: 503 if no engine got them, 504 if they may have run; only streams that have begun are reset. LeavePhase::Closing is gone.

Ruled out: refusing all calls after 3 s. A short call can still be served, and its caller may have no other address yet.

--- a/packages/apricotladderd/entry/calldispatch.cpp
+++ b/packages/apricotladderd/entry/calldispatch.cpp
@@ -14,6 +14,9 @@
 
 constexpr absl::Duration unconfiguredRetryAfter = absl::Milliseconds(300);
 
+/// Retry-After of a call that a leaving node does not take: another node can serve it at once.
+constexpr absl::Duration leavingRetryAfter = absl::Milliseconds(50);
+
 /// Callers set about the same deadline for each call of a route. A call with less than this fraction of the usual time left
 /// is a retry of a call that was refused before.
 constexpr double lateTimeLeftFraction = 0.8;
@@ -75,6 +78,13 @@
                     table->desired()->version,
                     loop.events().now(),
                     isLateRetry(context, *route, call, loop.events().now())};
+    if (!takesCall(loop.leavePlan(), facts.deadline(), facts.arrival)) {
+        context.metrics.countCall((*route)->responseMode == ResponseMode::Stream ? "stream" : "plain", "Draining");
+        context.log.add(LogLevel::Info, "call.leaving", call->requestId,
+                        {{"route", (*route)->name}, {"mayLastMs", absl::ToDoubleMilliseconds(facts.deadline() - facts.arrival)}});
+        respondWithError(*connection, ErrorKind::Draining, leavingRetryAfter, errorDescriptor(ErrorKind::Draining).text);
+        return;
+    }
     context.callCount.fetch_add(1, std::memory_order_relaxed);
     context.withRetryQuota(facts.service, [&](RetryQuota &quota) { quota.recordRequest(facts.arrival); });
     if ((*route)->responseMode == ResponseMode::Stream) {
--- a/packages/apricotladderd/entry/entrycontext.h
+++ b/packages/apricotladderd/entry/entrycontext.h
@@ -24,7 +24,6 @@
 enum class LeavePhase : std::uint8_t {
     Serving,
     Leaving, ///< no longer returned by discovery; calls are still served
-    Closing, ///< new streams are refused, because the process would end before they do
     Ending, ///< the grace period is over: the calls that are left are ended
 };
 
@@ -95,12 +94,6 @@
         return withRetryQuota(service, [&](RetryQuota &quota) { return quota.trySpend(share, now); });
     }
 
-    /// The outcome to log for a call whose connection to the caller was closed.
-    const char *disconnectCause() const
-    {
-        return phase.load(std::memory_order_relaxed) == LeavePhase::Ending ? "node stopped" : "caller left";
-    }
-
     EntrySettings settings;
     EventLog log;
     EntryMetrics metrics;
--- a/packages/apricotladderd/entry/entryloop.cpp
+++ b/packages/apricotladderd/entry/entryloop.cpp
@@ -66,9 +66,14 @@
     });
 }
 
+void EntryLoop::setLeavePlan(const LeavePlan &plan)
+{
+    m_events.post([this, plan] { m_leavePlan = plan; });
+}
+
 void EntryLoop::endCalls()
 {
-    m_events.post([this] { m_listener->abortConnections(); });
+    m_events.post([this] { m_listener->interruptRequests(); });
 }
 
 WaiterId EntryLoop::addWaiter(const PlacementCallback &callback)
--- a/packages/apricotladderd/entry/entryloop.h
+++ b/packages/apricotladderd/entry/entryloop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "apricotladderd/entry/entrycontext.h"
+#include "coordination/leaveplan.h"
 #include "transport/connectionpool.h"
 #include "transport/eventloop.h"
 #include "transport/httplistener.h"
@@ -50,7 +51,10 @@
         return m_isListenerClosed.load(std::memory_order_acquire);
     }
 
-    /// Resets all connections to callers and ends their calls, each with its last log line. Any thread may call it.
+    /// Sets the schedule of the node's planned stop. Any thread may call it.
+    void setLeavePlan(const LeavePlan &plan);
+
+    /// Ends the calls in progress, each with an answer if it has not sent a part of one. Any thread may call it.
     void endCalls();
 
     /// Number of open connections to callers; any thread may call it.
@@ -76,6 +80,12 @@
         return m_engines;
     }
 
+    /// The schedule of the node's planned stop.
+    const LeavePlan &leavePlan() const
+    {
+        return m_leavePlan;
+    }
+
     /// A random number in [0, 1).
     double random()
     {
@@ -104,6 +114,7 @@
     ConnectionPool m_engines;
     absl::InsecureBitGen m_random;
     std::unique_ptr<HttpListener> m_listener;
+    LeavePlan m_leavePlan;
     std::atomic<bool> m_isListenerClosed{false};
     absl::flat_hash_map<WaiterId, PlacementCallback> m_waiters;
     WaiterId m_lastWaiterId = 0;
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -32,11 +32,6 @@
 /// A node that can reach the store but stays behind its peers for this long lists again, as its watch may have stalled.
 constexpr absl::Duration maxTimeBehind = absl::Milliseconds(700);
 
-/// Time after which a leaving node refuses new streams, because they might not finish before it exits.
-constexpr absl::Duration closingDelay = absl::Seconds(3);
-
-/// Margin before the end of the grace period: calls still in progress by then are ended.
-constexpr absl::Duration shutdownMargin = absl::Milliseconds(400);
 constexpr absl::Duration leaveCheckInterval = absl::Milliseconds(100);
 
 /// Path at which peers request all engines and the desired state that this node knows.
@@ -353,20 +348,18 @@
         return;
     }
     m_context.phase.store(LeavePhase::Leaving);
-    m_leaveStart = m_controlLoop.now();
+    m_leavePlan = LeavePlan(LeavePlanFields{m_controlLoop.now(), absl::Seconds(m_context.settings->graceS)});
+    for (const std::unique_ptr<EntryLoop> &loop : m_loops) {
+        loop->setLeavePlan(m_leavePlan);
+    }
     m_context.log.add(LogLevel::Info, "stop", RequestId(), {{"callers", static_cast<std::int64_t>(callerCount())}});
     m_peerLink->setLeaving();
     m_nodeDirectory->leave();
-    m_controlLoop.after(closingDelay, [this] {
-        if (m_context.phase.load() == LeavePhase::Leaving) {
-            m_context.phase.store(LeavePhase::Closing);
-        }
-    });
     const absl::Duration keepTime = absl::Milliseconds(m_context.settings->addressKeepMs);
-    m_controlLoop.after(keepTime + leaveCheckInterval, [this] { closeWhenDone(m_leaveStart); });
+    m_controlLoop.after(keepTime + leaveCheckInterval, [this] { closeWhenDone(); });
 }
 
-void EntryNode::closeWhenDone(absl::Time leaveStart)
+void EntryNode::closeWhenDone()
 {
     for (const std::unique_ptr<EntryLoop> &loop : m_loops) {
         loop->closeListener();
@@ -374,8 +367,7 @@
     const bool acceptsNone
         = std::all_of(m_loops.begin(), m_loops.end(), [](const std::unique_ptr<EntryLoop> &it) { return it->isListenerClosed(); });
     const bool isDone = acceptsNone && callerCount() == 0 && !m_nodeDirectory->isLeaving();
-    const absl::Duration grace = absl::Seconds(m_context.settings->graceS);
-    const bool isGraceOver = m_controlLoop.now() - leaveStart > grace - shutdownMargin;
+    const bool isGraceOver = m_controlLoop.now() >= callEnd(m_leavePlan);
     if (isDone || (isGraceOver && m_context.phase.load() == LeavePhase::Ending)) {
         finish();
         return;
@@ -383,7 +375,7 @@
     if (isGraceOver) {
         endCalls();
     }
-    m_controlLoop.after(leaveCheckInterval, [this, leaveStart] { closeWhenDone(leaveStart); });
+    m_controlLoop.after(leaveCheckInterval, [this] { closeWhenDone(); });
 }
 
 void EntryNode::endCalls()
@@ -396,9 +388,9 @@
 
 void EntryNode::finish()
 {
-    m_context.log.add(
-        LogLevel::Info, "stopped", RequestId(),
-        {{"callers", static_cast<std::int64_t>(callerCount())}, {"ms", absl::ToDoubleMilliseconds(m_controlLoop.now() - m_leaveStart)}});
+    m_context.log.add(LogLevel::Info, "stopped", RequestId(),
+                      {{"callers", static_cast<std::int64_t>(callerCount())},
+                       {"ms", absl::ToDoubleMilliseconds(m_controlLoop.now() - m_leavePlan->start)}});
     m_controlLoop.stop();
 }
 
--- a/packages/apricotladderd/entry/entrynode.h
+++ b/packages/apricotladderd/entry/entrynode.h
@@ -78,7 +78,7 @@
     void fetchPeerState(const PeerVersions &peer);
     void applyPeerState(const std::string &body, const NodeId &from);
     void beginLeaving();
-    void closeWhenDone(absl::Time leaveStart);
+    void closeWhenDone();
     void endCalls();
     void finish();
     bool isReady() const;
@@ -104,7 +104,7 @@
     absl::Time m_behindSince = absl::InfiniteFuture(); ///< since when a peer has had something newer
     PeerVersions m_newestVersions; ///< the newest versions that a peer has told
     std::uint64_t m_discoveryRotation = 0;
-    absl::Time m_leaveStart = absl::InfiniteFuture();
+    LeavePlan m_leavePlan;
 };
 
 }
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -75,16 +75,13 @@
 
 void StreamCall::start()
 {
-    if (m_loop.context().phase.load(std::memory_order_relaxed) >= LeavePhase::Closing) {
-        refuse(ErrorKind::Draining, shortRetryAfter);
-        return;
-    }
     if (refuseQuarantined()) {
         return;
     }
     const absl::Duration timeLeft = m_facts.deadline() - m_loop.events().now();
     const std::shared_ptr<StreamCall> self = shared_from_this();
     m_caller->setPeerClosedHandler([self] { self->handleCallerDisconnected(); });
+    m_caller->setInterruptHandler([self] { self->handleNodeEnding(); });
     m_deadlineTimer = m_loop.events().after(timeLeft, [self] { self->handleDeadline(); });
     const double waitInTargets = m_facts.isLate ? lateMaxWaitInTargets : maxWaitInTargets;
     requestPlacement(std::min(m_facts.route->targetLatency * waitInTargets, maxPlacementWait));
@@ -724,13 +721,23 @@
     refuse(m_wasSent ? ErrorKind::OutcomeUnknown : ErrorKind::NoCapacity, std::nullopt);
 }
 
+void StreamCall::handleNodeEnding()
+{
+    cancelExchange();
+    if (m_streamStarted) {
+        abortStream("node stopped");
+        return;
+    }
+    refuse(m_wasSent || m_promptGuard.hasBroken() ? ErrorKind::OutcomeUnknown : ErrorKind::Draining, shortRetryAfter);
+}
+
 void StreamCall::handleCallerDisconnected()
 {
     if (m_finished) {
         return;
     }
     cancelExchange();
-    finish(m_loop.context().disconnectCause(), 0);
+    finish("caller left", 0);
 }
 
 void StreamCall::cancelExchange()
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -77,6 +77,8 @@
     bool canResumeOnOtherEngine();
 
     void handleDeadline();
+    /// Ends the call because the node is about to end.
+    void handleNodeEnding();
     void handleCallerDisconnected();
     void refuse(ErrorKind kind, std::optional<absl::Duration> retryAfter);
     bool refuseQuarantined();
--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -62,6 +62,7 @@
     const absl::Duration timeLeft = m_facts.deadline() - m_loop.events().now();
     const std::shared_ptr<WholeCall> self = shared_from_this();
     m_caller->setPeerClosedHandler([self] { self->handleCallerDisconnected(); });
+    m_caller->setInterruptHandler([self] { self->handleNodeEnding(); });
     m_deadlineTimer = m_loop.events().after(timeLeft, [self] { self->handleDeadline(); });
     startAttempt();
 }
@@ -243,6 +244,14 @@
     handleAttemptOutcome(DeadlineExceeded{wasSent});
 }
 
+void WholeCall::handleNodeEnding()
+{
+    const bool mayHaveRun = m_mayHaveRun || m_attempt->wasSent || m_overdueAttempt;
+    cancel(std::exchange(m_overdueAttempt, nullptr), std::nullopt);
+    cancel(m_attempt, std::nullopt);
+    refuse(mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::Draining);
+}
+
 void WholeCall::cancel(const AttemptPtr &attempt, std::optional<EngineResult> result)
 {
     if (attempt) {
@@ -298,7 +307,7 @@
     // A caller that disconnects is no evidence about the engines.
     cancel(std::exchange(m_overdueAttempt, nullptr), std::nullopt);
     cancel(m_attempt, std::nullopt);
-    finish(m_loop.context().disconnectCause(), 0);
+    finish("caller left", 0);
 }
 
 void WholeCall::finish(const char *outcome, int status)
--- a/packages/apricotladderd/entry/wholecall.h
+++ b/packages/apricotladderd/entry/wholecall.h
@@ -63,6 +63,8 @@
     /// Ends \a attempt, if there is one, and records \a result for its engine.
     void cancel(const AttemptPtr &attempt, std::optional<EngineResult> result);
     void handleDeadline();
+    /// Ends the call because the node is about to end.
+    void handleNodeEnding();
     void handleCallerDisconnected();
     /// Excludes the current engine from further attempts and returns the facts for decideNextStep().
     AttemptFacts makeAttemptFacts(absl::Time now);
--- a/packages/transport/httplistener.cpp
+++ b/packages/transport/httplistener.cpp
@@ -62,6 +62,14 @@
     }
 }
 
+void HttpListener::interruptRequests()
+{
+    const std::vector<HttpServerConnection::Ptr> connections(m_connections.begin(), m_connections.end());
+    for (const HttpServerConnection::Ptr &it : connections) {
+        it->interrupt();
+    }
+}
+
 void HttpListener::accept(std::shared_ptr<TcpConnection> connection)
 {
     const auto accepted = std::make_shared<HttpServerConnection>(m_loop, std::move(connection), m_hooks);
--- a/packages/transport/httplistener.h
+++ b/packages/transport/httplistener.h
@@ -59,6 +59,9 @@
     /// Stops accepting connections and closes those without a request in progress.
     void stopAccepting();
 
+    /// Interrupts all requests in progress. \see HttpServerConnection::setInterruptHandler()
+    void interruptRequests();
+
     /// Resets all open connections and handles this like a disconnect of their clients.
     void abortConnections();
 
--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -48,6 +48,18 @@
     m_onPeerClosed = std::move(onPeerClosed);
 }
 
+void HttpServerConnection::setInterruptHandler(std::function<void()> onInterrupt)
+{
+    m_onInterrupt = std::move(onInterrupt);
+}
+
+void HttpServerConnection::interrupt()
+{
+    if (const std::function<void()> onInterrupt = std::exchange(m_onInterrupt, nullptr)) {
+        onInterrupt();
+    }
+}
+
 void HttpServerConnection::setDrainedHandler(std::function<void()> onDrained)
 {
     m_onDrained = std::move(onDrained);
@@ -155,6 +167,7 @@
 {
     m_requestInProgress = false;
     m_onPeerClosed = nullptr;
+    m_onInterrupt = nullptr;
     m_onDrained = nullptr;
     m_phaseStart = m_loop.now();
     m_limits = m_hooks->limits();
@@ -248,6 +261,7 @@
     const Ptr self = shared_from_this();
     m_closed = true;
     m_onPeerClosed = nullptr;
+    m_onInterrupt = nullptr;
     m_onDrained = nullptr;
     m_loop.cancel(std::exchange(m_timer, 0));
     m_connection->close();
--- a/packages/transport/httpserverconnection.h
+++ b/packages/transport/httpserverconnection.h
@@ -72,6 +72,13 @@
     /// Runs \a onPeerClosed if the client disconnects before the response to the current request was written.
     void setPeerClosedHandler(std::function<void()> onPeerClosed);
 
+    /// Runs \a onInterrupt if interrupt() is called before the response to the current request was written. It has to end the request at
+    /// once, with a response or with abort().
+    void setInterruptHandler(std::function<void()> onInterrupt);
+
+    /// Ends the request in progress, if there is one whose owner can.
+    void interrupt();
+
     /// Runs \a onDrained each time all buffered output has been handed to the system.
     void setDrainedHandler(std::function<void()> onDrained);
 
@@ -124,6 +131,7 @@
     std::optional<HttpRequestParser> m_parser; ///< of the request that is being received
     std::string m_input; ///< input that is not parsed yet, such as pipelined requests
     std::function<void()> m_onPeerClosed;
+    std::function<void()> m_onInterrupt;
     std::function<void()> m_onDrained;
     TimerId m_timer = 0;
     absl::Time m_phaseStart; ///< start of the current phase: idle, or receiving a request
--- a/tests/platform/nodefixture.cpp
+++ b/tests/platform/nodefixture.cpp
@@ -64,7 +64,8 @@
         {"limits", {{"max-header-bytes", 16384}, {"max-body-bytes", 100000}, {"header-timeout-ms", 5000}, {"idle-timeout-ms", 20000}}}};
 }
 
-NodeUnderTest::NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds, std::int64_t threads)
+NodeUnderTest::NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds, std::int64_t threads,
+                             absl::Duration grace)
 {
     EntrySettingsFields fields;
     fields.node = NodeId(name);
@@ -78,7 +79,7 @@
     fields.storeAddress = store;
     fields.seeds = seeds;
     fields.addressKeepMs = 200;
-    fields.graceS = 20;
+    fields.graceS = absl::ToDoubleSeconds(grace);
     fields.threads = threads;
     fields.logLevel = "error";
     m_settings = EntrySettings(fields);
--- a/tests/platform/nodefixture.h
+++ b/tests/platform/nodefixture.h
@@ -41,7 +41,7 @@
 {
 public:
     explicit NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds = {},
-                           std::int64_t threads = EntrySettingsFields().threads);
+                           std::int64_t threads = EntrySettingsFields().threads, absl::Duration grace = absl::Seconds(20));
     ~NodeUnderTest();
 
     NodeUnderTest(const NodeUnderTest &) = delete;
