--- a/packages/transport/tests/exchange/testexchange.cpp
+++ b/packages/transport/tests/exchange/testexchange.cpp
@@ -371,6 +371,33 @@
     BOOST_TEST((exchange(request(server.address())).outcome == ExchangeOutcome::Incomplete));
 }
 
+/// Guards against MIXED: a head that broke off was taken for a whole one, at any place, on a fresh or a kept connection.
+BOOST_AUTO_TEST_CASE(aResponseThatEndsInItsHeadIsIncomplete)
+{
+    const std::string head = goodResponse.substr(0, goodResponse.size() - 4);
+    std::string answer;
+    bool closesInOrder = true;
+    RawServer server(events, [&](const auto &connection, const std::string &) {
+        connection->write(answer);
+        if (answer != goodResponse) {
+            closesInOrder ? connection->close() : connection->abort();
+        }
+    });
+    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+        for (const bool isKept : {false, true}) {
+            answer = goodResponse;
+            if (isKept) {
+                BOOST_REQUIRE((exchange(request(server.address())).outcome == ExchangeOutcome::Complete));
+            }
+            answer = head.substr(0, cut);
+            closesInOrder = cut % 2 == 0;
+            const ExchangeResult result = exchange(request(server.address()));
+            BOOST_TEST((result.outcome == ExchangeOutcome::Incomplete));
+            BOOST_TEST(result.status == 0);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aCancelledExchangeResetsItsConnection)
 {
     RawServer server(events, [](const auto &, const std::string &) {});
