transport: Limit what is kept of a chunk line or a trailer

Cause: the limits of head and body are Beast's, but what lies between them, a chunk line with its extension or a trailer, was kept by feedParser() until its end came, without a limit, and copied whole at each read.

Change: what is kept of an incomplete head, chunk line or trailer is limited to the size of a head, for responses and requests alike. It is copied no more when nothing of it was used.

Test: chunkLinesAndTrailersWithoutEndAreRejected.

--- a/packages/transport/httpparser.cpp
+++ b/packages/transport/httpparser.cpp
@@ -45,10 +45,10 @@
     return ec == http::error::body_limit ? ParseState::BodyTooLarge : ParseState::Malformed;
 }
 
-/// Feeds a Beast parser and returns how many of \a bytes belong to its message. Beast needs the whole head in one buffer, so an
-/// incomplete head is kept in \a pending.
+/// Feeds a Beast parser and returns how many of \a bytes belong to its message. Beast needs the whole head, chunk line or trailer in one
+/// buffer, so an incomplete one is kept in \a pending, up to \a maxPendingBytes.
 template<class Parser>
-std::size_t feedParser(Parser &parser, std::string &pending, std::string_view bytes, ErrorCode &ec)
+std::size_t feedParser(Parser &parser, std::string &pending, std::size_t maxPendingBytes, std::string_view bytes, ErrorCode &ec)
 {
     const std::size_t before = pending.size();
     std::string_view input = bytes;
@@ -62,9 +62,14 @@
         used += n;
         if (ec == http::error::need_more) {
             ec = {};
-            // The remaining input is an incomplete message head or chunk header.
-            std::string rest(input.substr(used));
-            pending = std::move(rest);
+            if (before > 0) {
+                pending.erase(0, used);
+            } else {
+                pending = input.substr(used);
+            }
+            if (pending.size() > maxPendingBytes) {
+                ec = http::error::header_limit;
+            }
             return bytes.size();
         }
         if (ec) {
@@ -103,6 +108,7 @@
 struct HttpRequestParser::Private
 {
     explicit Private(const ParseLimits &limits)
+        : maxPendingBytes(limits.headBytes)
     {
         parser.header_limit(static_cast<std::uint32_t>(limits.headBytes));
         parser.body_limit(limits.bodyBytes);
@@ -123,6 +129,7 @@
     }
 
     http::request_parser<http::string_body> parser;
+    std::size_t maxPendingBytes;
     std::string pending;
     HttpRequestHead head;
     ParseState state = ParseState::Head;
@@ -144,7 +151,7 @@
         return 0;
     }
     ErrorCode ec;
-    const std::size_t n = feedParser(m_data->parser, m_data->pending, bytes, ec);
+    const std::size_t n = feedParser(m_data->parser, m_data->pending, m_data->maxPendingBytes, bytes, ec);
     if (ec == http::error::body_limit && !m_data->hasHead) {
         m_data->storeHead(); // The length in the head exceeds the limit.
     }
@@ -231,7 +238,7 @@
         return 0;
     }
     ErrorCode ec;
-    const std::size_t n = feedParser(m_data->parser, m_data->pending, bytes, ec);
+    const std::size_t n = feedParser(m_data->parser, m_data->pending, maxResponseHeadBytes, bytes, ec);
     if (ec) {
         m_data->state = stateOfError(ec);
         return n;
--- a/packages/transport/tests/parser/testparser.cpp
+++ b/packages/transport/tests/parser/testparser.cpp
@@ -113,6 +113,25 @@
     BOOST_TEST((state == ParseState::Done));
 }
 
+/// Guards against a fault of the whole process: chunk lines and trailers without end were kept until the node had no memory left.
+BOOST_AUTO_TEST_CASE(chunkLinesAndTrailersWithoutEndAreRejected)
+{
+    const std::string part(1000, 'x');
+    constexpr int manyParts = 1000;
+    for (const std::string begin : {"5;name=", "5\r\nwhole\r\n0\r\nTrailer: "}) {
+        HttpResponseParser response;
+        HttpRequestParser request(limits);
+        response.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + begin);
+        request.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + begin);
+        for (int i = 0; i < manyParts; ++i) {
+            response.feed(part);
+            request.feed(part);
+        }
+        BOOST_TEST((response.state() == ParseState::HeadTooLarge));
+        BOOST_TEST((request.state() == ParseState::HeadTooLarge));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(hopByHopHeadersAreRemoved)
 {
     const HttpHeaders headers{{"Host", "h"},
