coordination: Let fewer nodes ask a store that answers none of them

While the store is down for all, the groups that stand in for the active nodes cost calls and find nothing. They were a twelfth of all nodes, for 0.4 s each: on 295 nodes about as many calls again as the active nodes make, several times over.

Change: groups of six nodes. From the third group on, each turn is twice as long as the one before, up to 3.2 s; the turns start anew when the store has answered any node. A store that answers none of two groups of six is likely to be down for all: if it turns away a third of the nodes at random, it turns away a whole group once in 700 times.

--- a/packages/coordination/storeduty.h
+++ b/packages/coordination/storeduty.h
@@ -16,12 +16,13 @@
     /// How long all active nodes must have been without the store before others ask it: a watch that is cut off is renewed sooner.
     static constexpr absl::Duration patience = absl::Milliseconds(300);
 
-    /// How long one group of nodes asks the store before the next group does.
-    static constexpr absl::Duration turn = absl::Milliseconds(400);
+    /// Number of nodes that ask the store at the same time.
+    static constexpr std::size_t groupSize = 6;
 
-    /// Size of a group: at least the first number, and at least one of this many of all nodes.
-    static constexpr std::size_t minGroup = 6;
-    static constexpr std::size_t nodesPerGroupMember = 12;
+    /// How long a group of nodes asks the store before the next one does. From the third group on, each turn is twice as long as the
+    /// one before, up to the maximum: a store that answers none of two groups is likely to be down for all.
+    static constexpr absl::Duration firstTurn = absl::Milliseconds(400);
+    static constexpr absl::Duration longestTurn = absl::Milliseconds(3200);
 };
 
 /// What a node knows about who reaches the store.
@@ -53,6 +54,7 @@
     static bool isInTurn(const StoreDutyFacts &facts, absl::Duration waited);
 
     absl::Time m_lostSince = absl::InfiniteFuture(); ///< since when no active node reaches the store
+    absl::Time m_unansweredSince = absl::InfiniteFuture(); ///< since when no node at all reaches it
 };
 
 }
