--- a/tests/platform/testsilentengines.cpp
+++ b/tests/platform/testsilentengines.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/time/clock.h>
 
+#include <functional>
 #include <string>
 
 using namespace Apricot;
@@ -56,9 +57,34 @@
     loop.after(absl::Milliseconds(2500), [&loop, connection] { sendSlowly(loop, connection, 3, absl::Milliseconds(10)); });
 }
 
+/**
+ * \class PlatformWithSilentEngine
+ * \brief Fixture: a stream whose engine is sound and silent for longer than the stall timeout.
+ */
+class PlatformWithSilentEngine : public Platform
+{
+public:
+    /// Plays such a stream, with another engine that \a addOther adds once it runs, and checks that its engine is kept.
+    void checkThatSilentEngineIsKept(const std::function<void()> &addOther)
+    {
+        store.put("config", "main", desiredState(3, Json::array({resumableRouteWithShortPauses()})));
+        PlatformEngineStandIn &silent = addEngine("d-1", "model", "decode", streamAfterSilence);
+        const NodeUnderTest node("n1", store.address());
+        BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
+        HttpReply reply;
+        Thread caller("caller", [&] { reply = node.call("/quick/x", "POST", "prompt"); });
+        BOOST_TEST(eventually([&] { return !silent.receivedRequests().empty(); }));
+        addOther();
+        caller.join();
+        BOOST_TEST(countEventIds(reply.body) == 5);
+        BOOST_TEST(silent.receivedRequests().size() == 1U);
+        BOOST_TEST(silent.abandonedCount() == 0);
+    }
+};
+
 }
 
-BOOST_FIXTURE_TEST_SUITE(SilentEngines, Platform)
+BOOST_FIXTURE_TEST_SUITE(SilentEngines, PlatformWithSilentEngine)
 
 BOOST_AUTO_TEST_CASE(aSlowButSoundStreamIsNotCut)
 {
@@ -136,39 +162,22 @@
 /// stream was cut.
 BOOST_AUTO_TEST_CASE(aSilentEngineIsKeptIfTheOtherOneDeclines)
 {
-    store.put("config", "main", desiredState(3, Json::array({resumableRouteWithShortPauses()})));
-    PlatformEngineStandIn &silent = addEngine("d-1", "model", "decode", streamAfterSilence);
-    const NodeUnderTest node("n1", store.address());
-    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
-    HttpReply reply;
-    Thread caller("caller", [&] { reply = node.call("/quick/x", "POST", "prompt"); });
-    BOOST_TEST(eventually([&] { return !silent.receivedRequests().empty(); }));
-    PlatformEngineStandIn &full
-        = addEngine("d-2", "model", "decode", [](EventLoop &, const HttpServerConnection::Ptr &connection, const ReceivedRequest &) {
-              PlatformEngineStandIn::respondNotExecuted(connection);
-          });
-    caller.join();
-    BOOST_TEST(countEventIds(reply.body) == 5);
-    BOOST_TEST(full.receivedRequests().size() == 1U);
-    BOOST_TEST(silent.receivedRequests().size() == 1U);
-    BOOST_TEST(silent.abandonedCount() == 0);
+    const PlatformEngineStandIn *full = nullptr;
+    checkThatSilentEngineIsKept([&] {
+        full = &addEngine("d-2", "model", "decode", [](EventLoop &, const HttpServerConnection::Ptr &connection, const ReceivedRequest &) {
+            PlatformEngineStandIn::respondNotExecuted(connection);
+        });
+    });
+    BOOST_TEST(full->receivedRequests().size() == 1U);
 }
 
 /// Guards against LOST: the same, with another engine to which there is no connection.
 BOOST_AUTO_TEST_CASE(aSilentEngineIsKeptIfTheOtherOneIsUnreachable)
 {
-    store.put("config", "main", desiredState(3, Json::array({resumableRouteWithShortPauses()})));
-    PlatformEngineStandIn &silent = addEngine("d-1", "model", "decode", streamAfterSilence);
-    const NodeUnderTest node("n1", store.address());
-    BOOST_REQUIRE(eventually([&] { return node.isReady(); }));
-    HttpReply reply;
-    Thread caller("caller", [&] { reply = node.call("/quick/x", "POST", "prompt"); });
-    BOOST_TEST(eventually([&] { return !silent.receivedRequests().empty(); }));
-    addEngine("d-2", "model", "decode", streamSlowly);
-    engines.pop_back(); // Its entry stays in the store.
-    caller.join();
-    BOOST_TEST(countEventIds(reply.body) == 5);
-    BOOST_TEST(silent.abandonedCount() == 0);
+    checkThatSilentEngineIsKept([&] {
+        addEngine("d-2", "model", "decode", streamSlowly);
+        engines.pop_back(); // Its entry stays in the store.
+    });
 }
 
 /// Guards against TWICE: both engines worked on the stream for longer than it takes the other one to decline.
