--- a/tests/platform/testsilentengines.cpp
+++ b/tests/platform/testsilentengines.cpp
@@ -24,6 +24,9 @@
 void sendSlowly(EventLoop &loop, const HttpServerConnection::Ptr &connection, int next, absl::Duration pause)
 {
     constexpr int lastEvent = 5;
+    if (connection->isClosed()) {
+        return;
+    }
     if (next > lastEvent) {
         connection->endStream();
         return;
