state: Add routed workspaces, credentials and their error kinds

The platform's desired state may contain workspaces with API keys and allowances. The new value types hold digests of keys, never keys, so that messages between nodes and logs cannot contain one.

--- a/packages/protocol/cellmessage.cpp
+++ b/packages/protocol/cellmessage.cpp
@@ -42,7 +42,7 @@
 template<class Archive>
 void serialize(Archive &archive, RouteFields &it)
 {
-    archive(it.name, it.host, it.pathPrefix, it.resumable, it.maxAttempts, it.rank, it.services);
+    archive(it.name, it.host, it.pathPrefix, it.resumable, it.maxAttempts, it.rank, it.services, it.anonymous);
     archiveEnum(archive, it.responseMode, ResponseMode::Stream);
     archiveEnum(archive, it.repeatability, Repeatability::AtMostOnce);
     archiveDuration(archive, it.timeout);
@@ -71,10 +71,38 @@
     archiveDuration(archive, it.idleTimeout);
 }
 
+template<class Archive>
+void save(Archive &archive, const KeyDigest &it)
+{
+    archive(it.high(), it.low());
+}
+
+template<class Archive>
+void load(Archive &archive, KeyDigest &it)
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+    archive(high, low);
+    it = KeyDigest(high, low);
+}
+
+template<class Archive>
+void serialize(Archive &archive, AllowanceFields &it)
+{
+    archiveEnum(archive, it.unit, AllowanceUnit::Tokens);
+    archive(it.ratePerSecond, it.burst, it.defaultTokens);
+}
+
+template<class Archive>
+void serialize(Archive &archive, RoutedWorkspaceFields &it)
+{
+    archive(it.name, it.keys, it.rank, it.allowance);
+}
+
 template<class Archive>
 void serialize(Archive &archive, DesiredStateFields &it)
 {
-    archive(it.version, it.routes, it.services, it.limits);
+    archive(it.version, it.routes, it.services, it.limits, it.requiresKeys, it.workspaces);
 }
 
 template<class Archive>
--- a/packages/protocol/tests/entry/testcellmessage.cpp
+++ b/packages/protocol/tests/entry/testcellmessage.cpp
@@ -69,6 +69,9 @@
     desired.version = 12;
     desired.routes = {Route(route)};
     desired.services = {RoutedService(service)};
+    desired.requiresKeys = true;
+    desired.workspaces = {RoutedWorkspace(RoutedWorkspaceFields{
+        WorkspaceName("w"), {KeyDigest(1, 2), KeyDigest(3, 4)}, 1, Allowance(AllowanceFields{AllowanceUnit::Tokens, 283860, 1.5, 200})})};
     EngineEntryFields engine;
     engine.id = EngineId("e");
     engine.stage = EngineStage::Decode;
--- a/packages/state/desiredstate.h
+++ b/packages/state/desiredstate.h
@@ -2,6 +2,7 @@
 
 #include "state/immutable.h"
 #include "state/name.h"
+#include "state/routedworkspace.h"
 
 #include <absl/time/time.h>
 
@@ -41,6 +42,7 @@
     absl::Duration maxEventGap; ///< maximum time between two events of a stream
     std::int64_t rank = 0; ///< 0 is the most urgent
     std::vector<WeightedService> services;
+    bool anonymous = false; ///< requests need no key, also where the desired state has workspaces
 
     friend auto operator<=>(const RouteFields &, const RouteFields &) = default;
 };
@@ -91,6 +93,8 @@
     std::vector<Route> routes;
     std::vector<RoutedService> services;
     CallerLimits limits;
+    bool requiresKeys = false; ///< requests need the key of a workspace, unless their route is anonymous
+    std::vector<RoutedWorkspace> workspaces;
 
     friend auto operator<=>(const DesiredStateFields &, const DesiredStateFields &) = default;
 };
--- a/packages/state/errorkind.cpp
+++ b/packages/state/errorkind.cpp
@@ -10,6 +10,7 @@
 constexpr std::array<ErrorDescriptor, errorKindCount> errorTable{{
     {ErrorKind::BadRequest, "BadRequest", 400, false, Outcome::NotRun, "The request is malformed; see the message."},
     {ErrorKind::BodyTooLarge, "BodyTooLarge", 413, false, Outcome::NotRun, "The body exceeds the size limit."},
+    {ErrorKind::KeyRejected, "KeyRejected", 401, false, Outcome::NotRun, "The request has no valid API key."},
     {ErrorKind::UnknownService, "UnknownService", 404, false, Outcome::NotRun, "No service of this name is configured."},
     {ErrorKind::UnknownOperation, "UnknownOperation", 404, false, Outcome::NotRun, "The service has no operation of this name."},
     {ErrorKind::RangeNotAvailable, "RangeNotAvailable", 416, false, Outcome::MayHaveRun,
@@ -18,6 +19,7 @@
     {ErrorKind::Superseded, "Superseded", 409, false, Outcome::MayHaveRun, "A later attempt superseded this one."},
     {ErrorKind::TargetUnreachable, "TargetUnreachable", 429, true, Outcome::NotRun, "The first token cannot meet its latency target."},
     {ErrorKind::RateLimited, "RateLimited", 429, true, Outcome::NotRun, "The rank exceeds its share of capacity; wait and retry."},
+    {ErrorKind::AllowanceExceeded, "AllowanceExceeded", 429, true, Outcome::NotRun, "The workspace exceeds its allowance; wait and retry."},
     {ErrorKind::NoCapacity, "NoCapacity", 503, true, Outcome::NotRun, "No engine has capacity for the request."},
     {ErrorKind::PromptQuarantined, "PromptQuarantined", 503, true, Outcome::NotRun, "A part of the prompt crashes engines; try it later."},
     {ErrorKind::NotConfigured, "NotConfigured", 503, true, Outcome::NotRun, "This node has not received a configuration yet."},
--- a/packages/state/errorkind.h
+++ b/packages/state/errorkind.h
@@ -11,6 +11,7 @@
 enum class ErrorKind {
     BadRequest,
     BodyTooLarge,
+    KeyRejected,
     UnknownService,
     UnknownOperation,
     RangeNotAvailable,
@@ -18,6 +19,7 @@
     Superseded,
     TargetUnreachable,
     RateLimited,
+    AllowanceExceeded,
     NoCapacity,
     PromptQuarantined,
     NotConfigured,
