--- a/packages/coordination/routetable.cpp
+++ b/packages/coordination/routetable.cpp
@@ -28,6 +28,11 @@
         std::stable_sort(routes.begin(), routes.end(),
                          [](const Route &left, const Route &right) { return left->pathPrefix.size() > right->pathPrefix.size(); });
     }
+    for (std::size_t i = 0; i < m_desired->workspaces.size(); ++i) {
+        for (const KeyDigest &key : m_desired->workspaces[i]->keys) {
+            m_workspacesByKey.try_emplace(key, i);
+        }
+    }
 }
 
 const Route *RouteTable::find(std::string_view host, std::string_view path) const
@@ -48,6 +53,12 @@
     return it == services.end() ? nullptr : &*it;
 }
 
+const RoutedWorkspace *RouteTable::workspace(const KeyDigest &key) const
+{
+    const auto it = m_workspacesByKey.find(key);
+    return it == m_workspacesByKey.end() ? nullptr : &m_desired->workspaces[it->second];
+}
+
 std::vector<ServiceName> RouteTable::serviceNames() const
 {
     std::vector<ServiceName> names;
--- a/packages/coordination/routetable.h
+++ b/packages/coordination/routetable.h
@@ -4,6 +4,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -13,7 +14,7 @@
 
 /**
  * \class RouteTable
- * \brief The routes of one desired state, indexed by host. It is immutable.
+ * \brief The routes of one desired state, indexed by host, and its workspaces, indexed by key. It is immutable.
  */
 class RouteTable
 {
@@ -33,12 +34,16 @@
     /// Returns the service called \a name; null if there is none.
     const RoutedService *service(const ServiceName &name) const;
 
+    /// Returns the workspace that \a key belongs to; null if there is none. A key of several workspaces belongs to the first of them.
+    const RoutedWorkspace *workspace(const KeyDigest &key) const;
+
     /// Returns the names of all services.
     std::vector<ServiceName> serviceNames() const;
 
 private:
     DesiredState m_desired;
     absl::flat_hash_map<std::string, std::vector<Route>> m_routesByHost; ///< longest prefix first
+    absl::flat_hash_map<KeyDigest, std::size_t> m_workspacesByKey; ///< index of the workspace in the desired state
 };
 
 /// Chooses one of the services of \a route by weight, using \a random in [0, 1). Returns an empty name if the route has none.
