--- a/tests/platform/nodefixture.cpp
+++ b/tests/platform/nodefixture.cpp
@@ -65,7 +65,7 @@
 }
 
 NodeUnderTest::NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds, std::int64_t threads,
-                             absl::Duration grace)
+                             absl::Duration grace, const std::string &logLevel)
 {
     EntrySettingsFields fields;
     fields.node = NodeId(name);
@@ -81,7 +81,7 @@
     fields.addressKeepMs = 200;
     fields.graceS = absl::ToDoubleSeconds(grace);
     fields.threads = threads;
-    fields.logLevel = "error";
+    fields.logLevel = logLevel;
     m_settings = EntrySettings(fields);
     m_node = std::make_unique<EntryNode>(m_settings);
     BOOST_REQUIRE_EQUAL(m_node->start(), "");
--- a/tests/platform/nodefixture.h
+++ b/tests/platform/nodefixture.h
@@ -41,7 +41,8 @@
 {
 public:
     explicit NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds = {},
-                           std::int64_t threads = EntrySettingsFields().threads, absl::Duration grace = absl::Seconds(20));
+                           std::int64_t threads = EntrySettingsFields().threads, absl::Duration grace = absl::Seconds(20),
+                           const std::string &logLevel = "error");
     ~NodeUnderTest();
 
     NodeUnderTest(const NodeUnderTest &) = delete;
