tests: Check skipped entries of workspaces and the cause of rejections

A malformed entry must leave the other workspaces alone, refuse its own keys and show in the metrics; `apricotladder explain` must name the reason of a 401.

--- a/packages/protocol/tests/log/testlog.cpp
+++ b/packages/protocol/tests/log/testlog.cpp
@@ -91,6 +91,9 @@
     BOOST_TEST(outcomeCause(requestHistory("r", lines({R"({"time":"1","node":"n","event":"call.malformed","request":"r","state":5})"})))
                    .find("exceeded a size limit")
                != std::string::npos);
+    BOOST_TEST(
+        outcomeCause(requestHistory("r", lines({R"({"time":"1","node":"n","event":"call.rejected","request":"r","reason":"unknown"})"})))
+        == "cause: refused, not run: the API key was unknown");
     BOOST_TEST(
         outcomeCause(requestHistory("r", lines({R"({"time":"1","node":"n","event":"call.repeat","request":"r"})"}))).find("call.repeat")
         != std::string::npos);
--- a/tests/platform/testworkspacekeys.cpp
+++ b/tests/platform/testworkspacekeys.cpp
@@ -416,6 +416,20 @@
     BOOST_TEST(withNew.send(requestText("/open/x", {})).status == 200);
 }
 
+/// One typing error must not cut off the other workspaces, nor leave its own without a limit, and it must be visible.
+BOOST_AUTO_TEST_CASE(aMalformedEntryAffectsNoOtherWorkspace)
+{
+    Json bad = workspace("bad", {newKey});
+    bad["rate-per-s"] = -1;
+    store.put("config", "main", keyedState(4, Json::array({bad, 7, workspace("huka270", {key})})));
+    addEngine("i-1", "desk", "", respondSuccessfully);
+    startNode();
+    BOOST_TEST(call("/read/x", {bearer + newKey}) == 401);
+    BOOST_TEST(callWithKey("/read/x") == 200);
+    const std::string metrics = node->fetch(node->settings()->metricsAddress, "/metrics").body;
+    BOOST_TEST(metrics.find("apricotladder_entry_malformed_entries_total{kind=\"workspace\"} 2") != std::string::npos, metrics);
+}
+
 BOOST_AUTO_TEST_CASE(theRankOfTheWorkspaceReachesTheEngines)
 {
     Json urgent = workspace("urgent", {key});
