coordination: Decide on allowances that all nodes share

A workspace has one limit for all nodes, and a caller may use any node. A fixed part of the limit for each node would refuse requests below the limit, and independent buckets would allow several times the limit.

WorkspaceAllowances keeps a copy of each workspace's token bucket on each node. A node charges its own requests at once and those of its peers when their cumulative reports arrive.

The tests run several nodes in virtual time over links with delay, loss, duplication and cuts, and check the sum of all nodes against the rule in each window. A busy workspace uses at least 0.95 of its rate with 1, 2, 6 and 15 nodes, with all its requests at one node or at all of them.

--- /dev/null
+++ b/packages/coordination/tests/entry/testworkspaceallowance.cpp
@@ -0,0 +1,336 @@
+#include "allowancenetwork.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+
+using namespace Apricot;
+
+namespace {
+
+constexpr double rate = 283860; ///< tokens per second, as in the platform's example
+constexpr std::int64_t cost = 3000; ///< tokens of a typical request
+
+/// Part of the allowance that a busy workspace must be able to use while the nodes are in contact.
+constexpr double minUse = 0.95;
+
+Allowance tokens(double perSecond, double burst)
+{
+    return Allowance::Builder()
+        .set(&AllowanceFields::unit, AllowanceUnit::Tokens)
+        .set(&AllowanceFields::ratePerSecond, perSecond)
+        .set(&AllowanceFields::burst, burst)
+        .build();
+}
+
+AllowanceNetwork::Options options(std::size_t nodes)
+{
+    AllowanceNetwork::Options it;
+    it.nodeCount = nodes;
+    it.allowances = {tokens(rate, rate)};
+    return it;
+}
+
+std::function<double(std::size_t, std::size_t)> everywhere(double perNode)
+{
+    return [perNode](std::size_t, std::size_t) {
+        return perNode;
+    };
+}
+
+std::function<double(std::size_t, std::size_t)> only(std::size_t node, double demand)
+{
+    return [node, demand](std::size_t index, std::size_t) {
+        return index == node ? demand : 0;
+    };
+}
+
+const auto noCut = [](std::size_t, std::size_t) {
+    return false;
+};
+
+std::function<bool(std::size_t, std::size_t)> parts(std::size_t count)
+{
+    return [count](std::size_t from, std::size_t to) {
+        return from % count != to % count;
+    };
+}
+
+/// What the workspace could use of its rate over the last \a seconds.
+double use(const AllowanceNetwork &network, int seconds, std::size_t workspace = 0)
+{
+    return network.spent(workspace, absl::Seconds(seconds)) / (rate * seconds);
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(WorkspaceAllowance)
+
+// Guards against shares per node that a workspace cannot use elsewhere: all its requests may reach one node.
+BOOST_AUTO_TEST_CASE(busyWorkspaceUsesItsWholeAllowanceAtAnyNodes)
+{
+    for (const std::size_t nodes : {std::size_t{1}, std::size_t{2}, std::size_t{6}, std::size_t{15}}) {
+        AllowanceNetwork one(options(nodes));
+        one.run(absl::Seconds(15), only(0, 5 * rate), cost);
+        BOOST_TEST(use(one, 10) >= minUse, nodes << " nodes, requests at one: " << use(one, 10));
+        BOOST_TEST(one.worstWindow() <= 1.0);
+        AllowanceNetwork all(options(nodes));
+        all.run(absl::Seconds(15), everywhere(5 * rate / static_cast<double>(nodes)), cost);
+        BOOST_TEST(use(all, 10) >= minUse, nodes << " nodes, requests at all: " << use(all, 10));
+        BOOST_TEST(all.worstWindow() <= 1.0);
+    }
+}
+
+// Guards against refusals below the limit.
+BOOST_AUTO_TEST_CASE(demandBelowTheLimitIsServed)
+{
+    AllowanceNetwork network(options(10));
+    network.run(absl::Seconds(3), everywhere(0), cost);
+    network.run(absl::Seconds(30), everywhere(0.8 * rate / 10), cost);
+    BOOST_TEST(network.servedPart(0) >= 0.999);
+}
+
+// Guards against parts of a partition that each spend the whole limit, and against a limit that is lost after it.
+BOOST_AUTO_TEST_CASE(partitionsKeepTheLimit)
+{
+    for (const std::size_t count : {std::size_t{2}, std::size_t{3}}) {
+        AllowanceNetwork network(options(9));
+        network.run(absl::Seconds(12), everywhere(rate), cost);
+        network.setCut(parts(count));
+        network.run(absl::Seconds(20), everywhere(rate), cost);
+        BOOST_TEST(use(network, 10) >= 0.8);
+        network.setCut(noCut);
+        network.run(absl::Seconds(12), everywhere(rate), cost);
+        BOOST_TEST(use(network, 10) >= minUse);
+        BOOST_TEST(network.worstWindow() <= 1.0);
+    }
+}
+
+// Guards against full buckets in all parts when the demand begins just at the cut, or while it lasts.
+BOOST_AUTO_TEST_CASE(demandThatBeginsAtACutKeepsTheLimit)
+{
+    for (const int delayMs : {-100, 0, 100, 250, 400, 5000}) {
+        AllowanceNetwork network(options(9));
+        network.run(absl::Seconds(35), everywhere(0), cost);
+        if (delayMs < 0) {
+            network.run(absl::Milliseconds(-delayMs), everywhere(rate), cost);
+        }
+        network.setCut(parts(3));
+        network.run(absl::Milliseconds(std::max(0, delayMs)), everywhere(0), cost);
+        network.run(absl::Seconds(12), everywhere(rate), cost);
+        network.setCut(noCut);
+        network.run(absl::Seconds(12), everywhere(rate), cost);
+        BOOST_TEST(network.worstWindow() <= 1.0, "delay " << delayMs << ": " << network.worstWindow());
+    }
+}
+
+// Guards against a link that works in one direction only.
+BOOST_AUTO_TEST_CASE(oneWayCutKeepsTheLimit)
+{
+    AllowanceNetwork network(options(6));
+    network.run(absl::Seconds(10), everywhere(rate), cost);
+    network.setCut([](std::size_t from, std::size_t to) { return from < 3 && to >= 3; });
+    network.run(absl::Seconds(20), everywhere(rate), cost);
+    network.setCut(noCut);
+    network.run(absl::Seconds(10), everywhere(rate), cost);
+    BOOST_TEST(network.worstWindow() <= 1.0);
+    BOOST_TEST(use(network, 8) >= minUse);
+}
+
+// Guards against spending that is forgotten when a node is lost.
+BOOST_AUTO_TEST_CASE(nodeLostAtThePeakKeepsTheLimit)
+{
+    AllowanceNetwork network(options(6));
+    network.run(absl::Seconds(35), everywhere(0), cost);
+    network.run(absl::Milliseconds(100), only(0, 20 * rate), cost);
+    network.stop(0);
+    network.run(absl::Seconds(10), everywhere(2 * rate), cost);
+    BOOST_TEST(network.worstWindow() <= 1.0);
+    BOOST_TEST(use(network, 5) >= 0.8);
+    network.restart(0);
+    network.run(absl::Seconds(10), everywhere(2 * rate), cost);
+    BOOST_TEST(network.worstWindow() <= 1.0);
+    BOOST_TEST(use(network, 5) >= minUse);
+}
+
+// Guards against full buckets after a restart, and against counters of an earlier process.
+BOOST_AUTO_TEST_CASE(restartsKeepTheLimit)
+{
+    AllowanceNetwork network(options(6));
+    network.run(absl::Seconds(10), everywhere(rate), cost);
+    for (std::size_t i = 0; i < 6; ++i) {
+        network.restart(i);
+        network.run(absl::Seconds(2), everywhere(rate), cost);
+    }
+    BOOST_TEST(use(network, 12) >= 0.9);
+    for (std::size_t i = 0; i < 6; ++i) {
+        network.restart(i);
+    }
+    network.run(absl::Seconds(10), everywhere(rate), cost);
+    BOOST_TEST(use(network, 8) >= minUse);
+    BOOST_TEST(network.worstWindow() <= 1.0);
+}
+
+// Guards against ignored spending of a node that restarts and spends at once, because its counters are lower than before.
+BOOST_AUTO_TEST_CASE(spendingOfARestartedNodeIsCharged)
+{
+    AllowanceNetwork network(options(3));
+    network.run(absl::Seconds(20), only(0, 0.9 * rate), cost);
+    network.restart(0);
+    network.run(
+        absl::Seconds(20), [](std::size_t node, std::size_t) { return node == 2 ? 0 : 3 * rate; }, cost);
+    BOOST_TEST(network.worstWindow() <= 1.0);
+}
+
+// Guards against a level that has grown, or was kept, while a node was suspended.
+BOOST_AUTO_TEST_CASE(suspendedNodeKeepsTheLimit)
+{
+    for (const bool countsTime : {false, true}) {
+        AllowanceNetwork network(options(6));
+        network.run(absl::Seconds(35), everywhere(0.1 * rate), cost);
+        network.suspend(0);
+        network.run(absl::Seconds(10), everywhere(2 * rate), cost);
+        network.resume(0, countsTime);
+        network.run(absl::Seconds(10), everywhere(2 * rate), cost);
+        BOOST_TEST(network.worstWindow() <= 1.0);
+        BOOST_TEST(use(network, 5) >= minUse);
+    }
+}
+
+// Guards against a level of the old limit, and against debts that the new rate cannot refill in useful time.
+BOOST_AUTO_TEST_CASE(loweredLimitAppliesAtOnce)
+{
+    AllowanceNetwork network(options(6));
+    network.run(absl::Seconds(10), everywhere(rate), cost);
+    network.setAllowance(0, tokens(rate / 20, rate / 20));
+    network.run(absl::Seconds(35), everywhere(rate), cost);
+    BOOST_TEST(network.worstWindow() <= 1.0);
+    BOOST_TEST(use(network, 20) * 20 >= minUse);
+}
+
+// Guards against a full bucket for a workspace that is removed and added again.
+BOOST_AUTO_TEST_CASE(removedWorkspaceKeepsItsSpending)
+{
+    AllowanceNetwork network(options(6));
+    network.run(absl::Seconds(10), everywhere(rate), cost);
+    network.setAllowance(0, tokens(0, 0));
+    network.run(absl::Milliseconds(100), everywhere(0), cost);
+    network.setAllowance(0, tokens(rate / 2, rate * 4));
+    network.run(absl::Milliseconds(500), everywhere(rate), cost);
+    BOOST_TEST(network.spent(0, absl::Milliseconds(500)) <= rate + 120000);
+}
+
+// Guards against one busy workspace whose reports keep those of others from being sent, or that takes from them.
+BOOST_AUTO_TEST_CASE(hundredsOfWorkspacesWithOneHot)
+{
+    AllowanceNetwork::Options it = options(24);
+    it.activeCount = 8;
+    it.allowances.assign(300, tokens(20000, 40000));
+    it.allowances[0] = tokens(rate, rate);
+    AllowanceNetwork network(it);
+    network.run(
+        absl::Seconds(20),
+        [](std::size_t node, std::size_t workspace) { return node >= 8     ? 0.0
+                                                          : workspace == 0 ? 2 * rate
+                                                                           : 20000 * 0.6 / 8; }, cost);
+    BOOST_TEST(network.worstWindow() <= 1.0);
+    BOOST_TEST(use(network, 10) >= minUse);
+    for (std::size_t i = 1; i < 300; i += 50) {
+        BOOST_TEST(network.servedPart(i) >= 0.99);
+    }
+    BOOST_TEST_MESSAGE("bytes per second: " << network.bytesPerSecond());
+}
+
+// Guards against a node that callers still use although it is not active.
+BOOST_AUTO_TEST_CASE(standbyNodeSharesTheAllowance)
+{
+    AllowanceNetwork::Options it = options(20);
+    it.activeCount = 6;
+    AllowanceNetwork network(it);
+    network.run(absl::Seconds(35), everywhere(0), cost);
+    network.run(
+        absl::Seconds(15), [](std::size_t node, std::size_t) { return node == 12 || node < 2 ? 2 * rate : 0.0; }, cost);
+    BOOST_TEST(network.worstWindow() <= 1.0);
+    BOOST_TEST(use(network, 10) >= minUse);
+    network.run(absl::Seconds(15), only(12, 2 * rate), cost);
+    BOOST_TEST(use(network, 10) >= minUse);
+}
+
+// Guards against requests that can never be admitted although the rule allows them, and against those that it forbids.
+BOOST_AUTO_TEST_CASE(costAboveTheBurstNeedsAPause)
+{
+    const absl::Time start = absl::UnixEpoch() + absl::Hours(3);
+    const AllowanceTolerance tolerance{absl::Seconds(8), 0, 0};
+    WorkspaceAllowances it(1, tolerance, start);
+    it.setLimits({LimitedWorkspace{7, makeAllowanceLimit(tokens(100, 200), tolerance)}}, start);
+    BOOST_TEST(std::holds_alternative<ChargedCost>(it.admit(7, 150, start + absl::Seconds(10))));
+    const ChargeResult refused = it.admit(7, 500, start + absl::Seconds(10));
+    BOOST_REQUIRE(std::holds_alternative<OverAllowance>(refused));
+    const absl::Duration wait = std::get<OverAllowance>(refused).retryAfter;
+    BOOST_TEST(absl::ToDoubleSeconds(wait) == 4.5, boost::test_tools::tolerance(0.001));
+    const absl::Time later = start + absl::Seconds(10) + wait;
+    BOOST_TEST(std::holds_alternative<OverAllowance>(it.admit(7, 500, later - absl::Milliseconds(10))));
+    BOOST_TEST(std::holds_alternative<ChargedCost>(it.admit(7, 500, later + absl::Milliseconds(1))));
+    BOOST_TEST(std::holds_alternative<OverAllowance>(it.admit(7, 1001, later + absl::Hours(1))));
+}
+
+// Guards against a Retry-After after which the request is refused again.
+BOOST_AUTO_TEST_CASE(retryAfterIsTheTimeUntilTheRequestIsAdmitted)
+{
+    const absl::Time start = absl::UnixEpoch() + absl::Hours(3);
+    const AllowanceTolerance tolerance{absl::Seconds(8), 0.1, 0};
+    WorkspaceAllowances it(1, tolerance, start);
+    it.setLimits({LimitedWorkspace{7, makeAllowanceLimit(tokens(10, 20), tolerance)}}, start);
+    absl::Time now = start + absl::Seconds(10);
+    for (int i = 0; i < 200; ++i) {
+        const ChargeResult result = it.admit(7, 3, now);
+        if (const auto *over = std::get_if<OverAllowance>(&result)) {
+            BOOST_TEST(std::holds_alternative<OverAllowance>(it.admit(7, 3, now + over->retryAfter * 0.9)));
+            now += over->retryAfter + absl::Microseconds(1);
+            BOOST_TEST(std::holds_alternative<ChargedCost>(it.admit(7, 3, now)));
+        }
+    }
+}
+
+// Guards against refunds that are lost for the peers, given twice, or that raise the level above the burst.
+BOOST_AUTO_TEST_CASE(refundsReachThePeers)
+{
+    const absl::Time start = absl::UnixEpoch() + absl::Hours(3);
+    const AllowanceTolerance tolerance{absl::Seconds(8), 0, 0};
+    const std::vector<LimitedWorkspace> limits{LimitedWorkspace{7, makeAllowanceLimit(tokens(1, 100), tolerance)}};
+    WorkspaceAllowances first(1, tolerance, start);
+    WorkspaceAllowances second(1, tolerance, start);
+    first.setLimits(limits, start);
+    second.setLimits(limits, start);
+    second.recordHeard(1, start, start);
+    const absl::Time now = start + absl::Seconds(200);
+    second.recordHeard(1, now, now);
+    const absl::Time later = now + absl::Seconds(1);
+    const ChargeResult charge = first.admit(7, 60, later);
+    second.merge(1, first.report(10, later), later);
+    BOOST_TEST(second.level(7, later).value() == 40, boost::test_tools::tolerance(0.01));
+    first.refund(std::get<ChargedCost>(charge), later);
+    const SpendingReport report = first.report(10, later + absl::Seconds(1));
+    second.merge(1, report, later);
+    second.merge(1, report, later);
+    BOOST_TEST(second.level(7, later).value() == 100, boost::test_tools::tolerance(0.01));
+}
+
+// Guards against state and messages where nothing is limited, and against state that is never freed.
+BOOST_AUTO_TEST_CASE(unlimitedAndIdleWorkspacesHaveNoState)
+{
+    const absl::Time start = absl::UnixEpoch() + absl::Hours(3);
+    const AllowanceTolerance tolerance;
+    WorkspaceAllowances it(1, tolerance, start);
+    BOOST_TEST(std::holds_alternative<ChargedCost>(it.admit(7, 1000000, start)));
+    BOOST_TEST(it.recordCount() == 0U);
+    it.setLimits({LimitedWorkspace{7, makeAllowanceLimit(tokens(100, 100), tolerance)}}, start);
+    (void)it.admit(7, 1, start + absl::Seconds(2));
+    (void)it.report(10, start + absl::Seconds(3));
+    (void)it.report(10, start + absl::Seconds(4));
+    BOOST_TEST(it.report(10, start + absl::Seconds(5)).empty());
+    it.expire(start + absl::Seconds(60));
+    BOOST_TEST(it.recordCount() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
