protocol: Carry the spending of workspaces in load reports

LoadReport gets the sender's cumulative spending of the workspaces whose spending has changed, 15 to 20 bytes each; one byte without workspaces.

Run: protocol_test, no errors.

--- a/packages/protocol/cellmessage.cpp
+++ b/packages/protocol/cellmessage.cpp
@@ -165,12 +165,29 @@
     }
 }
 
+/// Reads or writes \a it. Its epoch is sent as the difference to \a base, which is short.
+template<class Archive>
+void archiveRelative(Archive &archive, WorkspaceSpending &it, std::uint64_t base)
+{
+    auto difference = static_cast<std::int64_t>(it.epoch - base);
+    archive(it.workspace, difference, it.epochAgeMs, it.charged, it.refunded, it.level);
+    it.epoch = base + static_cast<std::uint64_t>(difference);
+}
+
 template<class Archive>
 void serialize(Archive &archive, LoadReport &it)
 {
     archiveTime(archive, it.sentAt);
     archive(it.sender, it.senderLiveness, it.generation, it.enginesRevision, it.engineLoads, it.waitingCalls, it.unreachableEngines,
             it.prompts);
+    cereal::size_type count = it.spending.size();
+    archive(cereal::make_size_tag(count));
+    it.spending.resize(count);
+    std::uint64_t base = 0;
+    for (WorkspaceSpending &spending : it.spending) {
+        archiveRelative(archive, spending, base);
+        base = spending.epoch;
+    }
 }
 
 template<class Archive>
--- a/packages/protocol/cellmessage.h
+++ b/packages/protocol/cellmessage.h
@@ -5,6 +5,7 @@
 #include "state/error.h"
 #include "state/liveness.h"
 #include "state/promptreport.h"
+#include "state/workspacespending.h"
 
 #include <absl/time/time.h>
 
@@ -28,6 +29,7 @@
     std::vector<WaitingCall> waitingCalls; ///< the first calls that wait for capacity at the sender
     std::vector<EngineId> unreachableEngines; ///< engines that the sender cannot reach
     PromptReport prompts; ///< what the sender knows about parts of prompts that crash engines
+    SpendingReport spending; ///< what the sender has spent of the allowances of workspaces
 
     friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
--- a/packages/protocol/entrysettingsjson.cpp
+++ b/packages/protocol/entrysettingsjson.cpp
@@ -35,6 +35,11 @@
         {"repeatHeadroom", "number", "repeats", false, "20", 0, 1000000,
          "Retries that are always allowed within the window, over all nodes."},
         {"repeatWindowS", "number", "s", false, "10", 1, 600, "Time window of the retry limit."},
+        {"allowanceWindowS", "number", "s", false, "8", 1, 600, "Time window of the limits of workspaces."},
+        {"allowanceOverage", "number", "fraction", false, "0", 0, 1,
+         "Part by which all nodes together may exceed a workspace's limit in a window; 0 keeps the limit strictly."},
+        {"allowanceHeadroom", "number", "tokens or requests", false, "0", 0, 1000000000,
+         "Amount by which all nodes together may exceed a workspace's limit in a window."},
         {"processorShare", "number", "cores", false, "1", 0, 1000,
          "Processor cores that the node may use. Callers are directed to the nodes with the most, as many as the load needs."},
         {"logLevel", "text", "", false, "info", 0, 0, "Minimum severity that is logged: info, warning or error."},
@@ -63,6 +68,9 @@
         .set(&EntrySettingsFields::repeatRatio, jsonNumber(parsed, "repeatRatio", defaults.repeatRatio))
         .set(&EntrySettingsFields::repeatHeadroom, jsonNumber(parsed, "repeatHeadroom", defaults.repeatHeadroom))
         .set(&EntrySettingsFields::repeatWindowS, jsonNumber(parsed, "repeatWindowS", defaults.repeatWindowS))
+        .set(&EntrySettingsFields::allowanceWindowS, jsonNumber(parsed, "allowanceWindowS", defaults.allowanceWindowS))
+        .set(&EntrySettingsFields::allowanceOverage, jsonNumber(parsed, "allowanceOverage", defaults.allowanceOverage))
+        .set(&EntrySettingsFields::allowanceHeadroom, jsonNumber(parsed, "allowanceHeadroom", defaults.allowanceHeadroom))
         .set(&EntrySettingsFields::processorShare, jsonNumber(parsed, "processorShare", defaults.processorShare))
         .set(&EntrySettingsFields::logLevel, jsonText(parsed, "logLevel", defaults.logLevel))
         .build();
--- a/packages/state/entrysettings.h
+++ b/packages/state/entrysettings.h
@@ -27,6 +27,9 @@
     double repeatRatio = 0.1; ///< retries per request to a service, summed over all nodes
     double repeatHeadroom = 20; ///< retries that are always allowed, summed over all nodes
     double repeatWindowS = 10; ///< time window of repeatRatio and repeatHeadroom, s
+    double allowanceWindowS = 8; ///< time window of the rule for allowances, s
+    double allowanceOverage = 0; ///< part by which all nodes together may exceed an allowance in a window
+    double allowanceHeadroom = 0; ///< cost by which all nodes together may exceed an allowance in a window
     double processorShare = 1; ///< processor cores that the node may use; nodes with more are preferred for calls
     std::string logLevel = "info"; ///< info, warning or error
 
