entry: Refuse calls above the allowance of their workspace

A call is charged after its identity is known and before it starts. Above the allowance it gets 429 with a Retry-After; no engine is contacted, no queue place is taken, and the retry quota does not count it. AllowanceCharge belongs to the call and gives the cost back unless an engine may run the call: sent attempts count, those that the engine has declined do not, and a prefill alone does not.

PeerLink sends spending with load reports, at most once in 40 ms, to the active nodes and to the others that have reported spending within 3 s.

--- a/packages/apricotladderd/entry/calldispatch.cpp
+++ b/packages/apricotladderd/entry/calldispatch.cpp
@@ -18,6 +18,10 @@
 /// Retry-After of a call that a leaving node does not take: another node can serve it at once.
 constexpr absl::Duration leavingRetryAfter = absl::Milliseconds(50);
 
+/// Bounds of the random part of the Retry-After of a call above its allowance, and of the whole of it.
+constexpr absl::Duration maxAllowanceJitter = absl::Seconds(1);
+constexpr absl::Duration minAllowanceRetryAfter = absl::Milliseconds(10);
+
 /// Callers set about the same deadline for each call of a route. A call with less than this fraction of the usual time left
 /// is a retry of a call that was refused before.
 constexpr double lateTimeLeftFraction = 0.8;
@@ -104,6 +108,47 @@
     respondWithError(connection, ErrorKind::Draining, leavingRetryAfter, errorDescriptor(ErrorKind::Draining).text);
 }
 
+/// Refuses the call as above the allowance of its workspace. The jitter keeps refused calls from returning at the same moment.
+void refuseOverAllowance(EntryLoop &loop, HttpServerConnection &connection, const CallFacts &facts, const AllowanceRefusal &refusal)
+{
+    EntryContext &context = loop.context();
+    const Allowance &allowance = (*facts.workspace)->allowance;
+    const absl::Duration jitter = std::min(refusal.over.retryAfter, maxAllowanceJitter) * loop.random();
+    const absl::Duration retryAfter = std::max(refusal.over.retryAfter + jitter, minAllowanceRetryAfter);
+    context.metrics.countCall(callKind(facts.route), errorDescriptor(ErrorKind::AllowanceExceeded).name.data());
+    context.metrics.countAllowanceRefusal(facts.workspaceName().text(), allowance->ratePerSecond, static_cast<double>(refusal.cost));
+    if (loop.allowanceLog().tryAdd(facts.arrival)) {
+        context.log.add(LogLevel::Info, "call.overallowance", facts.call->requestId,
+                        {{"route", facts.route->name},
+                         {"workspace", facts.workspaceName().text()},
+                         {"ratePerSecond", allowance->ratePerSecond},
+                         {"burst", allowance->burst},
+                         {"cost", refusal.cost},
+                         {"level", refusal.over.level},
+                         {"oldestContactMs", absl::ToDoubleMilliseconds(refusal.over.oldestContact)},
+                         {"retryAfterMs", absl::ToDoubleMilliseconds(retryAfter)}});
+    }
+    respondWithError(connection, ErrorKind::AllowanceExceeded, retryAfter, errorDescriptor(ErrorKind::AllowanceExceeded).text);
+}
+
+/// Charges the call to the allowance of its workspace, if it has one.
+ChargedCall chargeAllowance(EntryContext &context, const CallFacts &facts)
+{
+    if (!facts.workspace || !context.allowance.isEnabled()) {
+        return AllowanceCharge();
+    }
+    ChargedCall charged = context.allowance.charge(*facts.workspace, facts.call, facts.arrival);
+    const auto *charge = std::get_if<AllowanceCharge>(&charged);
+    if (charge != nullptr && charge->cost() > 0) {
+        const double rate = (*facts.workspace)->allowance->ratePerSecond;
+        context.metrics.countAllowanceCharge(facts.workspaceName().text(), rate, static_cast<double>(charge->cost()));
+        if (context.allowance.hasUrgentChange()) {
+            context.onLoadsChanged();
+        }
+    }
+    return charged;
+}
+
 void startCall(EntryLoop &loop, const HttpServerConnection::Ptr &connection, HttpRequestHead head, std::string body)
 {
     EntryContext &context = loop.context();
@@ -134,12 +179,18 @@
         refuseLeaving(loop, *connection, facts);
         return;
     }
+    ChargedCall charged = chargeAllowance(context, facts);
+    if (const auto *refusal = std::get_if<AllowanceRefusal>(&charged)) {
+        refuseOverAllowance(loop, *connection, facts, *refusal);
+        return;
+    }
+    auto charge = std::get<AllowanceCharge>(std::move(charged));
     context.callCount.fetch_add(1, std::memory_order_relaxed);
     context.withRetryQuota(facts.service, [&](RetryQuota &quota) { quota.recordRequest(facts.arrival); });
     if ((*route)->responseMode == ResponseMode::Stream) {
-        std::make_shared<StreamCall>(loop, connection, std::move(facts), std::move(head), std::move(body))->start();
+        std::make_shared<StreamCall>(loop, connection, std::move(facts), std::move(charge), std::move(head), std::move(body))->start();
     } else {
-        std::make_shared<WholeCall>(loop, connection, std::move(facts), std::move(head), std::move(body))->start();
+        std::make_shared<WholeCall>(loop, connection, std::move(facts), std::move(charge), std::move(head), std::move(body))->start();
     }
 }
 
--- a/packages/apricotladderd/entry/entrycontext.h
+++ b/packages/apricotladderd/entry/entrycontext.h
@@ -2,6 +2,7 @@
 
 #include "apricotladderd/entry/entrymetrics.h"
 #include "apricotladderd/entry/eventlog.h"
+#include "apricotladderd/entry/sharedallowance.h"
 #include "apricotladderd/entry/sharedquarantine.h"
 #include "coordination/recentmaximum.h"
 #include "coordination/retryquota.h"
@@ -64,6 +65,7 @@
         : settings(initialSettings)
         , log(initialSettings->node, logLevelFromName(initialSettings->logLevel))
         , quarantine(initialSettings->node, log, metrics)
+        , allowance(initialSettings)
         , pools(std::move(onGrant))
     {
     }
@@ -98,6 +100,7 @@
     EventLog log;
     EntryMetrics metrics;
     SharedQuarantine quarantine; ///< parts of prompts that crash engines
+    SharedAllowance allowance; ///< what the workspaces may spend
     CurrentRoutes routes;
     ServicePoolMap pools;
     ShardedMap<ServiceName, std::optional<RetryQuota>, 8> retryQuotas;
--- a/packages/apricotladderd/entry/entryloop.h
+++ b/packages/apricotladderd/entry/entryloop.h
@@ -93,6 +93,12 @@
         return m_rejectionLog;
     }
 
+    /// The limit on log lines about calls above the allowance of their workspace.
+    LogLineLimit &allowanceLog()
+    {
+        return m_allowanceLog;
+    }
+
     /// A random number in [0, 1).
     double random()
     {
@@ -123,6 +129,7 @@
     std::unique_ptr<HttpListener> m_listener;
     LeavePlan m_leavePlan;
     LogLineLimit m_rejectionLog;
+    LogLineLimit m_allowanceLog;
     std::atomic<bool> m_isListenerClosed{false};
     absl::flat_hash_map<WaiterId, PlacementCallback> m_waiters;
     WaiterId m_lastWaiterId = 0;
--- a/packages/apricotladderd/entry/entrymetrics.cpp
+++ b/packages/apricotladderd/entry/entrymetrics.cpp
@@ -33,6 +33,9 @@
     , m_engineNotices(counters(*m_registry, "apricotladder_entry_engine_notices_total", "Notices in the answers of engines, by kind"))
     , m_keyRejections(
           counters(*m_registry, "apricotladder_entry_key_rejections_total", "Calls refused because they have no valid key, by reason"))
+    , m_allowanceCharged(counters(*m_registry, "apricotladder_entry_allowance_charged_total", "Cost of admitted calls, by workspace"))
+    , m_allowanceRefused(counters(*m_registry, "apricotladder_entry_allowance_refused_total", "Cost of refused calls, by workspace"))
+    , m_allowanceRates(gauges(*m_registry, "apricotladder_entry_allowance_rate", "Limit of all nodes per second, by workspace"))
     , m_handles(counters(*m_registry, "apricotladder_entry_handles_total", "KV handles of prefills, by what became of them"))
     , m_wastedPrefillTokens(
           counters(*m_registry, "apricotladder_entry_tokens_read_in_vain_total", "Prompt tokens read whose result was not used").Add({}))
@@ -95,6 +98,25 @@
     m_keyRejections.Add({{"reason", reason}}).Increment();
 }
 
+std::string EntryMetrics::recordAllowance(const std::string &workspace, double ratePerSecond)
+{
+    const std::string label = m_workspaceLabels.label(workspace);
+    if (label == workspace) {
+        m_allowanceRates.Add({{"workspace", label}}).Set(ratePerSecond);
+    }
+    return label;
+}
+
+void EntryMetrics::countAllowanceCharge(const std::string &workspace, double ratePerSecond, double cost)
+{
+    m_allowanceCharged.Add({{"workspace", recordAllowance(workspace, ratePerSecond)}}).Increment(cost);
+}
+
+void EntryMetrics::countAllowanceRefusal(const std::string &workspace, double ratePerSecond, double cost)
+{
+    m_allowanceRefused.Add({{"workspace", recordAllowance(workspace, ratePerSecond)}}).Increment(cost);
+}
+
 void EntryMetrics::countHandle(const std::string &outcome)
 {
     m_handles.Add({{"end", outcome}}).Increment();
--- a/packages/apricotladderd/entry/entrymetrics.h
+++ b/packages/apricotladderd/entry/entrymetrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "apricotladderd/entry/boundedlabels.h"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -29,6 +31,8 @@
     void countMalformedEntries(const std::string &kind, std::size_t count);
     void countEngineNotice(const std::string &kind);
     void countKeyRejection(const std::string &reason);
+    void countAllowanceCharge(const std::string &workspace, double ratePerSecond, double cost);
+    void countAllowanceRefusal(const std::string &workspace, double ratePerSecond, double cost);
     void countHandle(const std::string &outcome);
     void countWastedPrefillTokens(double tokens);
     void countBrokenPrompt();
@@ -41,6 +45,9 @@
     void setQuarantinedParts(double count);
 
 private:
+    std::string recordAllowance(const std::string &workspace, double ratePerSecond);
+
+    BoundedLabels m_workspaceLabels;
     std::shared_ptr<prometheus::Registry> m_registry;
     prometheus::Family<prometheus::Counter> &m_calls;
     prometheus::Family<prometheus::Counter> &m_attempts;
@@ -49,6 +56,9 @@
     prometheus::Family<prometheus::Counter> &m_malformed;
     prometheus::Family<prometheus::Counter> &m_engineNotices;
     prometheus::Family<prometheus::Counter> &m_keyRejections;
+    prometheus::Family<prometheus::Counter> &m_allowanceCharged;
+    prometheus::Family<prometheus::Counter> &m_allowanceRefused;
+    prometheus::Family<prometheus::Gauge> &m_allowanceRates;
     prometheus::Family<prometheus::Counter> &m_handles;
     prometheus::Counter &m_wastedPrefillTokens;
     prometheus::Family<prometheus::Histogram> &m_firstAnswer;
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -212,6 +212,7 @@
     }
     // The services must be set before the routes: a call that matches a new route needs the pool of its service.
     m_context.pools.setServices(desired->services);
+    m_context.allowance.setWorkspaces(desired->workspaces, m_controlLoop.now());
     m_context.routes.updateIfNewer(std::make_shared<const RouteTable>(desired));
     m_peerLink->setDesiredVersion(desired->version);
     m_context.metrics.setDesiredVersion(static_cast<double>(desired->version));
--- a/packages/apricotladderd/entry/peerlink.cpp
+++ b/packages/apricotladderd/entry/peerlink.cpp
@@ -15,6 +15,12 @@
 /// Delay in which load changes are batched into one report.
 constexpr absl::Duration batchDelay = absl::Milliseconds(4);
 
+/// Minimum interval between reports of what was spent of the workspaces' allowances.
+constexpr absl::Duration spendingReportInterval = absl::Milliseconds(40);
+
+/// How long a node that is not active gets load reports after it has reported spending.
+constexpr absl::Duration spenderTime = absl::Seconds(3);
+
 /// Time constant of the rate of calls that a node announces.
 constexpr absl::Duration callRateTimeConstant = absl::Seconds(2);
 
@@ -165,8 +171,9 @@
     report.waitingCalls = m_context.pools.ownWaitingCalls(m_loop.now());
     report.unreachableEngines = m_context.pools.unreachableEngines(m_loop.now());
     report.prompts = m_context.quarantine.report(m_lastReport);
-    const bool isEmpty
-        = report.engineLoads.empty() && report.waitingCalls.empty() && report.unreachableEngines.empty() && report.prompts.broken.empty();
+    report.spending = takeSpendingReport(m_lastReport);
+    const bool isEmpty = report.engineLoads.empty() && report.waitingCalls.empty() && report.unreachableEngines.empty()
+        && report.prompts.broken.empty() && report.spending.empty();
     if (isEmpty && !m_isActive && !m_hasReportedLoad) {
         return;
     }
@@ -176,13 +183,49 @@
     report.generation = m_view.self()->generation;
     report.enginesRevision = m_hooks.enginesRevision();
     report.sentAt = EventLoop::readSteadyClock();
+    m_socket->sendToAll(loadReportTargets(m_lastReport), encodeCellMessage(report));
+}
+
+SpendingReport PeerLink::takeSpendingReport(absl::Time now)
+{
+    const absl::Duration wait = m_lastSpendingReport + spendingReportInterval - now;
+    if (wait <= absl::ZeroDuration()) {
+        m_lastSpendingReport = now;
+        return m_context.allowance.report(now);
+    }
+    if (m_context.allowance.hasUrgentChange() && m_spendingTimer == 0) {
+        m_spendingTimer = m_loop.after(wait, [this] {
+            m_spendingTimer = 0;
+            scheduleLoadReport();
+        });
+    }
+    return {};
+}
+
+std::vector<std::string> PeerLink::loadReportTargets(absl::Time now)
+{
     std::vector<std::string> targets;
     for (const Member &node : m_activeNodes) {
         if (node->id != m_view.self()->id) {
             targets.push_back(node->peerAddress);
         }
     }
-    m_socket->sendToAll(targets, encodeCellMessage(report));
+    std::erase_if(m_spenders, [&](const auto &it) { return now - it.second > spenderTime; });
+    if (!m_spenders.empty()) {
+        for (const Member &node : m_view.members()) {
+            if (m_spenders.contains(node->id) && !m_peerAddresses.contains(node->id)) {
+                targets.push_back(node->peerAddress);
+            }
+        }
+    }
+    return targets;
+}
+
+void PeerLink::recordSpender(const LoadReport &report, absl::Time now)
+{
+    if (m_isActive && !report.spending.empty() && !m_peerAddresses.contains(report.sender)) {
+        m_spenders[report.sender] = now;
+    }
 }
 
 void PeerLink::handleTick()
@@ -252,6 +295,8 @@
     m_context.pools.setPeerLoads(report.sender, report.engineLoads, waiting, now);
     m_context.pools.setPeerUnreachableEngines(report.sender, report.unreachableEngines, now);
     m_context.quarantine.merge(report.prompts, now);
+    recordSpender(report, now);
+    m_context.allowance.merge(report.senderLiveness.node, report.spending, clock.toLocal(report.sentAt), now);
     const auto address = m_peerAddresses.find(report.sender);
     if (address != m_peerAddresses.end()) {
         m_hooks.onPeerVersions(PeerVersions{report.sender, address->second, report.generation, report.enginesRevision});
@@ -262,6 +307,7 @@
 {
     updateActiveNodes(members);
     updateRetryShare(members);
+    updateAllowancePeers(members);
 }
 
 void PeerLink::updateActiveNodes(const std::vector<Member> &members)
@@ -284,6 +330,26 @@
     }
 }
 
+void PeerLink::updateAllowancePeers(const std::vector<Member> &members)
+{
+    // A node that leaves by itself has told so: it is not one that may be spending out of contact.
+    const auto known = std::count_if(members.begin(), members.end(), [](const Member &node) { return !node->leaving; });
+    const auto reachable
+        = std::count_if(members.begin(), members.end(), [](const Member &node) { return !node->leaving && isAlive(node); });
+    AllowancePeers peers;
+    for (const Member &node : m_activeNodes) {
+        if (node->id != m_view.self()->id) {
+            peers.active.push_back(nodeKey(node->id));
+        }
+    }
+    peers.sharerCount = peers.active.size() + 1;
+    if (!isSettled()) {
+        peers.sharerCount = std::max(peers.sharerCount, ActiveNodeRules().minCount);
+    }
+    peers.reachableFraction = known > 0 ? static_cast<double>(reachable) / static_cast<double>(known) : 1;
+    m_context.allowance.setPeers(peers, m_loop.now());
+}
+
 void PeerLink::updateRetryShare(const std::vector<Member> &members)
 {
     // Nodes that cannot reach each other choose active nodes separately: each part only uses the share of its nodes.
--- a/packages/apricotladderd/entry/peerlink.h
+++ b/packages/apricotladderd/entry/peerlink.h
@@ -113,6 +113,11 @@
     void handle(const LoadReport &report);
     void updateRoles(const std::vector<Member> &members);
     void updateActiveNodes(const std::vector<Member> &members);
+    void updateAllowancePeers(const std::vector<Member> &members);
+    SpendingReport takeSpendingReport(absl::Time now);
+    std::vector<std::string> loadReportTargets(absl::Time now);
+    /// Remembers a node that is not active and has spent: it needs the reports of this node.
+    void recordSpender(const LoadReport &report, absl::Time now);
     void updateRetryShare(const std::vector<Member> &members);
     void recordMembers(const std::vector<Member> &members);
 
@@ -135,6 +140,9 @@
     absl::Time m_startedAt = absl::InfiniteFuture();
     TimerId m_reportTimer = 0;
     absl::Time m_lastReport = absl::InfinitePast();
+    absl::Time m_lastSpendingReport = absl::InfinitePast();
+    TimerId m_spendingTimer = 0;
+    std::map<NodeId, absl::Time> m_spenders; ///< when a node that is not active last reported spending
 };
 
 }
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -59,10 +59,12 @@
 
 }
 
-StreamCall::StreamCall(EntryLoop &loop, HttpServerConnection::Ptr caller, CallFacts facts, HttpRequestHead head, std::string body)
+StreamCall::StreamCall(EntryLoop &loop, HttpServerConnection::Ptr caller, CallFacts facts, AllowanceCharge charge, HttpRequestHead head,
+                       std::string body)
     : m_loop(loop)
     , m_caller(std::move(caller))
     , m_facts(std::move(facts))
+    , m_charge(std::move(charge))
     , m_head(std::move(head))
     , m_body(std::move(body))
     , m_reservation(loop.context(), m_facts.service)
@@ -353,6 +355,7 @@
     callbacks.onSent = [self] {
         self->m_wasSent = true;
         ++self->m_sentAttempts;
+        self->m_charge.recordSent();
     };
     callbacks.onHead = [self](const HttpResponseHead &head) {
         self->handleDecodeHead(head);
@@ -505,6 +508,7 @@
     StreamTakeover::Callbacks callbacks;
     callbacks.onSent = [self] {
         ++self->m_sentAttempts;
+        self->m_charge.recordSent();
     };
     callbacks.onAccepted = [self] {
         self->handleTakeoverAccepted();
@@ -544,7 +548,10 @@
     const EngineId engine = std::exchange(m_takeover, nullptr)->placement().decode->id;
     const AttemptOutcome result = classifyOutcome(head, outcome);
     const bool isDeclined = std::holds_alternative<Declined>(result);
-    m_sentAttempts -= isDeclined ? 1 : 0; // It has run nothing.
+    if (isDeclined) { // It has run nothing.
+        --m_sentAttempts;
+        m_charge.recordNotRun();
+    }
     const absl::Time now = m_loop.events().now();
     m_takeoverReservation.recordResult(engine,
                                        isDeclined                                    ? EngineResult::Refused
@@ -658,6 +665,9 @@
                                           outcome == ExchangeOutcome::NotSent ? "unreachable"
                                               : isDeclined                    ? "declined"
                                                                               : "answered");
+    if (isDeclined && m_wasSent) {
+        m_charge.recordNotRun();
+    }
     if (outcome == ExchangeOutcome::NotSent || isDeclined) {
         m_loop.context().log.add(LogLevel::Info, "call.decodefailed", m_facts.call->requestId,
                                  {{"workspace", m_facts.workspaceName().text()},
@@ -796,6 +806,7 @@
 void StreamCall::finish(const char *outcome, int status)
 {
     m_finished = true;
+    m_charge.settle();
     EntryContext &context = m_loop.context();
     EventLoop &events = m_loop.events();
     events.cancel(std::exchange(m_deadlineTimer, 0));
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -32,7 +32,8 @@
 class StreamCall : public std::enable_shared_from_this<StreamCall>
 {
 public:
-    StreamCall(EntryLoop &loop, HttpServerConnection::Ptr caller, CallFacts facts, HttpRequestHead head, std::string body);
+    StreamCall(EntryLoop &loop, HttpServerConnection::Ptr caller, CallFacts facts, AllowanceCharge charge, HttpRequestHead head,
+               std::string body);
 
     void start();
 
@@ -92,6 +93,7 @@
     EntryLoop &m_loop;
     HttpServerConnection::Ptr m_caller;
     CallFacts m_facts;
+    AllowanceCharge m_charge; ///< to the workspace of the call
     HttpRequestHead m_head;
     std::string m_body;
 
--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -48,10 +48,12 @@
 
 }
 
-WholeCall::WholeCall(EntryLoop &loop, HttpServerConnection::Ptr caller, CallFacts facts, HttpRequestHead head, std::string body)
+WholeCall::WholeCall(EntryLoop &loop, HttpServerConnection::Ptr caller, CallFacts facts, AllowanceCharge charge, HttpRequestHead head,
+                     std::string body)
     : m_loop(loop)
     , m_caller(std::move(caller))
     , m_facts(std::move(facts))
+    , m_charge(std::move(charge))
     , m_head(std::move(head))
     , m_body(std::move(body))
 {
@@ -113,6 +115,7 @@
     callbacks.onSent = [self, attempt] {
         attempt->wasSent = true;
         ++self->m_sentAttempts;
+        self->m_charge.recordSent();
     };
     callbacks.onHead = [attempt](const HttpResponseHead &head) {
         attempt->head = head;
@@ -141,6 +144,9 @@
     }
     const AttemptOutcome result = classifyOutcome(attempt->head, outcome);
     releaseEngine(*attempt, engineResult(result));
+    if (attempt->wasSent && std::holds_alternative<Declined>(result)) {
+        m_charge.recordNotRun();
+    }
     if (attempt == m_overdueAttempt) {
         m_overdueAttempt.reset();
         handleOverdueOutcome(attempt, result);
@@ -314,6 +320,7 @@
 void WholeCall::finish(const char *outcome, int status)
 {
     m_finished = true;
+    m_charge.settle();
     m_loop.events().cancel(std::exchange(m_deadlineTimer, 0));
     m_loop.events().cancel(std::exchange(m_overdueTimer, 0));
     EntryContext &context = m_loop.context();
--- a/packages/apricotladderd/entry/wholecall.h
+++ b/packages/apricotladderd/entry/wholecall.h
@@ -26,7 +26,8 @@
 class WholeCall : public std::enable_shared_from_this<WholeCall>
 {
 public:
-    WholeCall(EntryLoop &loop, HttpServerConnection::Ptr caller, CallFacts facts, HttpRequestHead head, std::string body);
+    WholeCall(EntryLoop &loop, HttpServerConnection::Ptr caller, CallFacts facts, AllowanceCharge charge, HttpRequestHead head,
+              std::string body);
 
     void start();
 
@@ -77,6 +78,7 @@
     EntryLoop &m_loop;
     HttpServerConnection::Ptr m_caller;
     CallFacts m_facts;
+    AllowanceCharge m_charge; ///< to the workspace of the call
     HttpRequestHead m_head;
     std::string m_body;
     AttemptPtr m_attempt; ///< the latest attempt
--- a/packages/coordination/allowancerecord.cpp
+++ b/packages/coordination/allowancerecord.cpp
@@ -20,6 +20,9 @@
 /// A node that starts to hear its peers takes over their levels for this time.
 constexpr absl::Duration adoptionTime = absl::Seconds(3);
 
+/// Upper bound of a peer's counters, so that differences do not overflow.
+constexpr std::int64_t maxCounter = std::int64_t{1} << 60;
+
 /// How often a change is reported; the repetition makes up for a lost datagram.
 constexpr int reportCount = 2;
 
@@ -116,6 +119,9 @@
 void AllowanceRecord::merge(NodeKey peer, const WorkspaceSpending &spending, const PeerContact &contact, const AllowanceSharing &sharing,
                             absl::Time now)
 {
+    if (spending.charged < 0 || spending.charged > maxCounter || spending.refunded < 0 || spending.refunded > maxCounter) {
+        return;
+    }
     m_lastActivity = now;
     PeerSpending &known = m_peers[peer];
     if (known.isOutdated(spending, now)) {
--- a/packages/coordination/peercontact.cpp
+++ b/packages/coordination/peercontact.cpp
@@ -12,6 +12,9 @@
 /// A node that has heard no peer for this time does not know what they have spent.
 constexpr absl::Duration maxUnheardTime = absl::Seconds(3);
 
+/// Longest delay of a message. If it seems longer, the clock of the peer was set back: it was suspended or has restarted.
+constexpr absl::Duration maxDelay = absl::Seconds(3);
+
 /// A peer that is not active is forgotten after this time.
 constexpr absl::Duration forgetAfter = absl::Seconds(60);
 
@@ -46,7 +49,8 @@
     m_lastHeard = now;
     Peer &state = m_peers[peer];
     const bool isNew = state.contactSince == absl::InfinitePast() || now - state.lastHeard >= silentAfter;
-    state.lastHeard = std::max(state.lastHeard, std::min(sentAt, now));
+    const bool isDelayed = sentAt < now && now - sentAt < maxDelay;
+    state.lastHeard = std::max(state.lastHeard, isDelayed ? sentAt : now);
     if (isNew && now - state.lastHeard < silentAfter) {
         state.contactSince = now;
         return true;
--- a/packages/coordination/workspaceallowance.cpp
+++ b/packages/coordination/workspaceallowance.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Upper bound of each number of tokens that a request states, so that sums do not overflow. It is above any limit.
+constexpr std::int64_t maxRequestTokens = 1'000'000'000'000;
+
 /// A workspace without a record was not used for this time, provided that all peers were heard.
 constexpr absl::Duration unusedTime = absl::Seconds(30);
 
@@ -26,6 +29,16 @@
     return XXH3_64bits(workspace.text().data(), workspace.text().size()) & keyMask;
 }
 
+std::int64_t requestCost(const Allowance &allowance, const RoutedCall &call)
+{
+    if (allowance->unit == AllowanceUnit::Requests) {
+        return 1;
+    }
+    const std::int64_t tokens = std::clamp<std::int64_t>(call->promptTokens, 0, maxRequestTokens)
+        + std::clamp<std::int64_t>(call->maxOutputTokens, 0, maxRequestTokens);
+    return tokens > 0 ? tokens : allowance->defaultTokens;
+}
+
 WorkspaceAllowances::WorkspaceAllowances(std::uint64_t firstEpoch, const AllowanceTolerance &tolerance, absl::Time start)
     : m_tolerance(tolerance)
     , m_start(start)
--- a/packages/coordination/workspaceallowance.h
+++ b/packages/coordination/workspaceallowance.h
@@ -3,6 +3,7 @@
 #include "coordination/allowancerecord.h"
 #include "coordination/peercontact.h"
 #include "state/name.h"
+#include "state/routedcall.h"
 #include "state/workspacespending.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -18,6 +19,9 @@
 /// Returns the key by which reports name \a workspace; the same on all nodes.
 WorkspaceKey workspaceKey(const WorkspaceName &workspace);
 
+/// Returns what \a call counts against \a allowance.
+std::int64_t requestCost(const Allowance &allowance, const RoutedCall &call);
+
 /// A workspace with a limit.
 struct LimitedWorkspace
 {
