--- a/packages/coordination/allowancebucket.cpp
+++ b/packages/coordination/allowancebucket.cpp
@@ -81,7 +81,7 @@
     const double equal = 1 / static_cast<double>(sharing.sharerCount);
     const double own = m_own.sum(PeerContact::silentAfter, now) - m_own.sum(reportDelay, now);
     const double all = m_all.sum(PeerContact::silentAfter, now) - m_all.sum(reportDelay, now);
-    return all > 0 ? equalPart * equal + (1 - equalPart) * own / all : equal;
+    return all > 0 ? equalPart * equal + (1 - equalPart) * std::clamp(own / all, 0.0, 1.0) : equal;
 }
 
 /// Returns by how much the level is too low for spending \a cost as fast as this. The first request of a period is always allowed.
@@ -148,7 +148,7 @@
         const double returned = m_withheld * (after.heardShare - before.heardShare) / (1 - before.heardShare);
         m_withheld -= returned;
         if (now - m_withheldSince <= shortSilence) {
-            refund(returned, after);
+            giveBack(returned, after);
         } else {
             m_covered += returned;
             m_coveredUntil = now + settlementTime;
@@ -170,11 +170,18 @@
         charge(cost - covered);
         m_all.add(cost - covered, now);
     } else {
-        refund(-std::min(cost, 0.0), sharing);
+        giveBack(-std::min(cost, 0.0), sharing);
     }
 }
 
-void AllowanceBucket::refund(double cost, const AllowanceSharing &sharing)
+void AllowanceBucket::refund(double cost, const AllowanceSharing &sharing, absl::Time now)
+{
+    giveBack(cost, sharing);
+    m_own.add(-cost, now);
+    m_all.add(-cost, now);
+}
+
+void AllowanceBucket::giveBack(double cost, const AllowanceSharing &sharing)
 {
     m_level = std::max(m_level, std::min(m_level + cost, m_limit.burst * sharing.heardShare));
 }
--- a/packages/coordination/allowancebucket.h
+++ b/packages/coordination/allowancebucket.h
@@ -81,8 +81,8 @@
     /// it while it was not heard.
     void chargePeer(double cost, bool wasUnheard, const AllowanceSharing &sharing, absl::Time now);
 
-    /// Gives \a cost back.
-    void refund(double cost, const AllowanceSharing &sharing);
+    /// Gives back \a cost that this node has charged.
+    void refund(double cost, const AllowanceSharing &sharing, absl::Time now);
 
     /// Replaces the level by a peer's.
     void adopt(double level, const AllowanceSharing &sharing);
@@ -110,6 +110,7 @@
     double ownPart(const AllowanceSharing &sharing, absl::Time now) const;
     double missingForPace(double cost, const AllowanceSharing &sharing, absl::Time now) const;
     void charge(double cost);
+    void giveBack(double cost, const AllowanceSharing &sharing);
 
     AllowanceLimit m_limit;
     double m_level = 0;
--- a/packages/coordination/workspaceallowance.cpp
+++ b/packages/coordination/workspaceallowance.cpp
@@ -169,7 +169,7 @@
     }
     AllowanceRecord &record = it->second;
     record.bucket.advance(m_sharing, now);
-    record.bucket.refund(static_cast<double>(charge.cost), m_sharing);
+    record.bucket.refund(static_cast<double>(charge.cost), m_sharing, now);
     record.recordRefund(charge.cost, now);
 }
 
--- a/packages/protocol/tests/entry/testcellmessage.cpp
+++ b/packages/protocol/tests/entry/testcellmessage.cpp
@@ -50,6 +50,8 @@
     it.waitingCalls = {WaitingCall{ServiceName("s"), 2, absl::FromUnixMillis(1300), 4000, 500}};
     it.unreachableEngines = {EngineId("f")};
     it.prompts = promptReport();
+    it.spending = {WorkspaceSpending{0xfedcba9876, 1796000000007, 5000, 283860, 3000, -1200},
+                   WorkspaceSpending{0x123456789a, 1796000000003, 0, 1, 0, 40}};
     return it;
 }
 
@@ -94,6 +96,15 @@
     BOOST_TEST((std::get<CellState>(cell) == state()));
 }
 
+// Guards against a noticeable increase in the bytes between nodes.
+BOOST_AUTO_TEST_CASE(spendingIsShort)
+{
+    LoadReport with = report();
+    LoadReport without = with;
+    without.spending.clear();
+    BOOST_TEST(encodeCellMessage(with).size() - encodeCellMessage(without).size() <= 45U);
+}
+
 BOOST_AUTO_TEST_CASE(truncatedAndModifiedBytesAreRejected)
 {
     for (const CellMessage &sent : {CellMessage(gossip()), CellMessage(report())}) {
--- a/tests/platform/nodefixture.cpp
+++ b/tests/platform/nodefixture.cpp
@@ -138,7 +138,7 @@
     return HttpClient::stream(call, receiver);
 }
 
-FullResponse NodeUnderTest::callWithHead(const std::string &path) const
+FullResponse NodeUnderTest::callWithHead(const std::string &path, const std::string &key) const
 {
     EventLoop loop;
     ConnectionPool pool;
@@ -148,6 +148,9 @@
     for (const auto &[name, value] : callHeaders("attempt")) {
         head.headers.push_back(HttpHeader{name, value});
     }
+    if (!key.empty()) {
+        head.headers.push_back(HttpHeader{"Authorization", "Bearer " + key});
+    }
     ExchangeRequest request;
     request.address = m_settings->callerAddress;
     request.encodedRequest = encodeHttpRequest(head, {});
--- a/tests/platform/nodefixture.h
+++ b/tests/platform/nodefixture.h
@@ -58,8 +58,9 @@
     /// Sends a call to a streaming route and passes the parts of its response to \a receiver.
     HttpReply stream(const std::string &path, const StreamReceiver &receiver) const;
 
-    /// Sends a call without a body and returns the whole response with its head; its status is 0 if there is none.
-    FullResponse callWithHead(const std::string &path) const;
+    /// Sends a call without a body and returns the whole response with its head; its status is 0 if there is none. \a key is the API
+    /// key; empty: none.
+    FullResponse callWithHead(const std::string &path, const std::string &key = {}) const;
 
     HttpReply fetch(const std::string &address, const std::string &path) const;
 
