coordination: Move the order of waiting calls out of ServicePool

The queue, the floors of the ranks and the estimate of the wait now are WaitingCalls; the requirements of a call, which both use, are in modeldemand.h. ServicePool keeps grantCapacity(), because it reserves capacity.

--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -44,19 +44,9 @@
 /// Fraction of the pool's memory that only the most urgent calls may use.
 constexpr double urgentReserveFraction = 0.05;
 
-/// Minimum fraction of all placements that every rank gets, however many more urgent calls wait.
-constexpr double rankFloorFraction = 0.08;
-
-/// Time constant of the placement rates.
-constexpr absl::Duration placementTimeConstant = absl::Seconds(5);
-
 /// Maximum time of prefill at a decode engine, as a fraction of the acceptable gap in the streams there.
 constexpr double maxLocalPrefillGapFraction = 0.55;
 
-/// Maximum number of waiting calls of each service in a load report: enough for the capacity that becomes free between two
-/// reports.
-constexpr std::size_t maxReportedWaitingCalls = 4;
-
 /// Maximum number of reservations that one pass leaves to peers. Beyond it, this node's own calls wait for newer load reports.
 constexpr std::size_t maxPeerReservations = 16;
 
@@ -289,20 +279,9 @@
     return total > 0 ? free / total : 0;
 }
 
-bool ServicePool::isBelowFloor(std::int64_t rank, absl::Time now) const
-{
-    double total = 0;
-    double own = 0;
-    for (const auto &[placedRank, placed] : m_placedByRank) {
-        total += placed.sum(now);
-        own += placedRank == rank ? placed.sum(now) : 0;
-    }
-    return own <= rankFloorFraction * total;
-}
-
 bool ServicePool::mayUseUrgentReserve(const ModelDemand &demand, absl::Time now) const
 {
-    return demand.rank == 0 || isBelowFloor(demand.rank, now) || freeMemoryFraction(now) > urgentReserveFraction;
+    return demand.rank == 0 || m_waiting.isBelowFloor(demand.rank, now) || freeMemoryFraction(now) > urgentReserveFraction;
 }
 
 double ServicePool::localPrefillMs(const Candidate &decode, const ModelDemand &demand, absl::Time now) const
@@ -320,16 +299,10 @@
             && prefillMs <= maxLocalPrefillGapFraction * absl::ToDoubleMilliseconds(demand.maxEventGap));
 }
 
-void ServicePool::recordPlacement(const ModelDemand &demand, absl::Time now)
-{
-    const auto [it, isNew] = m_placedByRank.try_emplace(demand.rank, placementTimeConstant);
-    it->second.add(1, now);
-}
-
 std::vector<ServicePool::Candidate> ServicePool::decodeCandidates(const ModelDemand &demand, absl::Time now) const
 {
     std::vector<Candidate> found = candidates(EngineStage::Decode, demand.excludedEngines, now);
-    const EngineRun newRun{0, demand.promptTokens, expectedOutputTokens(demand), demand.generatedTokens};
+    const EngineRun newRun{0, demand.promptTokens, expectedOutputTokens(demand, m_meanOutputTokens), demand.generatedTokens};
     const double usable = usableMemoryTokens(now);
     for (Candidate &it : found) {
         const bool slotIsFree = it.load.requests + spareSlots < it.engine->entry->slots;
@@ -391,7 +364,7 @@
 
 void ServicePool::reserve(ModelPlacement *placement, const ModelDemand &demand)
 {
-    const EngineRun run{++m_lastRunId, demand.promptTokens, expectedOutputTokens(demand), demand.generatedTokens};
+    const EngineRun run{++m_lastRunId, demand.promptTokens, expectedOutputTokens(demand, m_meanOutputTokens), demand.generatedTokens};
     const std::int64_t localPrefillTokens = placement->prefill ? 0 : demand.promptTokens + demand.generatedTokens;
     placement->reservations.push_back(EngineReservation{placement->decode->id, 1, localPrefillTokens, run});
     if (placement->prefill) {
@@ -419,7 +392,7 @@
     std::optional<ModelPlacement> chosen = choose(demand, now);
     if (chosen) {
         reserve(&*chosen, demand);
-        recordPlacement(demand, now);
+        m_waiting.recordPlacement(demand, now);
         recordAttempt(chosen->decode->id, now);
         if (chosen->prefill) {
             recordAttempt((*chosen->prefill)->id, now);
@@ -430,7 +403,7 @@
 
 std::optional<ModelPlacement> ServicePool::placeNewCall(const ModelDemand &demand, absl::Time now)
 {
-    return m_waiters.empty() && m_loads.peerWaitingCalls(now).empty() ? placeModel(demand, now) : std::nullopt;
+    return m_waiting.isEmpty() && m_loads.peerWaitingCalls(now).empty() ? placeModel(demand, now) : std::nullopt;
 }
 
 bool ServicePool::allowsLocalPrefill(const EngineId &engine, const ModelDemand &demand, absl::Time now) const
@@ -446,43 +419,12 @@
 
 void ServicePool::addWaiter(WaiterId waiter, ModelDemand demand, absl::Time now)
 {
-    m_waiters.insert_or_assign(waiter, Waiter{std::move(demand), now});
+    m_waiting.add(waiter, std::move(demand), now);
 }
 
 void ServicePool::removeWaiter(WaiterId waiter)
 {
-    m_waiters.erase(waiter);
-}
-
-std::int64_t ServicePool::effectiveRank(std::int64_t rank, absl::Time now) const
-{
-    return isBelowFloor(rank, now) ? 0 : rank;
-}
-
-std::vector<ServicePool::QueueEntry> ServicePool::ownQueue(absl::Time now) const
-{
-    std::vector<QueueEntry> queue;
-    for (const auto &[id, waiter] : m_waiters) {
-        const ModelDemand &demand = waiter.demand;
-        queue.push_back(QueueEntry{effectiveRank(demand.rank, now), id,
-                                   WaitingCall{{},
-                                               demand.rank,
-                                               waiter.since + demand.maxWait,
-                                               demand.promptTokens + demand.generatedTokens,
-                                               expectedOutputTokens(demand) - demand.generatedTokens}});
-    }
-    std::sort(queue.begin(), queue.end());
-    return queue;
-}
-
-std::vector<ServicePool::QueueEntry> ServicePool::cellQueue(absl::Time now) const
-{
-    std::vector<QueueEntry> queue = ownQueue(now);
-    for (const WaitingCall &it : m_loads.peerWaitingCalls(now)) {
-        queue.push_back(QueueEntry{effectiveRank(it.rank, now), 0, it});
-    }
-    std::sort(queue.begin(), queue.end());
-    return queue;
+    m_waiting.remove(waiter);
 }
 
 std::optional<ModelPlacement> ServicePool::reserveForPeer(const WaitingCall &call, absl::Time now)
@@ -501,17 +443,17 @@
 std::vector<Grant> ServicePool::grantCapacity(absl::Time now)
 {
     std::vector<Grant> grants;
-    if (m_waiters.empty()) {
+    if (m_waiting.isEmpty()) {
         return grants;
     }
     std::vector<EngineReservation> peerReservations;
-    for (const QueueEntry &entry : cellQueue(now)) {
+    for (const QueueEntry &entry : m_waiting.cellQueue(m_loads.peerWaitingCalls(now), m_meanOutputTokens, now)) {
         if (entry.waiter == 0 && peerReservations.size() >= maxPeerReservations) {
             break;
         }
         const std::optional<ModelPlacement> placement
-            = entry.waiter == 0 ? reserveForPeer(entry.call, now) : placeModel(m_waiters.at(entry.waiter).demand, now);
-        if (!placement && entry.waiter != 0 && !m_waiters.at(entry.waiter).demand.excludedEngines.empty()) {
+            = entry.waiter == 0 ? reserveForPeer(entry.call, now) : placeModel(m_waiting.demand(entry.waiter), now);
+        if (!placement && entry.waiter != 0 && !m_waiting.demand(entry.waiter).excludedEngines.empty()) {
             continue; // The call may wait for other engines than those further back.
         }
         if (!placement) {
@@ -521,9 +463,9 @@
             peerReservations.insert(peerReservations.end(), placement->reservations.begin(), placement->reservations.end());
         } else {
             grants.push_back(Grant{entry.waiter, *placement});
-            m_waiters.erase(entry.waiter);
+            m_waiting.remove(entry.waiter);
         }
-        if (m_waiters.empty()) {
+        if (m_waiting.isEmpty()) {
             break;
         }
     }
@@ -535,14 +477,7 @@
 
 std::vector<WaitingCall> ServicePool::ownWaitingCalls(absl::Time now) const
 {
-    std::vector<WaitingCall> waiting;
-    for (const QueueEntry &entry : ownQueue(now)) {
-        if (waiting.size() == maxReportedWaitingCalls) {
-            break;
-        }
-        waiting.push_back(entry.call);
-    }
-    return waiting;
+    return m_waiting.reported(m_meanOutputTokens, now);
 }
 
 void ServicePool::recordRunEnded(std::int64_t tokens)
@@ -646,12 +581,6 @@
                        [&](const auto &entry) { return mayBeTried(entry.second.entry, excludedEngines, now); });
 }
 
-std::int64_t ServicePool::expectedOutputTokens(const ModelDemand &demand) const
-{
-    return demand.expectedOutputTokens.value_or(
-        estimateOutputTokens(demand.hintedOutputTokens, m_meanOutputTokens, demand.maxOutputTokens));
-}
-
 double ServicePool::totalMemoryTokens() const
 {
     return m_model ? std::max(1.0, static_cast<double>((*m_model)->kvCapacityTokens)) : 1.0;
@@ -665,15 +594,7 @@
 
 absl::Duration ServicePool::expectedWait(const ModelDemand &demand, absl::Time now) const
 {
-    double ahead = 1;
-    for (const auto &[id, waiter] : m_waiters) {
-        ahead += waiter.demand.rank <= demand.rank && waiter.since + waiter.demand.maxWait <= now + demand.maxWait ? 1 : 0;
-    }
-    double ratePerSecond = 0;
-    for (const auto &[rank, placed] : m_placedByRank) {
-        ratePerSecond += placed.perSecond(now);
-    }
-    return ratePerSecond > 0 ? absl::Seconds(ahead / ratePerSecond) : absl::ZeroDuration();
+    return m_waiting.expectedWait(demand, now);
 }
 
 }
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include "coordination/decayingrate.h"
 #include "coordination/engineavailability.h"
 #include "coordination/enginehealth.h"
 #include "coordination/engineloads.h"
+#include "coordination/modeldemand.h"
 #include "coordination/unknownload.h"
+#include "coordination/waitingcalls.h"
 #include "state/desiredstate.h"
 #include "state/engineentry.h"
 
@@ -13,33 +14,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <tuple>
 #include <vector>
 
 namespace Apricot {
 
-/// Identifies a call that waits for capacity in a ServicePool.
-using WaiterId = std::uint64_t;
-
-/// Requirements of a model call, from which a ServicePool chooses its engines.
-struct ModelDemand
-{
-    DataCentreName nearTo; ///< data centre of the calling node
-    std::int64_t promptTokens = 0;
-    std::int64_t generatedTokens = 0; ///< answer tokens of earlier attempts; the decode engine prefills them with the prompt
-    std::int64_t hintedOutputTokens = 0; ///< the caller's estimate of the answer length; 0: none
-    std::int64_t maxOutputTokens = 0; ///< maximum length of the answer
-    std::optional<std::int64_t> expectedOutputTokens; ///< expected length of the answer, if it is already known
-    std::int64_t rank = 0; ///< 0 is the most urgent
-    absl::Duration targetLatency; ///< target latency of the first stream event
-    absl::Duration maxEventGap = absl::InfiniteDuration(); ///< longest acceptable gap between two events of a stream
-    absl::Duration maxWait; ///< how long the call may wait for capacity
-    std::vector<EngineId> excludedEngines; ///< engines that have failed this call
-    std::uint64_t jitterSeed = 0; ///< random; keeps nodes that decide at the same time from all choosing the same engine
-
-    friend bool operator==(const ModelDemand &, const ModelDemand &) = default;
-};
-
 /// The figures behind a placement, for the log.
 struct PlacementBasis
 {
@@ -230,26 +208,6 @@
         UnknownLoad unknownLoad; ///< on a decode engine
     };
 
-    struct Waiter
-    {
-        ModelDemand demand;
-        absl::Time since;
-    };
-
-    /// A call's position in the order in which calls get capacity: by rank, then by the end of its wait.
-    struct QueueEntry
-    {
-        std::int64_t rank = 0; ///< effective rank; 0 for a rank that is below its floor
-        WaiterId waiter = 0; ///< of a call that waits at this node; 0: the call waits at a peer
-        WaitingCall call;
-
-        friend bool operator==(const QueueEntry &, const QueueEntry &) = default;
-        friend bool operator<(const QueueEntry &left, const QueueEntry &right)
-        {
-            return std::tie(left.rank, left.call.waitDeadline, left.waiter) < std::tie(right.rank, right.call.waitDeadline, right.waiter);
-        }
-    };
-
     /// An engine with the load that all nodes have placed on it.
     struct Candidate
     {
@@ -271,28 +229,21 @@
     absl::Duration expectedCost(EngineStage stage) const;
     double totalMemoryTokens() const;
     double usableMemoryTokens(absl::Time now) const;
-    std::int64_t expectedOutputTokens(const ModelDemand &demand) const;
     double freeTokens(const EngineId &engine, absl::Time now) const;
     double freeMemoryFraction(absl::Time now) const;
-    bool isBelowFloor(std::int64_t rank, absl::Time now) const;
     bool mayUseUrgentReserve(const ModelDemand &demand, absl::Time now) const;
     std::optional<ModelPlacement> choose(const ModelDemand &demand, absl::Time now) const;
     void reserve(ModelPlacement *placement, const ModelDemand &demand);
     std::optional<ModelPlacement> reserveForPeer(const WaitingCall &call, absl::Time now);
-    std::vector<QueueEntry> ownQueue(absl::Time now) const;
-    std::vector<QueueEntry> cellQueue(absl::Time now) const;
-    std::int64_t effectiveRank(std::int64_t rank, absl::Time now) const;
     double localPrefillMs(const Candidate &decode, const ModelDemand &demand, absl::Time now) const;
     bool fitsLocalPrefill(const Candidate &decode, const ModelDemand &demand, double prefillMs) const;
     void recordAttempt(const EngineId &engine, absl::Time now);
-    void recordPlacement(const ModelDemand &demand, absl::Time now);
 
     std::optional<ModelEngineSpec> m_model;
     std::map<EngineId, Engine> m_engines;
     std::map<EngineId, EngineAvailability> m_availability; ///< by the engines' answers; also of engines that were removed
     EngineLoads m_loads;
-    std::map<WaiterId, Waiter> m_waiters;
-    std::map<std::int64_t, DecayingRate> m_placedByRank; ///< recently placed calls by rank
+    WaitingCalls m_waiting; ///< calls that wait at this node
     std::uint64_t m_lastRunId = 0;
     std::size_t m_nextPlainEngine = 0;
     double m_meanOutputTokens = 0; ///< mean answer length, tokens; 0: not known yet
