coordination: Share scarce capacity fairly between workspaces

Waiting calls were ordered by rank and end of wait alone, so a workspace that sent many calls pushed those of all others out. Within a rank, the workspace whose recent usage (tokens of memory times time, decayed over 4 s) is clearly lower is next now; within a level of usage the call whose wait ends first. Calls without a workspace are one class, and the order of a queue of one class is the one of before (a test compares 200 random queues). A workspace whose served fraction falls below 0.35 of that of all calls goes first, as ranks below their floor do.

Usage at peers: waiting calls in load reports name their workspace by a 32 bit tag, with its usage at the sender. Naming it in each run would have cost 5 bytes for each run in each report; this costs up to 9 bytes for at most 4 calls of a service, only while calls wait, and a zero byte each where no workspace exists.

Usage is compared in levels of half of the highest.

Refused calls return at a random time in 2.5 s to 4.3 s as before, but not before their workspace's share of the placement rate could have served the refused calls ahead of them, at most 4.4 s or a third of the caller's remaining time.

The tests with six nodes differ a little from run to run, because the hash that spreads calls over engines is seeded by the process; their bounds leave room for it.

--- a/packages/coordination/modeldemand.h
+++ b/packages/coordination/modeldemand.h
@@ -21,6 +21,7 @@
     std::int64_t maxOutputTokens = 0; ///< maximum length of the answer
     std::optional<std::int64_t> expectedOutputTokens; ///< expected length of the answer, if it is already known
     std::int64_t rank = 0; ///< 0 is the most urgent
+    WorkspaceName workspace; ///< empty: none
     absl::Duration targetLatency; ///< target latency of the first stream event
     absl::Duration maxEventGap = absl::InfiniteDuration(); ///< longest acceptable gap between two events of a stream
     absl::Duration maxWait; ///< how long the call may wait for capacity
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -281,7 +281,8 @@
 
 bool ServicePool::mayUseUrgentReserve(const ModelDemand &demand, absl::Time now) const
 {
-    return demand.rank == 0 || m_waiting.isBelowFloor(demand.rank, now) || freeMemoryFraction(now) > urgentReserveFraction;
+    return demand.rank == 0 || m_waiting.isBelowFloor(demand.rank, workspaceTag(demand.workspace), now)
+        || freeMemoryFraction(now) > urgentReserveFraction;
 }
 
 double ServicePool::localPrefillMs(const Candidate &decode, const ModelDemand &demand, absl::Time now) const
@@ -392,7 +393,7 @@
     std::optional<ModelPlacement> chosen = choose(demand, now);
     if (chosen) {
         reserve(&*chosen, demand);
-        m_waiting.recordPlacement(demand, now);
+        m_waiting.recordPlacement(demand, m_meanOutputTokens, now);
         recordAttempt(chosen->decode->id, now);
         if (chosen->prefill) {
             recordAttempt((*chosen->prefill)->id, now);
@@ -594,7 +595,7 @@
 
 absl::Duration ServicePool::expectedWait(const ModelDemand &demand, absl::Time now) const
 {
-    return m_waiting.expectedWait(demand, now);
+    return m_waiting.expectedWait(demand, m_meanOutputTokens, now);
 }
 
 }
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -80,6 +80,13 @@
     /// Returns the expected wait for capacity of a new call of \a demand, from the recent rate of placements.
     absl::Duration expectedWait(const ModelDemand &demand, absl::Time now) const;
 
+    /// Records that a call of \a demand is refused because there is no capacity, and returns its Retry-After. \a timeLeft is the time
+    /// until the caller's deadline, \a random a number in [0, 1).
+    absl::Duration recordRefused(const ModelDemand &demand, absl::Duration timeLeft, double random, absl::Time now)
+    {
+        return m_waiting.recordRefused(demand, timeLeft, random, now);
+    }
+
     /// Adds a call to those that wait for capacity.
     void addWaiter(WaiterId waiter, ModelDemand demand, absl::Time now);
     void removeWaiter(WaiterId waiter);
@@ -155,6 +162,7 @@
     void setPeerLoads(const NodeId &node, const std::vector<EngineLoad> &loads, const std::vector<WaitingCall> &waiting, absl::Time now)
     {
         m_loads.setPeerLoads(node, loads, waiting, now);
+        m_waiting.setPeerUsage(node, waiting, now);
     }
 
     /// Replaces the engines that \a node cannot reach. An engine that at least two peers cannot reach is skipped, unless that
--- a/packages/coordination/waitingcalls.h
+++ b/packages/coordination/waitingcalls.h
@@ -2,13 +2,14 @@
 
 #include "coordination/decayingrate.h"
 #include "coordination/modeldemand.h"
+#include "coordination/returnschedule.h"
+#include "coordination/workspaceusage.h"
 #include "state/engineentry.h"
 
 #include <absl/time/time.h>
 
 #include <cstdint>
 #include <map>
-#include <tuple>
 #include <vector>
 
 namespace Apricot {
@@ -16,23 +17,22 @@
 /// Identifies a call that waits for capacity in a ServicePool.
 using WaiterId = std::uint64_t;
 
-/// A call's position in the order in which calls get capacity: by rank, then by the end of its wait.
+/// A call in the order in which calls get capacity.
 struct QueueEntry
 {
-    std::int64_t rank = 0; ///< effective rank; 0 for a rank that is below its floor
+    std::int64_t rank = 0; ///< effective rank; 0 for a rank or a workspace that is below its floor
     WaiterId waiter = 0; ///< of a call that waits at this node; 0: the call waits at a peer
     WaitingCall call;
 
     friend bool operator==(const QueueEntry &, const QueueEntry &) = default;
-    friend bool operator<(const QueueEntry &left, const QueueEntry &right)
-    {
-        return std::tie(left.rank, left.call.waitDeadline, left.waiter) < std::tie(right.rank, right.call.waitDeadline, right.waiter);
-    }
 };
 
 /**
  * \class WaitingCalls
  * \brief The calls of one service that wait for capacity at this node, and the order in which they get it.
+ *
+ * The order is by rank. Within a rank, a workspace whose recent usage is clearly lower is next; else the call whose wait ends first.
+ * Calls without a workspace count as one workspace.
  */
 class WaitingCalls
 {
@@ -52,10 +52,17 @@
     }
 
     /// Records that a call, which may have waited, got its placement.
-    void recordPlacement(const ModelDemand &demand, absl::Time now);
+    void recordPlacement(const ModelDemand &demand, double meanOutputTokens, absl::Time now);
+
+    /// Records that a call of \a demand was refused because there was no capacity, and returns its Retry-After. \a timeLeft is the time
+    /// until the caller's deadline, \a random a number in [0, 1).
+    absl::Duration recordRefused(const ModelDemand &demand, absl::Duration timeLeft, double random, absl::Time now);
+
+    /// Records what \a node reports about the usage of the workspaces of its \a waiting calls.
+    void setPeerUsage(const NodeId &node, const std::vector<WaitingCall> &waiting, absl::Time now);
 
-    /// Whether \a rank has recently got less than its minimum fraction of the placements.
-    bool isBelowFloor(std::int64_t rank, absl::Time now) const;
+    /// Whether \a rank has recently got less than its minimum fraction of the placements, or \a workspace is starved.
+    bool isBelowFloor(std::int64_t rank, WorkspaceTag workspace, absl::Time now) const;
 
     /// Returns the calls that wait at this node, in the order in which they get capacity.
     std::vector<QueueEntry> ownQueue(double meanOutputTokens, absl::Time now) const;
@@ -67,7 +74,7 @@
     std::vector<WaitingCall> reported(double meanOutputTokens, absl::Time now) const;
 
     /// Returns the expected wait of a new call of \a demand, from the recent rate of placements.
-    absl::Duration expectedWait(const ModelDemand &demand, absl::Time now) const;
+    absl::Duration expectedWait(const ModelDemand &demand, double meanOutputTokens, absl::Time now) const;
 
 private:
     struct Waiter
@@ -76,10 +83,17 @@
         absl::Time since;
     };
 
-    std::int64_t effectiveRank(std::int64_t rank, absl::Time now) const;
+    bool isRankBelowFloor(std::int64_t rank, absl::Time now) const;
+    double placedPerSecond(absl::Time now) const;
+    double callsUntil(const ModelDemand &demand, double meanOutputTokens, absl::Time now) const;
+    std::vector<QueueEntry> ownEntries(double meanOutputTokens, absl::Time now) const;
+    std::vector<QueueEntry> inOrder(std::vector<QueueEntry> queue, absl::Time now) const;
+    QueueEntry entry(WaiterId waiter, WaitingCall call, absl::Time now) const;
 
     std::map<WaiterId, Waiter> m_waiters;
     std::map<std::int64_t, DecayingRate> m_placedByRank; ///< recently placed calls by rank
+    WorkspaceUsage m_usage;
+    ReturnSchedule m_returns;
 };
 
 }
--- a/packages/protocol/cellmessage.cpp
+++ b/packages/protocol/cellmessage.cpp
@@ -21,7 +21,10 @@
 template<class Archive>
 void serialize(Archive &archive, WaitingCall &it)
 {
-    archive(it.service, it.rank, it.promptTokens, it.expectedOutputTokens);
+    archive(it.service, it.rank, it.promptTokens, it.expectedOutputTokens, it.workspace);
+    if (it.workspace != 0) {
+        archive(it.workspaceUsage);
+    }
     archiveTime(archive, it.waitDeadline);
 }
 
--- a/packages/protocol/tests/entry/testcellmessage.cpp
+++ b/packages/protocol/tests/entry/testcellmessage.cpp
@@ -47,7 +47,7 @@
     it.sentAt = absl::FromUnixMicros(1234567);
     it.enginesRevision = 99;
     it.engineLoads = {EngineLoad{EngineId("e"), 2, 300, {EngineRun{5, 100, 50, 7}}}};
-    it.waitingCalls = {WaitingCall{ServiceName("s"), 2, absl::FromUnixMillis(1300), 4000, 500}};
+    it.waitingCalls = {WaitingCall{ServiceName("s"), 2, absl::FromUnixMillis(1300), 4000, 500, 0xfedcba98U, 12345}};
     it.unreachableEngines = {EngineId("f")};
     it.prompts = promptReport();
     return it;
--- a/packages/state/engineentry.h
+++ b/packages/state/engineentry.h
@@ -56,6 +56,9 @@
     friend auto operator<=>(const EngineLoad &, const EngineLoad &) = default;
 };
 
+/// Stands for a workspace in messages between nodes; 0: none.
+using WorkspaceTag = std::uint32_t;
+
 /// A model call that is queued on its node until an engine has capacity.
 struct WaitingCall
 {
@@ -64,6 +67,8 @@
     absl::Time waitDeadline; ///< when it stops waiting, on the steady clock of its node or of the node that received this message
     std::int64_t promptTokens = 0;
     std::int64_t expectedOutputTokens = 0; ///< expected length of its output
+    WorkspaceTag workspace = 0;
+    std::int64_t workspaceUsage = 0; ///< recent usage of the workspace on the node where the call waits; 0 without a workspace
 
     friend bool operator==(const WaitingCall &, const WaitingCall &) = default;
 };
