entry: Take a declined KV handle to another decode engine

A decode engine that declines a call has not taken its KV handle, yet the node deleted the handle, recorded a failure of the prefill engine, and asked the same engine to compute the prompt again. Where the engine was full, that was declined as well and the prompt was prefilled a second time. If a second engine declines the handle too, it is assumed that it cannot be fetched, and the earlier behaviour follows. Routes with one attempt behave as before.

Before the change 4 checks failed (the first engine got two requests, the second none, the prefill engine a release); with it no errors. Whole entry_test and coordination_test (230 cases): no errors.

--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -112,8 +112,10 @@
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
     const ModelDemand demand = this->makeDemand(maxWait);
-    const std::optional<ModelPlacement> placement
-        = context.pools.withPool(m_facts.service, [&](ServicePool &pool) { return pool.placeNewCall(demand, now); });
+    // A call whose prompt is prefilled had capacity already, and its KV handle lapses soon: it does not queue behind others.
+    const bool isPrefilled = m_kvHandle.isFresh(now);
+    const std::optional<ModelPlacement> placement = context.pools.withPool(
+        m_facts.service, [&](ServicePool &pool) { return isPrefilled ? pool.placeModel(demand, now) : pool.placeNewCall(demand, now); });
     if (placement) {
         handlePlacement(*placement);
         return;
@@ -271,6 +273,7 @@
     });
     m_loop.context().metrics.countAttempt("prefill", "good");
     m_kvHandle.set(engine, result->handle, now + lifetime);
+    m_isHandleDeclined = false;
     m_reservation.release(engine->id, now);
     startDecode();
 }
@@ -648,6 +651,23 @@
     requestPlacement(maxResumptionWait);
 }
 
+bool StreamCall::mayMoveWithHandle()
+{
+    const absl::Time now = m_loop.events().now();
+    std::vector<EngineId> excluded = m_excludedEngines;
+    excluded.push_back(m_placement->decode->id);
+    // An engine that declines a call has not fetched the KV cache: it is full, or cannot fetch it. If a second one declines, the latter
+    // is assumed.
+    const bool mayMove = !m_isHandleDeclined && m_kvHandle.isFresh(now) && m_loop.context().allowsRetry(m_facts.service, now)
+        && m_loop.context().pools.withPool(m_facts.service,
+                                           [&](const ServicePool &pool) { return pool.hasDecodeAlternative(excluded, now); });
+    m_isHandleDeclined = true;
+    if (mayMove) {
+        m_loop.context().metrics.countHandle("moved");
+    }
+    return mayMove;
+}
+
 void StreamCall::handleNonStreamOutcome(ExchangeOutcome outcome)
 {
     const EngineId engine = m_placement->decode->id;
@@ -668,7 +688,8 @@
                                   {"sincePlacedMs", absl::ToDoubleMilliseconds(m_loop.events().now() - m_placedAt)},
                                   {"memoryPart", m_basis.memoryFraction},
                                   {"runsThere", m_basis.runCount}});
-        if (isDeclined && m_kvHandle.hasHandle() && !info.retryAfter) {
+        const bool mayRetry = m_sentAttempts < m_facts.route->maxAttempts && m_facts.deadline() - m_loop.events().now() > minAttemptTime;
+        if (isDeclined && m_kvHandle.hasHandle() && !info.retryAfter && !(mayRetry && mayMoveWithHandle())) {
             // The KV cache cannot be fetched: the engine can still compute the prefill itself.
             if (m_kvHandle.isFresh(m_loop.events().now())) {
                 m_reservation.recordResult(m_kvHandle.engine()->id, EngineResult::Failed, m_loop.events().now());
@@ -685,7 +706,6 @@
             }
         }
         m_reservation.recordResult(engine, isDeclined ? EngineResult::Refused : EngineResult::Unreachable, m_loop.events().now());
-        const bool mayRetry = m_sentAttempts < m_facts.route->maxAttempts && m_facts.deadline() - m_loop.events().now() > minAttemptTime;
         abandonPlacement(engine);
         if (mayRetry && (!isDeclined || trySpendRetry())) {
             m_wasSent = false;
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -71,6 +71,8 @@
     void armStallTimer();
     void handleStreamOutcome(ExchangeOutcome outcome);
     void handleNonStreamOutcome(ExchangeOutcome outcome);
+    /// Whether the call may be sent to another decode engine with the KV handle that the current one has declined.
+    bool mayMoveWithHandle();
     /// Gives up the current engine of the stream, which is then to be resumed elsewhere.
     void leaveEngine();
     void resumeOnOtherEngine();
@@ -106,6 +108,7 @@
     std::shared_ptr<HttpExchange> m_exchange;
     std::shared_ptr<HttpFetch> m_prefillFetch;
     OwnedKvHandle m_kvHandle;
+    bool m_isHandleDeclined = false; ///< a decode engine has declined a call with this handle
     PromptGuard m_promptGuard;
     absl::Time m_stageStart; ///< start of the current prefill or decode
     EngineId m_lastDecodeEngine; ///< decode engine that the call was last sent to
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -582,6 +582,14 @@
                        [&](const auto &entry) { return mayBeTried(entry.second.entry, excludedEngines, now); });
 }
 
+bool ServicePool::hasDecodeAlternative(const std::vector<EngineId> &excludedEngines, absl::Time now) const
+{
+    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto &entry) {
+        const Engine &engine = entry.second;
+        return engine.entry->stage == EngineStage::Decode && isUsable(engine, excludedEngines, now);
+    });
+}
+
 double ServicePool::totalMemoryTokens() const
 {
     return m_model ? std::max(1.0, static_cast<double>((*m_model)->kvCapacityTokens)) : 1.0;
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -184,6 +184,9 @@
     /// Whether a ready engine outside \a excludedEngines exists that has not asked for a back-off.
     bool hasAlternative(const std::vector<EngineId> &excludedEngines, absl::Time now) const;
 
+    /// Whether a ready decode engine outside \a excludedEngines exists that has not asked for a back-off.
+    bool hasDecodeAlternative(const std::vector<EngineId> &excludedEngines, absl::Time now) const;
+
     /// Returns the number of answer tokens in each stream event.
     std::int64_t tokensPerEvent() const
     {
