entry: Give waiting calls their workspace, and show refusals by share

Streams pass the workspace from CallFacts to the pool, and calls that are refused for lack of capacity get their Retry-After from the pool's ReturnSchedule.

--- a/packages/apricotladderd/entry/entrymetrics.cpp
+++ b/packages/apricotladderd/entry/entrymetrics.cpp
@@ -34,6 +34,9 @@
     , m_keyRejections(
           counters(*m_registry, "apricotladder_entry_key_rejections_total", "Calls refused because they have no valid key, by reason"))
     , m_handles(counters(*m_registry, "apricotladder_entry_handles_total", "KV handles of prefills, by what became of them"))
+    , m_refusals(counters(*m_registry, "apricotladder_entry_capacity_refusals_total",
+                          "Streams refused because there was no capacity, by whether their workspace used more than the average"))
+    , m_waitingCalls(gauges(*m_registry, "apricotladder_entry_waiting_calls", "Streams that wait for capacity here").Add({}))
     , m_wastedPrefillTokens(
           counters(*m_registry, "apricotladder_entry_tokens_read_in_vain_total", "Prompt tokens read whose result was not used").Add({}))
     , m_firstAnswer(prometheus::BuildHistogram()
@@ -100,6 +103,16 @@
     m_handles.Add({{"end", outcome}}).Increment();
 }
 
+void EntryMetrics::countRefusal(const std::string &share)
+{
+    m_refusals.Add({{"share", share}}).Increment();
+}
+
+void EntryMetrics::setWaitingCalls(double count)
+{
+    m_waitingCalls.Set(count);
+}
+
 void EntryMetrics::countWastedPrefillTokens(double tokens)
 {
     m_wastedPrefillTokens.Increment(tokens);
--- a/packages/apricotladderd/entry/entrymetrics.h
+++ b/packages/apricotladderd/entry/entrymetrics.h
@@ -30,12 +30,14 @@
     void countEngineNotice(const std::string &kind);
     void countKeyRejection(const std::string &reason);
     void countHandle(const std::string &outcome);
+    void countRefusal(const std::string &share);
     void countWastedPrefillTokens(double tokens);
     void countBrokenPrompt();
     void observeFirstAnswer(const std::string &kind, double seconds);
     void setDesiredVersion(double version);
     void setEngines(const std::string &state, double count);
     void setMembers(double alive);
+    void setWaitingCalls(double count);
     void setActiveNodes(double count);
     void setLinesDropped(double lines);
     void setQuarantinedParts(double count);
@@ -50,6 +52,8 @@
     prometheus::Family<prometheus::Counter> &m_engineNotices;
     prometheus::Family<prometheus::Counter> &m_keyRejections;
     prometheus::Family<prometheus::Counter> &m_handles;
+    prometheus::Family<prometheus::Counter> &m_refusals;
+    prometheus::Gauge &m_waitingCalls;
     prometheus::Counter &m_wastedPrefillTokens;
     prometheus::Family<prometheus::Histogram> &m_firstAnswer;
     prometheus::Gauge &m_desiredVersion;
--- a/packages/apricotladderd/entry/peerlink.cpp
+++ b/packages/apricotladderd/entry/peerlink.cpp
@@ -310,6 +310,7 @@
     }
     m_context.metrics.setMembers(static_cast<double>(std::count_if(members.begin(), members.end(), isAlive)));
     m_context.metrics.setActiveNodes(static_cast<double>(m_activeNodes.size()));
+    m_context.metrics.setWaitingCalls(static_cast<double>(m_context.pools.waiterCount()));
 }
 
 }
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -31,10 +31,8 @@
 /// A call is refused without waiting only if its expected wait exceeds this: a shorter estimate is based on few calls.
 constexpr absl::Duration minRefusalWait = absl::Milliseconds(1500);
 
-/// Retry-After of a refused call: short after an engine failure, long and with random jitter when capacity is missing.
+/// Retry-After of a call that is refused after an engine failure. \see ReturnSchedule for calls that find no capacity
 constexpr absl::Duration shortRetryAfter = absl::Milliseconds(50);
-constexpr absl::Duration overloadRetryAfter = absl::Milliseconds(2500);
-constexpr absl::Duration overloadRetryAfterJitter = absl::Milliseconds(1800);
 
 /// Prefill timeout, as a fraction of the route's target latency. After it the decode engine computes the prefill itself if
 /// its other streams tolerate that, or another prefill engine is tried.
@@ -99,6 +97,7 @@
     demand.hintedOutputTokens = m_facts.call->hintedOutputTokens;
     demand.maxOutputTokens = m_facts.call->maxOutputTokens;
     demand.rank = m_facts.rank;
+    demand.workspace = m_facts.workspaceName();
     demand.targetLatency = m_facts.route->targetLatency;
     demand.maxEventGap = m_facts.route->maxEventGap;
     demand.maxWait = maxWait;
@@ -180,9 +179,17 @@
         abortStream("no engine to resume at");
         return;
     }
-    // The jitter prevents calls that were refused in one burst from retrying at the same moment.
-    refuse(m_wasSent ? ErrorKind::AnswerIncomplete : ErrorKind::NoCapacity,
-           overloadRetryAfter + overloadRetryAfterJitter * m_loop.random());
+    const ErrorKind kind = m_wasSent ? ErrorKind::AnswerIncomplete : ErrorKind::NoCapacity;
+    if (retryAfterBackOff(m_loop, m_facts.service)) {
+        refuse(kind, std::nullopt); // Its Retry-After is the end of the back-off.
+        return;
+    }
+    const absl::Time now = m_loop.events().now();
+    const ModelDemand demand = makeDemand(absl::ZeroDuration());
+    const CapacityRefusal refusal = m_loop.context().pools.withPool(
+        m_facts.service, [&](ServicePool &pool) { return pool.recordRefused(demand, m_facts.deadline() - now, m_loop.random(), now); });
+    m_loop.context().metrics.countRefusal(refusal.isAboveShare ? "above" : "within");
+    refuse(kind, refusal.retryAfter);
 }
 
 EngineRequestOptions StreamCall::makeRequestOptions(const EngineEntry &engine) const
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -80,9 +80,15 @@
     /// Returns the expected wait for capacity of a new call of \a demand, from the recent rate of placements.
     absl::Duration expectedWait(const ModelDemand &demand, absl::Time now) const;
 
+    /// Returns the number of calls that wait at this node.
+    std::size_t waiterCount() const
+    {
+        return m_waiting.size();
+    }
+
     /// Records that a call of \a demand is refused because there is no capacity, and returns its Retry-After. \a timeLeft is the time
     /// until the caller's deadline, \a random a number in [0, 1).
-    absl::Duration recordRefused(const ModelDemand &demand, absl::Duration timeLeft, double random, absl::Time now)
+    CapacityRefusal recordRefused(const ModelDemand &demand, absl::Duration timeLeft, double random, absl::Time now)
     {
         return m_waiting.recordRefused(demand, timeLeft, random, now);
     }
--- a/packages/coordination/servicepoolmap.cpp
+++ b/packages/coordination/servicepoolmap.cpp
@@ -133,6 +133,13 @@
     return waiting;
 }
 
+std::size_t ServicePoolMap::waiterCount() const
+{
+    std::size_t sum = 0;
+    m_pools.forEach([&](const ServiceName &, const ServicePool &pool) { sum += pool.waiterCount(); });
+    return sum;
+}
+
 void ServicePoolMap::deliverGrants(const std::vector<Grant> &grants) const
 {
     for (const Grant &grant : grants) {
--- a/packages/coordination/servicepoolmap.h
+++ b/packages/coordination/servicepoolmap.h
@@ -5,6 +5,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <vector>
@@ -63,6 +64,9 @@
     /// Returns the first calls of each service that wait for capacity at this node.
     std::vector<WaitingCall> ownWaitingCalls(absl::Time now) const;
 
+    /// Returns the number of calls that wait for capacity at this node.
+    std::size_t waiterCount() const;
+
 private:
     void deliverGrants(const std::vector<Grant> &grants) const;
 
--- a/packages/coordination/tests/entry/fairload.cpp
+++ b/packages/coordination/tests/entry/fairload.cpp
@@ -204,7 +204,7 @@
     call.waitEnd = absl::InfiniteFuture();
     const absl::Duration timeLeft = call.firstArrival + deadline - now;
     const double drawn = random();
-    const absl::Duration scheduled = m_pools[call.node].recordRefused(call.demand, timeLeft, drawn, now);
+    const absl::Duration scheduled = m_pools[call.node].recordRefused(call.demand, timeLeft, drawn, now).retryAfter;
     const absl::Duration retryAfter = m_deployment.usesFixedRetryAfter ? absl::Seconds(2.5 + 1.8 * drawn) : scheduled;
     if (!std::exchange(call.isReturn, true) && retryAfter <= timeLeft / 3) {
         m_arrivals.emplace(now + retryAfter, id);
--- a/packages/coordination/waitingcalls.cpp
+++ b/packages/coordination/waitingcalls.cpp
@@ -82,11 +82,12 @@
     m_usage.recordPlaced(waitingCall(demand, now, meanOutputTokens), now);
 }
 
-absl::Duration WaitingCalls::recordRefused(const ModelDemand &demand, absl::Duration timeLeft, double random, absl::Time now)
+CapacityRefusal WaitingCalls::recordRefused(const ModelDemand &demand, absl::Duration timeLeft, double random, absl::Time now)
 {
     const WorkspaceTag workspace = workspaceTag(demand.workspace);
     m_usage.recordRefused(workspace, now);
-    return m_returns.add(RefusedCall{demand.rank, workspace}, placedPerSecond(now), timeLeft, random, now);
+    const absl::Duration retryAfter = m_returns.add(RefusedCall{demand.rank, workspace}, placedPerSecond(now), timeLeft, random, now);
+    return CapacityRefusal{retryAfter, m_usage.isAboveAverage(workspace, now)};
 }
 
 double WaitingCalls::placedPerSecond(absl::Time now) const
--- a/packages/coordination/waitingcalls.h
+++ b/packages/coordination/waitingcalls.h
@@ -8,6 +8,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -27,6 +28,15 @@
     friend bool operator==(const QueueEntry &, const QueueEntry &) = default;
 };
 
+/// What follows from the refusal of a call for which there is no capacity.
+struct CapacityRefusal
+{
+    absl::Duration retryAfter;
+    bool isAboveShare = false; ///< the workspace of the call has used more than the average of all
+
+    friend bool operator==(const CapacityRefusal &, const CapacityRefusal &) = default;
+};
+
 /**
  * \class WaitingCalls
  * \brief The calls of one service that wait for capacity at this node, and the order in which they get it.
@@ -40,6 +50,11 @@
     void add(WaiterId waiter, ModelDemand demand, absl::Time now);
     void remove(WaiterId waiter);
 
+    std::size_t size() const
+    {
+        return m_waiters.size();
+    }
+
     bool isEmpty() const
     {
         return m_waiters.empty();
@@ -56,7 +71,7 @@
 
     /// Records that a call of \a demand was refused because there was no capacity, and returns its Retry-After. \a timeLeft is the time
     /// until the caller's deadline, \a random a number in [0, 1).
-    absl::Duration recordRefused(const ModelDemand &demand, absl::Duration timeLeft, double random, absl::Time now);
+    CapacityRefusal recordRefused(const ModelDemand &demand, absl::Duration timeLeft, double random, absl::Time now);
 
     /// Records what \a node reports about the usage of the workspaces of its \a waiting calls.
     void setPeerUsage(const NodeId &node, const std::vector<WaitingCall> &waiting, absl::Time now);
--- a/packages/coordination/workspaceusage.cpp
+++ b/packages/coordination/workspaceusage.cpp
@@ -77,6 +77,7 @@
     Workspace &it = workspace(call.workspace, now);
     it.usage.add(capacityUse(call), now);
     it.placed.add(1, now);
+    m_all.usage.add(capacityUse(call), now);
     m_all.placed.add(1, now);
 }
 
@@ -116,6 +117,11 @@
     return sum;
 }
 
+bool WorkspaceUsage::isAboveAverage(WorkspaceTag workspace, absl::Time now) const
+{
+    return own(workspace, now) * static_cast<double>(m_workspaces.size()) > m_all.usage.sum(now);
+}
+
 bool WorkspaceUsage::isStarved(WorkspaceTag workspace, absl::Time now) const
 {
     const auto it = m_workspaces.find(workspace);
--- a/packages/coordination/workspaceusage.h
+++ b/packages/coordination/workspaceusage.h
@@ -47,6 +47,9 @@
     /// Whether the served fraction of the calls of \a workspace is far below that of all calls.
     bool isStarved(WorkspaceTag workspace, absl::Time now) const;
 
+    /// Whether \a workspace has recently used more than the average of all workspaces on this node.
+    bool isAboveAverage(WorkspaceTag workspace, absl::Time now) const;
+
 private:
     struct Workspace
     {
@@ -61,7 +64,7 @@
     Workspace &workspace(WorkspaceTag tag, absl::Time now);
 
     std::map<WorkspaceTag, Workspace> m_workspaces;
-    Workspace m_all; ///< of all workspaces together; its usage is not counted
+    Workspace m_all; ///< of all workspaces together on this node
     absl::Time m_lastCleanup = absl::InfinitePast();
 };
 
