--- a/tests/platform/nodefixture.cpp
+++ b/tests/platform/nodefixture.cpp
@@ -124,6 +124,13 @@
     return HttpClient::call(makeCall(path, method, body, requestId));
 }
 
+HttpReply NodeUnderTest::callWithKey(const std::string &path, const std::string &key) const
+{
+    HttpCall call = makeCall(path, "POST", "prompt", "attempt");
+    call.headers["Authorization"] = "Bearer " + key;
+    return HttpClient::call(call);
+}
+
 HttpReply NodeUnderTest::callWithPrompt(const std::string &path, const std::string &parts) const
 {
     HttpCall call = makeCall(path, "POST", {}, "attempt");
--- a/tests/platform/nodefixture.h
+++ b/tests/platform/nodefixture.h
@@ -55,6 +55,9 @@
     /// Sends a call to a streaming route whose prompt consists of \a parts, the ids of parts separated by commas.
     HttpReply callWithPrompt(const std::string &path, const std::string &parts) const;
 
+    /// Sends a call with the API key \a key.
+    HttpReply callWithKey(const std::string &path, const std::string &key) const;
+
     /// Sends a call to a streaming route and passes the parts of its response to \a receiver.
     HttpReply stream(const std::string &path, const StreamReceiver &receiver) const;
 
