--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -31,10 +31,8 @@
 /// A call is refused without waiting only if its expected wait exceeds this: a shorter estimate is based on few calls.
 constexpr absl::Duration minRefusalWait = absl::Milliseconds(1500);
 
-/// Retry-After of a refused call: short after an engine failure, long and with random jitter when capacity is missing.
+/// Retry-After of a call that is refused after an engine failure. \see ReturnSchedule for calls that find no capacity
 constexpr absl::Duration shortRetryAfter = absl::Milliseconds(50);
-constexpr absl::Duration overloadRetryAfter = absl::Milliseconds(2500);
-constexpr absl::Duration overloadRetryAfterJitter = absl::Milliseconds(1800);
 
 /// Prefill timeout, as a fraction of the route's target latency. After it the decode engine computes the prefill itself if
 /// its other streams tolerate that, or another prefill engine is tried.
@@ -101,6 +99,7 @@
     demand.hintedOutputTokens = m_facts.call->hintedOutputTokens;
     demand.maxOutputTokens = m_facts.call->maxOutputTokens;
     demand.rank = m_facts.rank;
+    demand.workspace = m_facts.workspaceName();
     demand.targetLatency = m_facts.route->targetLatency;
     demand.maxEventGap = m_facts.route->maxEventGap;
     demand.maxWait = maxWait;
@@ -114,8 +113,10 @@
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
     const ModelDemand demand = this->makeDemand(maxWait);
-    const std::optional<ModelPlacement> placement
-        = context.pools.withPool(m_facts.service, [&](ServicePool &pool) { return pool.placeNewCall(demand, now); });
+    // A call whose prompt is prefilled had capacity already, and its KV handle lapses soon: it does not queue behind others.
+    const bool isPrefilled = m_kvHandle.isFresh(now);
+    const std::optional<ModelPlacement> placement = context.pools.withPool(
+        m_facts.service, [&](ServicePool &pool) { return isPrefilled ? pool.placeModel(demand, now) : pool.placeNewCall(demand, now); });
     if (placement) {
         handlePlacement(*placement);
         return;
@@ -180,9 +181,17 @@
         abortStream("no engine to resume at");
         return;
     }
-    // The jitter prevents calls that were refused in one burst from retrying at the same moment.
-    refuse(m_wasSent ? ErrorKind::AnswerIncomplete : ErrorKind::NoCapacity,
-           overloadRetryAfter + overloadRetryAfterJitter * m_loop.random());
+    const ErrorKind kind = m_wasSent ? ErrorKind::AnswerIncomplete : ErrorKind::NoCapacity;
+    if (retryAfterBackOff(m_loop, m_facts.service)) {
+        refuse(kind, std::nullopt); // Its Retry-After is the end of the back-off.
+        return;
+    }
+    const absl::Time now = m_loop.events().now();
+    const ModelDemand demand = makeDemand(absl::ZeroDuration());
+    const CapacityRefusal refusal = m_loop.context().pools.withPool(
+        m_facts.service, [&](ServicePool &pool) { return pool.recordRefused(demand, m_facts.deadline() - now, m_loop.random(), now); });
+    m_loop.context().metrics.countRefusal(refusal.isAboveShare ? "above" : "within");
+    refuse(kind, refusal.retryAfter);
 }
 
 EngineRequestOptions StreamCall::makeRequestOptions(const EngineEntry &engine) const
@@ -273,6 +282,7 @@
     });
     m_loop.context().metrics.countAttempt("prefill", "good");
     m_kvHandle.set(engine, result->handle, now + lifetime);
+    m_isHandleDeclined = false;
     m_reservation.release(engine->id, now);
     startDecode();
 }
@@ -655,6 +665,23 @@
     requestPlacement(maxResumptionWait);
 }
 
+bool StreamCall::mayMoveWithHandle()
+{
+    const absl::Time now = m_loop.events().now();
+    std::vector<EngineId> excluded = m_excludedEngines;
+    excluded.push_back(m_placement->decode->id);
+    // An engine that declines a call has not fetched the KV cache: it is full, or cannot fetch it. If a second one declines, the latter
+    // is assumed.
+    const bool mayMove = !m_isHandleDeclined && m_kvHandle.isFresh(now) && m_loop.context().allowsRetry(m_facts.service, now)
+        && m_loop.context().pools.withPool(m_facts.service,
+                                           [&](const ServicePool &pool) { return pool.hasDecodeAlternative(excluded, now); });
+    m_isHandleDeclined = true;
+    if (mayMove) {
+        m_loop.context().metrics.countHandle("moved");
+    }
+    return mayMove;
+}
+
 void StreamCall::handleNonStreamOutcome(ExchangeOutcome outcome)
 {
     const EngineId engine = m_placement->decode->id;
@@ -678,7 +705,8 @@
                                   {"sincePlacedMs", absl::ToDoubleMilliseconds(m_loop.events().now() - m_placedAt)},
                                   {"memoryPart", m_basis.memoryFraction},
                                   {"runsThere", m_basis.runCount}});
-        if (isDeclined && m_kvHandle.hasHandle() && !info.retryAfter) {
+        const bool mayRetry = m_sentAttempts < m_facts.route->maxAttempts && m_facts.deadline() - m_loop.events().now() > minAttemptTime;
+        if (isDeclined && m_kvHandle.hasHandle() && !info.retryAfter && !(mayRetry && mayMoveWithHandle())) {
             // The KV cache cannot be fetched: the engine can still compute the prefill itself.
             if (m_kvHandle.isFresh(m_loop.events().now())) {
                 m_reservation.recordResult(m_kvHandle.engine()->id, EngineResult::Failed, m_loop.events().now());
@@ -695,7 +723,6 @@
             }
         }
         m_reservation.recordResult(engine, isDeclined ? EngineResult::Refused : EngineResult::Unreachable, m_loop.events().now());
-        const bool mayRetry = m_sentAttempts < m_facts.route->maxAttempts && m_facts.deadline() - m_loop.events().now() > minAttemptTime;
         abandonPlacement(engine);
         if (mayRetry && (!isDeclined || trySpendRetry())) {
             m_wasSent = false;
