coordination: Move the choice of a plain endpoint into its own module

The cost of a plain endpoint and the choice of the cheapest one move to coordination/endpointchoice, which decides on a list of facts and knows neither the pool nor the clock. ServicePool::placePlain() collects the facts and records the reservation.

The choice is unchanged, including the rotation over endpoints of equal cost. coordination_test passes.

--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -1,5 +1,6 @@
 #include "coordination/servicepool.h"
 
+#include "coordination/endpointchoice.h"
 #include "coordination/memoryforecast.h"
 
 #include <absl/hash/hash.h>
@@ -18,8 +19,8 @@
 constexpr absl::Duration initialPrefillTokenTime = absl::Microseconds(20);
 constexpr absl::Duration initialDecodeTokenTime = absl::Microseconds(40);
 
-/// Penalty for an engine in another data centre: the network round trip.
-constexpr double otherDataCentrePenaltyMs = 2;
+/// Time of a network round trip to another data centre.
+constexpr absl::Duration otherDataCentreRoundTrip = absl::Milliseconds(2);
 
 /// Penalty for KV transfer between data centres.
 constexpr double crossDataCentreTransferPenaltyMs = 15;
@@ -106,13 +107,6 @@
     return peakMemory(std::move(uses));
 }
 
-template<class Candidates>
-auto cheapest(Candidates &candidates)
-{
-    return std::min_element(candidates.begin(), candidates.end(),
-                            [](const auto &left, const auto &right) { return left.cost < right.cost; });
-}
-
 }
 
 void ServicePool::setModel(const std::optional<ModelEngineSpec> &model)
@@ -254,21 +248,20 @@
 std::optional<EngineEntry> ServicePool::placePlain(const DataCentreName &nearTo, const std::vector<EngineId> &excludedEngines,
                                                    absl::Time now)
 {
-    std::vector<Candidate> found = candidates(EngineStage::Plain, excludedEngines, now);
-    if (found.empty()) {
-        return std::nullopt;
-    }
-    // Rotation spreads calls over engines of equal cost.
-    std::rotate(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(++m_nextPlainEngine % found.size()), found.end());
+    const std::vector<Candidate> found = candidates(EngineStage::Plain, excludedEngines, now);
     const absl::Duration expected = expectedCost(EngineStage::Plain);
-    for (Candidate &it : found) {
-        const double slots = static_cast<double>(std::max<std::int64_t>(1, it.engine->entry->slots));
-        const double queuedPerSlot = static_cast<double>(it.load.requests) / slots;
-        const double callMs = absl::ToDoubleMilliseconds(it.engine->health.cost(expected, now));
-        const double networkMs = it.engine->entry->dataCentre == nearTo ? 0 : otherDataCentrePenaltyMs;
-        it.cost = (callMs * (1 + queuedPerSlot) + networkMs) * failurePenalty(*it.engine, now);
+    std::vector<EndpointFacts> endpoints;
+    for (const Candidate &it : found) {
+        const EngineEntry &entry = it.engine->entry;
+        endpoints.push_back(EndpointFacts{entry->slots, it.load.requests, it.engine->health.cost(expected, now),
+                                          entry->dataCentre == nearTo ? absl::ZeroDuration() : otherDataCentreRoundTrip,
+                                          failurePenalty(*it.engine, now)});
+    }
+    const std::optional<std::size_t> cheapest = cheapestEndpoint(endpoints, ++m_nextPlainEngine);
+    if (!cheapest) {
+        return std::nullopt;
     }
-    const EngineEntry chosen = cheapest(found)->engine->entry;
+    const EngineEntry chosen = found[*cheapest].engine->entry;
     add(EngineReservation{chosen->id, 1, 0, std::nullopt});
     recordAttempt(chosen->id, now);
     return chosen;
