coordination: Compare engine pairs in linear time

With 3,000 engines the active nodes run out of processor time. Two parts of a decision about a model call grow with the square of the number of engines: failurePenalty() and localPrefillMs() scan all engines for each candidate, and choose() compares all pairs of prefill and decode engines.

The lowest failure fraction and the expected cost of a stage are now computed once for each decision. The penalty of a pair depends only on whether its engines are in the same data centre, so only the cheapest prefill candidate of each data centre can be part of the cheapest pair; cheapestOfEachDataCentre() selects these.

--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -1,6 +1,7 @@
 #include "coordination/servicepool.h"
 
 #include "coordination/endpointchoice.h"
+#include "coordination/enginepairing.h"
 #include "coordination/memoryforecast.h"
 
 #include <absl/hash/hash.h>
@@ -222,15 +223,20 @@
     return jitterMs * static_cast<double>(drawn) / static_cast<double>(steps);
 }
 
-double ServicePool::failurePenalty(const Engine &engine, absl::Time now) const
+double ServicePool::lowestFailureFraction(EngineStage stage, absl::Time now) const
 {
     double lowest = 1;
-    for (const auto &[id, other] : m_engines) {
-        if (other.entry->stage == engine.entry->stage) {
-            lowest = std::min(lowest, other.health.failureFraction(now));
+    for (const auto &[id, engine] : m_engines) {
+        if (engine.entry->stage == stage) {
+            lowest = std::min(lowest, engine.health.failureFraction(now));
         }
     }
-    return 1 + failureWeight * (engine.health.failureFraction(now) - lowest);
+    return lowest;
+}
+
+double ServicePool::failurePenalty(const Engine &engine, double lowestFraction, absl::Time now) const
+{
+    return 1 + failureWeight * (engine.health.failureFraction(now) - lowestFraction);
 }
 
 absl::Duration ServicePool::expectedCost(EngineStage stage) const
@@ -250,12 +256,13 @@
 {
     const std::vector<Candidate> found = candidates(EngineStage::Plain, excludedEngines, now);
     const absl::Duration expected = expectedCost(EngineStage::Plain);
+    const double lowestFraction = lowestFailureFraction(EngineStage::Plain, now);
     std::vector<EndpointFacts> endpoints;
     for (const Candidate &it : found) {
         const EngineEntry &entry = it.engine->entry;
         endpoints.push_back(EndpointFacts{entry->slots, it.load.requests, it.engine->health.cost(expected, now),
                                           entry->dataCentre == nearTo ? absl::ZeroDuration() : otherDataCentreRoundTrip,
-                                          failurePenalty(*it.engine, now)});
+                                          failurePenalty(*it.engine, lowestFraction, now)});
     }
     const std::optional<std::size_t> cheapest = cheapestEndpoint(endpoints, ++m_nextPlainEngine);
     if (!cheapest) {
@@ -298,10 +305,11 @@
     return demand.rank == 0 || isBelowFloor(demand.rank, now) || freeMemoryFraction(now) > urgentReserveFraction;
 }
 
-double ServicePool::localPrefillMs(const Candidate &decode, const ModelDemand &demand, absl::Time now) const
+double ServicePool::localPrefillMs(const Candidate &decode, const ModelDemand &demand, absl::Duration expectedTokenTime,
+                                   absl::Time now) const
 {
     const auto tokens = static_cast<double>(decode.load.pendingPrefillTokens + demand.promptTokens + demand.generatedTokens);
-    return absl::ToDoubleMilliseconds(decode.engine->health.cost(expectedCost(EngineStage::Decode), now) * tokens);
+    return absl::ToDoubleMilliseconds(decode.engine->health.cost(expectedTokenTime, now) * tokens);
 }
 
 bool ServicePool::fitsLocalPrefill(const Candidate &decode, const ModelDemand &demand, double prefillMs) const
@@ -324,6 +332,7 @@
     std::vector<Candidate> found = candidates(EngineStage::Decode, demand.excludedEngines, now);
     const EngineRun newRun{0, demand.promptTokens, expectedOutputTokens(demand), demand.generatedTokens};
     const double usable = usableMemoryTokens(now);
+    const double lowestFraction = lowestFailureFraction(EngineStage::Decode, now);
     for (Candidate &it : found) {
         const bool slotIsFree = it.load.requests + spareSlots < it.engine->entry->slots;
         std::vector<EngineRun> runs = it.load.runs;
@@ -331,8 +340,9 @@
         const double peak = static_cast<double>(peakMemoryTokens(runs)) + it.engine->unknownLoad.tokens(now);
         const double used = peak / usable;
         it.memoryFraction = peak / totalMemoryTokens();
-        it.cost = slotIsFree && used <= 1 ? (fullnessPenaltyMs * used + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, now)
-                                          : noCapacityCost;
+        it.cost = slotIsFree && used <= 1
+            ? (fullnessPenaltyMs * used + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, lowestFraction, now)
+            : noCapacityCost;
     }
     std::erase_if(found, [](const Candidate &it) { return it.cost >= noCapacityCost; });
     return found;
@@ -342,10 +352,11 @@
 {
     std::vector<Candidate> found = candidates(EngineStage::Prefill, demand.excludedEngines, now);
     const absl::Duration expected = expectedCost(EngineStage::Prefill);
+    const double lowestFraction = lowestFailureFraction(EngineStage::Prefill, now);
     for (Candidate &it : found) {
         const auto tokens = static_cast<double>(it.load.pendingPrefillTokens + demand.promptTokens);
         const double prefillMs = absl::ToDoubleMilliseconds(it.engine->health.cost(expected, now) * tokens);
-        it.cost = (prefillMs + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, now);
+        it.cost = (prefillMs + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, lowestFraction, now);
     }
     return found;
 }
@@ -356,6 +367,8 @@
     // To continue an answer, the decode engine prefills the prompt and the tokens generated so far itself.
     const std::vector<Candidate> prefills = demand.generatedTokens > 0 ? std::vector<Candidate>() : prefillCandidates(demand, now);
     const double maxPrefillMs = maxPrefillTargetFraction * absl::ToDoubleMilliseconds(demand.targetLatency);
+    const std::vector<std::size_t> cheapestPrefills = cheapestOfEachDataCentre(prefills, maxPrefillMs);
+    const absl::Duration expectedTokenTime = expectedCost(EngineStage::Decode);
     const absl::Duration loadsAge = m_loads.loadsAge(now);
     std::optional<ModelPlacement> best;
     double bestCost = 0;
@@ -366,13 +379,12 @@
         }
     };
     for (const Candidate &decode : decodes) {
-        for (const Candidate &prefill : prefills) {
-            const bool isNear = prefill.engine->entry->dataCentre == decode.engine->entry->dataCentre;
-            if (prefill.cost <= maxPrefillMs) {
-                consider(decode.cost + prefill.cost + (isNear ? 0 : crossDataCentreTransferPenaltyMs), decode, prefill.engine->entry);
-            }
+        for (const std::size_t index : cheapestPrefills) {
+            const Candidate &prefill = prefills[index];
+            const bool isNear = prefill.dataCentre() == decode.dataCentre();
+            consider(decode.cost + prefill.cost + (isNear ? 0 : crossDataCentreTransferPenaltyMs), decode, prefill.engine->entry);
         }
-        const double prefillMs = localPrefillMs(decode, demand, now);
+        const double prefillMs = localPrefillMs(decode, demand, expectedTokenTime, now);
         if (prefillMs <= maxPrefillMs && fitsLocalPrefill(decode, demand, prefillMs)) {
             const double interferenceMs
                 = localPrefillPenaltyMs + localPrefillPenaltyPerStreamMs * static_cast<double>(decode.load.requests);
@@ -434,7 +446,7 @@
     }
     Candidate candidate{&it->second, totalLoad(engine, now), 0, 0};
     --candidate.load.requests; // The load already counts the call itself.
-    return fitsLocalPrefill(candidate, demand, localPrefillMs(candidate, demand, now));
+    return fitsLocalPrefill(candidate, demand, localPrefillMs(candidate, demand, expectedCost(EngineStage::Decode), now));
 }
 
 void ServicePool::addWaiter(WaiterId waiter, ModelDemand demand, absl::Time now)
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -257,6 +257,11 @@
         EngineLoad load;
         double cost = 0; ///< expected time until the call is served, with penalties, ms
         double memoryFraction = 0; ///< expected peak memory use of a decode engine, the call included, as a fraction of its memory
+
+        const DataCentreName &dataCentre() const
+        {
+            return engine->entry->dataCentre;
+        }
     };
 
     bool isOffered(const EngineEntry &engine) const;
@@ -267,7 +272,8 @@
     std::vector<Candidate> decodeCandidates(const ModelDemand &demand, absl::Time now) const;
     std::vector<Candidate> prefillCandidates(const ModelDemand &demand, absl::Time now) const;
     double jitter(const EngineEntry &engine, const ModelDemand &demand) const;
-    double failurePenalty(const Engine &engine, absl::Time now) const;
+    double lowestFailureFraction(EngineStage stage, absl::Time now) const;
+    double failurePenalty(const Engine &engine, double lowestFraction, absl::Time now) const;
     absl::Duration expectedCost(EngineStage stage) const;
     double totalMemoryTokens() const;
     double usableMemoryTokens(absl::Time now) const;
@@ -282,7 +288,7 @@
     std::vector<QueueEntry> ownQueue(absl::Time now) const;
     std::vector<QueueEntry> cellQueue(absl::Time now) const;
     std::int64_t effectiveRank(std::int64_t rank, absl::Time now) const;
-    double localPrefillMs(const Candidate &decode, const ModelDemand &demand, absl::Time now) const;
+    double localPrefillMs(const Candidate &decode, const ModelDemand &demand, absl::Duration expectedTokenTime, absl::Time now) const;
     bool fitsLocalPrefill(const Candidate &decode, const ModelDemand &demand, double prefillMs) const;
     void recordAttempt(const EngineId &engine, absl::Time now);
     void recordPlacement(const ModelDemand &demand, absl::Time now);
