coordination: Spread plain calls by free capacity, with learnt speeds and limits

Each node sends a plain call to the cheapest endpoint by loads that are up to 200 ms old, so all nodes choose the same one until the next report. The estimate of an endpoint's time returns to the lowest one, which is wrong where speeds differ, and a refusal says nothing about the number of calls that an endpoint accepts.

EndpointSelector learns a call time and a limit for each endpoint and extrapolates the reports of peers: reported calls end, and peers place others as this node does. The cheapest endpoint is chosen while it is at most half full; above that a random one in proportion to its free capacity. If all are expected to refuse, calls can wait at the node (EndpointQueue), by rank and arrival. Load reports and messages are unchanged.

--- a/packages/coordination/engineloads.cpp
+++ b/packages/coordination/engineloads.cpp
@@ -1,6 +1,7 @@
 #include "coordination/engineloads.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Apricot {
 
@@ -12,6 +13,12 @@
 /// Capacity is left to a peer's waiting calls for this long after its last report. Reports come at least every 200 ms.
 constexpr absl::Duration peerWaitingTimeout = absl::Milliseconds(300);
 
+/// A peer's report is extrapolated for this long; after it, the peer may have failed.
+constexpr absl::Duration maxExtrapolation = absl::Milliseconds(300);
+
+/// Weight of the newest report in the growth of a peer's requests.
+constexpr double newestGrowthWeight = 0.4;
+
 /// Number of peers that must report an engine as unreachable before this node skips it without an attempt of its own.
 constexpr std::ptrdiff_t minUnreachableReports = 2;
 
@@ -60,11 +67,21 @@
                                absl::Time now)
 {
     PeerLoads &peer = m_peers[node];
-    peer.lastHeard = now;
     peer.loads.clear();
+    double requests = 0;
     for (const EngineLoad &load : loads) {
         peer.loads[load.engine] = load;
+        requests += static_cast<double>(load.requests);
+    }
+    const absl::Duration interval = now - peer.loadsReported;
+    if (interval > absl::ZeroDuration()) {
+        const bool isRecent = interval <= peerLoadsTimeout;
+        const double growth = isRecent ? (requests - peer.requests) / absl::ToDoubleSeconds(interval) : 0;
+        peer.requestsGrowth += newestGrowthWeight * (growth - peer.requestsGrowth);
+        peer.loadsReported = now;
     }
+    peer.requests = requests;
+    peer.lastHeard = now;
     peer.waiting = waiting;
     std::erase_if(m_peers, [&](const auto &entry) { return now - entry.second.lastHeard > peerLoadsTimeout; });
 }
@@ -132,6 +149,31 @@
     return oldest;
 }
 
+double EngineLoads::expectedRequests(const EngineId &engine, const RequestFlow &flow, absl::Time now) const
+{
+    const auto own = m_own.find(engine);
+    double requests = own == m_own.end() ? 0 : static_cast<double>(own->second.requests);
+    const double sojournSeconds = std::max(1e-6, absl::ToDoubleSeconds(flow.sojourn));
+    const double meanSojournSeconds = std::max(1e-6, absl::ToDoubleSeconds(flow.meanSojourn));
+    for (const auto &[node, peer] : m_peers) {
+        if (now - peer.lastHeard > peerLoadsTimeout) {
+            continue;
+        }
+        const auto it = peer.loads.find(engine);
+        const double reported = it == peer.loads.end() ? 0 : static_cast<double>(it->second.requests);
+        const absl::Duration age = now - peer.loadsReported;
+        if (age > maxExtrapolation) {
+            requests += reported;
+            continue;
+        }
+        // A peer whose requests do not change places as many as end; growth is what it places beyond that.
+        const double remaining = std::exp(-absl::ToDoubleSeconds(age) / sojournSeconds);
+        const double placedPerSecond = std::max(0.0, peer.requests / meanSojournSeconds + peer.requestsGrowth);
+        requests += reported * remaining + placedPerSecond * flow.share * sojournSeconds * (1 - remaining);
+    }
+    return requests;
+}
+
 EngineLoad EngineLoads::total(const EngineId &engine, absl::Time now) const
 {
     EngineLoad total;
--- a/packages/coordination/engineloads.h
+++ b/packages/coordination/engineloads.h
@@ -24,6 +24,16 @@
     friend bool operator==(const EngineReservation &, const EngineReservation &) = default;
 };
 
+/// How the requests of a service pass through one engine.
+struct RequestFlow
+{
+    double share = 0; ///< expected fraction of all requests that are placed at this engine
+    absl::Duration sojourn; ///< expected time of a request at this engine
+    absl::Duration meanSojourn; ///< expected time of a request at any engine
+
+    friend bool operator==(const RequestFlow &, const RequestFlow &) = default;
+};
+
 /**
  * \class EngineLoads
  * \brief The loads that this node and its peers have placed on the engines of one service, and which engines peers cannot reach.
@@ -67,6 +77,10 @@
     /// Returns the load of all nodes on \a engine.
     EngineLoad total(const EngineId &engine, absl::Time now) const;
 
+    /// Returns the expected number of requests of all nodes at \a engine at \a now. The requests that a peer has reported end with time,
+    /// and it places others, which \a flow describes.
+    double expectedRequests(const EngineId &engine, const RequestFlow &flow, absl::Time now) const;
+
 private:
     struct OwnLoad
     {
@@ -81,6 +95,9 @@
         std::vector<WaitingCall> waiting;
         std::vector<EngineId> unreachableEngines; ///< engines that the peer cannot reach
         absl::Time lastHeard; ///< time of the last report
+        absl::Time loadsReported = absl::InfinitePast(); ///< time of the last report of loads
+        double requests = 0; ///< total number of requests in that report
+        double requestsGrowth = 0; ///< recent change of that number per second
     };
 
     std::map<EngineId, OwnLoad> m_own;
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -1,6 +1,5 @@
 #include "coordination/servicepool.h"
 
-#include "coordination/endpointchoice.h"
 #include "coordination/enginepairing.h"
 #include "coordination/memoryforecast.h"
 
@@ -20,9 +19,6 @@
 constexpr absl::Duration initialPrefillTokenTime = absl::Microseconds(20);
 constexpr absl::Duration initialDecodeTokenTime = absl::Microseconds(40);
 
-/// Time of a network round trip to another data centre.
-constexpr absl::Duration otherDataCentreRoundTrip = absl::Milliseconds(2);
-
 /// Penalty for KV transfer between data centres.
 constexpr double crossDataCentreTransferPenaltyMs = 15;
 
@@ -123,12 +119,14 @@
         it->second.entry = entry;
         return;
     }
-    m_engines.insert_or_assign(entry->id, Engine{entry, EngineHealth()});
+    m_engines.insert_or_assign(entry->id, Engine{entry, EngineHealth(), UnknownLoad()});
+    m_endpoints.forget(entry->id);
 }
 
 void ServicePool::remove(const EngineId &engine)
 {
     m_engines.erase(engine);
+    m_endpoints.forget(engine);
 }
 
 EngineNoticeResult ServicePool::recordNotice(const EngineEntry &engine, const EngineNotice &notice, absl::Time now)
@@ -251,29 +249,6 @@
     return lowest.value_or(initialEstimate(stage));
 }
 
-std::optional<EngineEntry> ServicePool::placePlain(const DataCentreName &nearTo, const std::vector<EngineId> &excludedEngines,
-                                                   absl::Time now)
-{
-    const std::vector<Candidate> found = candidates(EngineStage::Plain, excludedEngines, now);
-    const absl::Duration expected = expectedCost(EngineStage::Plain);
-    const double lowestFraction = lowestFailureFraction(EngineStage::Plain, now);
-    std::vector<EndpointFacts> endpoints;
-    for (const Candidate &it : found) {
-        const EngineEntry &entry = it.engine->entry;
-        endpoints.push_back(EndpointFacts{entry->slots, it.load.requests, it.engine->health.cost(expected, now),
-                                          entry->dataCentre == nearTo ? absl::ZeroDuration() : otherDataCentreRoundTrip,
-                                          failurePenalty(*it.engine, lowestFraction, now)});
-    }
-    const std::optional<std::size_t> cheapest = cheapestEndpoint(endpoints, ++m_nextPlainEngine);
-    if (!cheapest) {
-        return std::nullopt;
-    }
-    const EngineEntry chosen = found[*cheapest].engine->entry;
-    add(EngineReservation{chosen->id, 1, 0, std::nullopt});
-    recordAttempt(chosen->id, now);
-    return chosen;
-}
-
 double ServicePool::freeMemoryFraction(absl::Time now) const
 {
     if (!m_model) {
@@ -577,6 +552,9 @@
     const auto it = m_engines.find(engine);
     if (it != m_engines.end()) {
         it->second.health.recordAttempt(now);
+        if (it->second.entry->stage == EngineStage::Plain) {
+            m_endpoints.recordAttempt(engine, now);
+        }
     }
 }
 
@@ -609,8 +587,12 @@
 void ServicePool::recordCost(const EngineId &engine, double units, absl::Duration duration, absl::Time now)
 {
     const auto it = m_engines.find(engine);
-    if (it != m_engines.end()) {
-        it->second.health.recordCost(units, duration, now);
+    if (it == m_engines.end()) {
+        return;
+    }
+    it->second.health.recordCost(units, duration, now);
+    if (it->second.entry->stage == EngineStage::Plain && units > 0) {
+        m_endpoints.recordCallTime(it->second.entry, duration / units, now);
     }
 }
 
@@ -619,7 +601,7 @@
     recordResult(engine, EngineResult::Failed, now);
     const auto it = m_engines.find(engine);
     if (it != m_engines.end() && duration > it->second.health.cost(expectedCost(it->second.entry->stage), now)) {
-        it->second.health.recordCost(1, duration, now);
+        recordCost(engine, 1, duration, now);
     }
 }
 
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/decayingrate.h"
+#include "coordination/endpointselector.h"
 #include "coordination/engineavailability.h"
 #include "coordination/enginehealth.h"
 #include "coordination/engineloads.h"
@@ -14,13 +15,11 @@
 #include <map>
 #include <optional>
 #include <tuple>
+#include <variant>
 #include <vector>
 
 namespace Apricot {
 
-/// Identifies a call that waits for capacity in a ServicePool.
-using WaiterId = std::uint64_t;
-
 /// Requirements of a model call, from which a ServicePool chooses its engines.
 struct ModelDemand
 {
@@ -57,6 +56,7 @@
     std::optional<EngineEntry> prefill;
     std::vector<EngineReservation> reservations; ///< what was reserved for the call
     PlacementBasis basis;
+    double requestsAhead = 0; ///< of a plain call: expected number of unfinished requests at its endpoint before it
 
     friend bool operator==(const ModelPlacement &, const ModelPlacement &) = default;
 };
@@ -86,10 +86,48 @@
     void apply(const EngineEntry &entry);
     void remove(const EngineId &engine);
 
-    /// Returns the engine for a call whose answer is not streamed, and counts one request on it. Returns nothing if there is no
-    /// ready engine outside \a excludedEngines.
+    /// Returns the engine for a call to a plain service that does not wait, and counts one request on it: if all are full, the one with
+    /// the lowest expected time. Returns nothing if there is no ready engine outside \a excludedEngines.
     std::optional<EngineEntry> placePlain(const DataCentreName &nearTo, const std::vector<EngineId> &excludedEngines, absl::Time now);
 
+    /// Decides where a plain call is sent, and counts one request there.
+    PlainDecision placePlainCall(const PlainDemand &demand, absl::Time now);
+
+    /// Like placePlainCall(), for a call that does not wait yet: it does not overtake those that do.
+    PlainDecision placeNewPlainCall(const PlainDemand &demand, absl::Time now);
+
+    /// Returns the number of plain calls that wait at this node.
+    std::size_t plainWaiterCount() const
+    {
+        return m_endpoints.queue().size();
+    }
+
+    /// Adds a plain call to those that wait at this node until an endpoint has room. Returns false if too many wait already.
+    bool addPlainWaiter(WaiterId waiter, const PlainDemand &demand)
+    {
+        return m_endpoints.queue().add(waiter, demand);
+    }
+
+    void removePlainWaiter(WaiterId waiter)
+    {
+        m_endpoints.queue().remove(waiter);
+    }
+
+    /// Assigns room at endpoints to waiting plain calls, by rank, then by arrival.
+    std::vector<Grant> grantPlainCalls(absl::Time now);
+
+    /// Records that \a placement was answered after \a duration.
+    void recordPlainAnswer(const PlainPlacement &placement, absl::Duration duration, absl::Time now);
+
+    /// Records that the endpoint of \a placement has refused the call, and releases nothing.
+    void recordPlainRefusal(const PlainPlacement &placement, absl::Time now);
+
+    /// Sets how endpoints of plain calls are chosen.
+    void setEndpointPolicy(const EndpointPolicy &policy)
+    {
+        m_endpoints.setPolicy(policy);
+    }
+
     /// Chooses the engines for a model call and reserves capacity on them. Returns nothing if there is no capacity at present.
     std::optional<ModelPlacement> placeModel(const ModelDemand &demand, absl::Time now);
 
@@ -268,6 +306,8 @@
     bool mayBeTried(const EngineEntry &engine, const std::vector<EngineId> &excludedEngines, absl::Time now) const;
     bool isUsable(const Engine &engine, const std::vector<EngineId> &excludedEngines, absl::Time now) const;
     void removeUnreachable(std::vector<Candidate> &found, absl::Time now) const;
+    std::vector<EndpointCandidate> endpointCandidates(const PlainDemand &demand, absl::Time now) const;
+    PlainDecision reserveEndpoint(const PlainDecision &decision, absl::Time now);
     std::vector<Candidate> candidates(EngineStage stage, const std::vector<EngineId> &excludedEngines, absl::Time now) const;
     std::vector<Candidate> decodeCandidates(const ModelDemand &demand, absl::Time now) const;
     std::vector<Candidate> prefillCandidates(const ModelDemand &demand, absl::Time now) const;
@@ -300,8 +340,9 @@
     std::map<WaiterId, Waiter> m_waiters;
     std::map<std::int64_t, DecayingRate> m_placedByRank; ///< recently placed calls by rank
     std::uint64_t m_lastRunId = 0;
-    std::size_t m_nextPlainEngine = 0;
     double m_meanOutputTokens = 0; ///< mean answer length, tokens; 0: not known yet
+    std::uint64_t m_plainCalls = 0; ///< calls that placePlain() has placed
+    EndpointSelector m_endpoints; ///< for plain calls
 };
 
 }
--- a/packages/coordination/servicepoolmap.cpp
+++ b/packages/coordination/servicepoolmap.cpp
@@ -4,6 +4,18 @@
 
 namespace Apricot {
 
+namespace {
+
+std::vector<Grant> grantAll(ServicePool &pool, absl::Time now)
+{
+    std::vector<Grant> grants = pool.grantCapacity(now);
+    const std::vector<Grant> plain = pool.grantPlainCalls(now);
+    grants.insert(grants.end(), plain.begin(), plain.end());
+    return grants;
+}
+
+}
+
 ServicePoolMap::ServicePoolMap(GrantHandler grantHandler)
     : m_grantHandler(std::move(grantHandler))
 {
@@ -53,13 +65,13 @@
 {
     deliverGrants(m_pools.update(service, [&](ServicePool &pool) {
         pool.release(reservation);
-        return pool.grantCapacity(now);
+        return grantAll(pool, now);
     }));
 }
 
 void ServicePoolMap::grantCapacity(const ServiceName &service, absl::Time now)
 {
-    deliverGrants(m_pools.update(service, [&](ServicePool &pool) { return pool.grantCapacity(now); }));
+    deliverGrants(m_pools.update(service, [&](ServicePool &pool) { return grantAll(pool, now); }));
 }
 
 void ServicePoolMap::setPeerLoads(const NodeId &node, const std::vector<EngineLoad> &loads, const std::vector<WaitingCall> &waiting,
@@ -87,7 +99,7 @@
     for (const auto &entry : byService) {
         deliverGrants(m_pools.update(entry.first, [&](ServicePool &pool) {
             pool.setPeerLoads(node, entry.second.loads, entry.second.waiting, now);
-            return pool.grantCapacity(now);
+            return grantAll(pool, now);
         }));
     }
 }
