entry: Let plain calls wait at the node while all endpoints are full

A plain call was sent to an endpoint even if a refusal was certain. A refusal ends a non-idempotent call with one attempt, and costs an idempotent one a retry.

WholeCall now uses the decision of ServicePool::placeNewPlainCall(). If all endpoints are expected to be full, the call waits until an answer, a load report or a check every 20 ms finds room: for at most half of the route's target latency, 250 ms, and 100 ms less than its deadline. If the expected wait is longer, it is refused at once. Both refusals are 503 (NoCapacity) with a Retry-After of one to two times the expected wait. A call with an attempt in progress does not wait. A retry is charged when it is sent, so that a refusal at the node does not use up the limit.

Two metrics show what happens: refused plain attempts, and calls that found all endpoints full, by outcome.

--- a/packages/apricotladderd/entry/entrymetrics.cpp
+++ b/packages/apricotladderd/entry/entrymetrics.cpp
@@ -31,6 +31,8 @@
     , m_closedConnections(counters(*m_registry, "apricotladder_entry_connections_closed_total", "Connections of callers closed, by reason"))
     , m_malformed(counters(*m_registry, "apricotladder_entry_malformed_entries_total", "Entries of the store that could not be read"))
     , m_engineNotices(counters(*m_registry, "apricotladder_entry_engine_notices_total", "Notices in the answers of engines, by kind"))
+    , m_endpointWaits(
+          counters(*m_registry, "apricotladder_entry_endpoint_waits_total", "Plain calls for which all endpoints were full, by outcome"))
     , m_handles(counters(*m_registry, "apricotladder_entry_handles_total", "KV handles of prefills, by what became of them"))
     , m_wastedPrefillTokens(
           counters(*m_registry, "apricotladder_entry_tokens_read_in_vain_total", "Prompt tokens read whose result was not used").Add({}))
@@ -88,6 +90,11 @@
     m_engineNotices.Add({{"kind", kind}}).Increment();
 }
 
+void EntryMetrics::countEndpointWait(const std::string &outcome)
+{
+    m_endpointWaits.Add({{"outcome", outcome}}).Increment();
+}
+
 void EntryMetrics::countHandle(const std::string &outcome)
 {
     m_handles.Add({{"end", outcome}}).Increment();
--- a/packages/apricotladderd/entry/entrymetrics.h
+++ b/packages/apricotladderd/entry/entrymetrics.h
@@ -28,6 +28,7 @@
     void countClosedConnection(const std::string &reason);
     void countMalformedEntries(const std::string &kind, std::size_t count);
     void countEngineNotice(const std::string &kind);
+    void countEndpointWait(const std::string &outcome);
     void countHandle(const std::string &outcome);
     void countWastedPrefillTokens(double tokens);
     void countBrokenPrompt();
@@ -47,6 +48,7 @@
     prometheus::Family<prometheus::Counter> &m_closedConnections;
     prometheus::Family<prometheus::Counter> &m_malformed;
     prometheus::Family<prometheus::Counter> &m_engineNotices;
+    prometheus::Family<prometheus::Counter> &m_endpointWaits;
     prometheus::Family<prometheus::Counter> &m_handles;
     prometheus::Counter &m_wastedPrefillTokens;
     prometheus::Family<prometheus::Histogram> &m_firstAnswer;
--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/wholecall.cpp
@@ -33,6 +33,21 @@
 /// Retry-After of a refused call that another node, or this node a moment later, may be able to serve.
 constexpr absl::Duration shortRetryAfter = absl::Milliseconds(30);
 
+/// Maximum time from a call's arrival until it stops waiting for an endpoint with room, as a fraction of the route's target latency, and
+/// maximum duration of one wait.
+constexpr double maxWaitInTargets = 0.5;
+constexpr absl::Duration maxWaitForEndpoint = absl::Milliseconds(250);
+
+/// Minimum time left before the deadline when a wait ends.
+constexpr absl::Duration minTimeAfterWait = absl::Milliseconds(100);
+
+/// Interval at which a waiting call looks for room that no answer or load report has announced: endpoints also answer the calls of nodes
+/// whose report is still on its way.
+constexpr absl::Duration endpointCheckInterval = absl::Milliseconds(20);
+
+/// Longest Retry-After of a call that was refused because all endpoints are full.
+constexpr absl::Duration maxFullRetryAfter = absl::Seconds(3);
+
 EngineResult engineResult(const AttemptOutcome &outcome)
 {
     return std::visit(
@@ -67,27 +82,123 @@
     startAttempt();
 }
 
+PlainDemand WholeCall::makeDemand()
+{
+    return PlainDemand{m_loop.context().settings->dataCentre, m_excludedEngines, m_facts.route->rank, m_loop.random()};
+}
+
 void WholeCall::startAttempt()
 {
+    const absl::Time now = m_loop.events().now();
+    const PlainDemand demand = makeDemand();
+    const PlainDecision decision
+        = m_loop.context().pools.withPool(m_facts.service, [&](ServicePool &pool) { return pool.placeNewPlainCall(demand, now); });
+    std::visit(Overloaded{
+                   [&](const PlainPlacement &it) { handlePlacement(it); },
+                   [&](const EndpointsFull &it) { waitForEndpoint(it.expectedWait); },
+                   [&](const NoEndpoint &) { handleNoEndpoint(); },
+               },
+               decision);
+}
+
+void WholeCall::handleNoEndpoint()
+{
+    if (returnToOverdueAttempt()) {
+        return;
+    }
+    const ErrorKind kind = retryAfterBackOff(m_loop, m_facts.service) ? ErrorKind::NoCapacity : ErrorKind::EngineUnreachable;
+    refuse(m_mayHaveRun ? ErrorKind::AnswerIncomplete : kind);
+}
+
+absl::Duration WholeCall::maxEndpointWait(absl::Time now) const
+{
+    const absl::Time latest
+        = std::min(m_facts.arrival + m_facts.route->targetLatency * maxWaitInTargets, m_facts.deadline() - minTimeAfterWait);
+    return std::min(latest - now, maxWaitForEndpoint);
+}
+
+void WholeCall::waitForEndpoint(absl::Duration expectedWait)
+{
+    if (returnToOverdueAttempt()) {
+        return;
+    }
+    m_attempt.reset();
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
-    const std::optional<EngineEntry> engine = context.pools.withPool(
-        m_facts.service, [&](ServicePool &pool) { return pool.placePlain(context.settings->dataCentre, m_excludedEngines, now); });
-    if (!engine && returnToOverdueAttempt()) {
+    const absl::Duration maxWait = maxEndpointWait(now);
+    if (expectedWait > maxWait) {
+        refuseAsFull(expectedWait, "refused at once");
         return;
     }
-    if (!engine) {
-        const ErrorKind kind = retryAfterBackOff(m_loop, m_facts.service) ? ErrorKind::NoCapacity : ErrorKind::EngineUnreachable;
-        refuse(m_mayHaveRun ? ErrorKind::AnswerIncomplete : kind);
+    const std::shared_ptr<WholeCall> self = shared_from_this();
+    m_waiter = m_loop.addWaiter([self](const ModelPlacement &it) {
+        self->m_loop.context().metrics.countEndpointWait("sent");
+        self->m_waiter = 0;
+        self->stopWaiting();
+        self->handlePlacement(PlainPlacement{it.decode, it.requestsAhead});
+    });
+    const PlainDemand demand = makeDemand();
+    const bool isAdded = context.pools.withPool(m_facts.service, [&](ServicePool &pool) { return pool.addPlainWaiter(m_waiter, demand); });
+    if (!isAdded) {
+        refuseAsFull(expectedWait, "refused at once");
         return;
     }
-    send(*engine);
+    m_waitTimer = m_loop.events().after(maxWait, [self, expectedWait] {
+        self->m_waitTimer = 0;
+        self->refuseAsFull(expectedWait, "refused after a wait");
+    });
+    checkEndpointsLater();
+    // Room may have appeared since the decision, or be left by the calls that wait already.
+    context.pools.grantCapacity(m_facts.service, now);
 }
 
-void WholeCall::send(const EngineEntry &engine)
+void WholeCall::checkEndpointsLater()
 {
+    m_checkTimer = m_loop.events().after(endpointCheckInterval, [self = shared_from_this()] {
+        self->checkEndpointsLater();
+        self->m_loop.context().pools.grantCapacity(self->m_facts.service, self->m_loop.events().now());
+    });
+}
+
+void WholeCall::stopWaiting()
+{
+    m_loop.events().cancel(std::exchange(m_waitTimer, 0));
+    m_loop.events().cancel(std::exchange(m_checkTimer, 0));
+    const WaiterId waiter = std::exchange(m_waiter, 0);
+    if (waiter != 0) {
+        m_loop.removeWaiter(waiter);
+        m_loop.context().pools.withPool(m_facts.service, [&](ServicePool &pool) { pool.removePlainWaiter(waiter); });
+    }
+}
+
+void WholeCall::refuseAsFull(absl::Duration expectedWait, const char *reason)
+{
+    m_loop.context().metrics.countEndpointWait(reason);
+    // The random part prevents calls that were refused in one burst from returning at the same moment.
+    m_fullRetryAfter = std::clamp(expectedWait * (1 + m_loop.random()), shortRetryAfter, maxFullRetryAfter);
+    refuse(m_mayHaveRun ? ErrorKind::AnswerIncomplete : ErrorKind::NoCapacity);
+}
+
+void WholeCall::handlePlacement(const PlainPlacement &placement)
+{
+    EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
-    const auto attempt = std::make_shared<Attempt>(engine, now, m_loop.context().bufferedAnswerBytes);
+    if (std::exchange(m_isRetry, false) && !context.trySpendRetry(m_facts.service, now)) {
+        // Other calls have used the retry limit up since it was checked.
+        context.pools.release(m_facts.service, EngineReservation{placement.engine->id, 1, 0, std::nullopt}, now);
+        if (!returnToOverdueAttempt()) {
+            refuse(m_mayHaveRun ? ErrorKind::AnswerIncomplete : ErrorKind::NoCapacity);
+        }
+        return;
+    }
+    send(placement);
+}
+
+void WholeCall::send(const PlainPlacement &placement)
+{
+    const EngineEntry &engine = placement.engine;
+    const absl::Time now = m_loop.events().now();
+    const auto attempt = std::make_shared<Attempt>(placement, now, m_loop.context().bufferedAnswerBytes);
     m_attempt = attempt;
     EngineRequestOptions options;
     options.engine = engine->id;
@@ -204,9 +315,7 @@
     std::visit(Overloaded{
                    [&](const RelayAnswer &) { relayResponse(); },
                    [&](const TryNextEngine &next) {
-                       if (next.isRetry) {
-                           context.trySpendRetry(m_facts.service, m_loop.events().now());
-                       }
+                       m_isRetry = next.isRetry;
                        context.log.add(LogLevel::Info, "call.repeat", m_facts.call->requestId,
                                        {{"engine", m_attempt->engine->id.text()}, {"counts", next.isRetry}, {"arrivals", m_sentAttempts}});
                        startAttempt();
@@ -238,6 +347,10 @@
 void WholeCall::handleDeadline()
 {
     m_deadlineTimer = 0;
+    if (!m_attempt) {
+        refuse(m_mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::NoCapacity);
+        return;
+    }
     const bool wasSent = m_attempt->wasSent || m_overdueAttempt;
     cancel(std::exchange(m_overdueAttempt, nullptr), EngineResult::Failed);
     cancel(m_attempt, EngineResult::Failed);
@@ -246,7 +359,7 @@
 
 void WholeCall::handleNodeEnding()
 {
-    const bool mayHaveRun = m_mayHaveRun || m_attempt->wasSent || m_overdueAttempt;
+    const bool mayHaveRun = m_mayHaveRun || (m_attempt && m_attempt->wasSent) || m_overdueAttempt;
     cancel(std::exchange(m_overdueAttempt, nullptr), std::nullopt);
     cancel(m_attempt, std::nullopt);
     refuse(mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::Draining);
@@ -260,24 +373,41 @@
     }
 }
 
+void WholeCall::recordEngineResult(ServicePool &pool, const Attempt &attempt, EngineResult result, absl::Time now)
+{
+    switch (result) {
+    case EngineResult::Succeeded:
+        pool.recordPlainAnswer(attempt.placement, now - attempt.startedAt, now);
+        break;
+    case EngineResult::Failed:
+        pool.recordFailedAttempt(attempt.engine->id, now - attempt.startedAt, now);
+        break;
+    case EngineResult::Unreachable:
+        pool.recordResult(attempt.engine->id, result, now);
+        break;
+    case EngineResult::Refused:
+        pool.recordPlainRefusal(attempt.placement, now);
+        break;
+    }
+}
+
 void WholeCall::releaseEngine(const Attempt &attempt, std::optional<EngineResult> result)
 {
     EntryContext &context = m_loop.context();
     const absl::Time now = m_loop.events().now();
-    context.pools.withPool(m_facts.service, [&](ServicePool &pool) {
+    const bool areCallsWaiting = context.pools.withPool(m_facts.service, [&](ServicePool &pool) {
         pool.release(EngineReservation{attempt.engine->id, 1, 0, std::nullopt});
-        if (!result) {
-            return;
-        }
-        if (*result == EngineResult::Failed) {
-            pool.recordFailedAttempt(attempt.engine->id, now - attempt.startedAt, now);
-            return;
-        }
-        pool.recordResult(attempt.engine->id, *result, now);
-        if (*result == EngineResult::Succeeded) {
-            pool.recordCost(attempt.engine->id, 1, now - attempt.startedAt, now);
+        if (result) {
+            recordEngineResult(pool, attempt, *result, now);
         }
+        return pool.plainWaiterCount() > 0;
     });
+    if (result == EngineResult::Refused) {
+        context.metrics.countAttempt("plain", "refused");
+    }
+    if (areCallsWaiting) {
+        context.pools.grantCapacity(m_facts.service, now);
+    }
 }
 
 void WholeCall::relayResponse()
@@ -295,7 +425,7 @@
     const std::optional<absl::Duration> backOff = isNotRun ? retryAfterBackOff(m_loop, m_facts.service) : std::nullopt;
     m_isRefusedForBackOff = backOff.has_value();
     finish(errorDescriptor(kind).name.data(), errorDescriptor(kind).httpStatus);
-    respondWithError(*m_caller, kind, isNotRun ? std::optional(backOff.value_or(shortRetryAfter)) : std::nullopt,
+    respondWithError(*m_caller, kind, isNotRun ? std::optional(backOff.value_or(m_fullRetryAfter.value_or(shortRetryAfter))) : std::nullopt,
                      errorDescriptor(kind).text);
 }
 
@@ -313,6 +443,7 @@
 void WholeCall::finish(const char *outcome, int status)
 {
     m_finished = true;
+    stopWaiting();
     m_loop.events().cancel(std::exchange(m_deadlineTimer, 0));
     m_loop.events().cancel(std::exchange(m_overdueTimer, 0));
     EntryContext &context = m_loop.context();
--- a/packages/apricotladderd/entry/wholecall.h
+++ b/packages/apricotladderd/entry/wholecall.h
@@ -4,6 +4,7 @@
 #include "apricotladderd/entry/callfacts.h"
 #include "apricotladderd/entry/entryloop.h"
 #include "coordination/attemptdecision.h"
+#include "coordination/servicepool.h"
 #include "transport/httpexchange.h"
 #include "transport/httpmessage.h"
 #include "transport/httpserverconnection.h"
@@ -34,13 +35,15 @@
     /// One attempt at one engine.
     struct Attempt
     {
-        Attempt(EngineEntry chosenEngine, absl::Time now, std::atomic<std::size_t> &totalBytes)
-            : engine(std::move(chosenEngine))
+        Attempt(const PlainPlacement &chosen, absl::Time now, std::atomic<std::size_t> &totalBytes)
+            : placement(chosen)
+            , engine(chosen.engine)
             , startedAt(now)
             , body(totalBytes)
         {
         }
 
+        PlainPlacement placement;
         EngineEntry engine;
         absl::Time startedAt;
         std::shared_ptr<HttpExchange> exchange;
@@ -51,7 +54,17 @@
     using AttemptPtr = std::shared_ptr<Attempt>;
 
     void startAttempt();
-    void send(const EngineEntry &engine);
+    PlainDemand makeDemand();
+    void handleNoEndpoint();
+    /// Waits at this node until an endpoint has room, if there is time for it; \a expectedWait is how long that takes.
+    void waitForEndpoint(absl::Duration expectedWait);
+    /// Returns how long the call may wait at this node.
+    absl::Duration maxEndpointWait(absl::Time now) const;
+    void checkEndpointsLater();
+    void stopWaiting();
+    void refuseAsFull(absl::Duration expectedWait, const char *reason);
+    void handlePlacement(const PlainPlacement &placement);
+    void send(const PlainPlacement &placement);
     HttpExchange::Callbacks exchangeCallbacks(const AttemptPtr &attempt);
     void handleBody(const AttemptPtr &attempt, const std::string &chunk);
     void handleExchangeOutcome(const AttemptPtr &attempt, ExchangeOutcome outcome);
@@ -71,6 +84,7 @@
     void execute(const NextStep &step);
     void relayResponse();
     void refuse(ErrorKind kind);
+    static void recordEngineResult(ServicePool &pool, const Attempt &attempt, EngineResult result, absl::Time now);
     void releaseEngine(const Attempt &attempt, std::optional<EngineResult> result);
     void finish(const char *outcome, int status);
 
@@ -79,13 +93,18 @@
     CallFacts m_facts;
     HttpRequestHead m_head;
     std::string m_body;
-    AttemptPtr m_attempt; ///< the latest attempt
+    AttemptPtr m_attempt; ///< the latest attempt; null while the call waits for an endpoint
     AttemptPtr m_overdueAttempt; ///< an earlier one that took too long and may still answer
     std::vector<EngineId> m_excludedEngines;
     std::int64_t m_sentAttempts = 0;
     bool m_mayHaveRun = false; ///< whether an earlier attempt may have run
     TimerId m_deadlineTimer = 0;
     TimerId m_overdueTimer = 0;
+    TimerId m_waitTimer = 0;
+    TimerId m_checkTimer = 0;
+    WaiterId m_waiter = 0; ///< set while the call waits at this node for an endpoint with room
+    bool m_isRetry = false; ///< the next attempt counts against the retry limit
+    std::optional<absl::Duration> m_fullRetryAfter; ///< Retry-After of a call that is refused because all endpoints are full
     bool m_isRefusedForBackOff = false; ///< all engines have asked for a back-off
     bool m_finished = false;
 };
