coordination: Compute the endpoints' total speed once for each decision

extrapolateLoads() summed the speeds of all endpoints for each of them, which grows with the square of their number.

--- a/packages/coordination/endpointchoice.cpp
+++ b/packages/coordination/endpointchoice.cpp
@@ -77,6 +77,7 @@
 std::size_t drawByFreeCapacity(const std::vector<EndpointFacts> &endpoints, const std::vector<std::size_t> &indices, double random)
 {
     std::vector<double> weights;
+    weights.reserve(indices.size());
     for (const std::size_t it : indices) {
         weights.push_back(freeCapacity(endpoints[it]));
     }
@@ -86,6 +87,7 @@
 std::size_t drawTwo(const std::vector<EndpointFacts> &endpoints, const std::vector<std::size_t> &indices, double random)
 {
     std::vector<double> weights;
+    weights.reserve(indices.size());
     for (const std::size_t it : indices) {
         weights.push_back(speed(endpoints[it]));
     }
--- a/packages/coordination/endpointselector.cpp
+++ b/packages/coordination/endpointselector.cpp
@@ -35,7 +35,7 @@
 PlainDecision EndpointSelector::chooseEvenIfFull(const PlainDemand &demand, const std::vector<EndpointCandidate> &candidates,
                                                  const EngineLoads &loads, absl::Time now)
 {
-    const PlainDecision decision = choose(demand, candidates, loads, now);
+    PlainDecision decision = choose(demand, candidates, loads, now);
     if (!std::holds_alternative<EndpointsFull>(decision)) {
         return decision;
     }
@@ -69,6 +69,7 @@
 {
     const absl::Duration expected = shortestCallTime();
     std::vector<EndpointFacts> endpoints;
+    endpoints.reserve(candidates.size());
     for (const EndpointCandidate &it : candidates) {
         endpoints.push_back(factsOf(it, demand, expected, now));
     }
@@ -102,10 +103,11 @@
 {
     // The other nodes use the same policy on about the same data, so this node's own placements show how the peers' are divided.
     std::vector<RequestFlow> flows;
+    const double allSpeed = totalSpeed(*endpoints);
     double totalPlaced = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const EndpointFacts &facts = (*endpoints)[i];
-        const double placed = speed(facts) / totalSpeed(*endpoints) + recentlyPlaced(candidates[i].entry->id, now);
+        const double placed = speed(facts) / allSpeed + recentlyPlaced(candidates[i].entry->id, now);
         const double callsPerSlot = facts.requests / static_cast<double>(facts.slots);
         flows.push_back(RequestFlow{placed, facts.callTime * std::max(1.0, callsPerSlot), absl::ZeroDuration()});
         totalPlaced += placed;
--- a/packages/coordination/enginepairing.h
+++ b/packages/coordination/enginepairing.h
@@ -29,6 +29,7 @@
         }
     }
     std::vector<std::size_t> indices;
+    indices.reserve(cheapest.size());
     for (const auto &entry : cheapest) {
         indices.push_back(entry.second);
     }
