--- a/packages/apricotladderd/entry/entrymetrics.cpp
+++ b/packages/apricotladderd/entry/entrymetrics.cpp
@@ -36,6 +36,8 @@
     , m_allowanceCharged(counters(*m_registry, "apricotladder_entry_allowance_charged_total", "Cost of admitted calls, by workspace"))
     , m_allowanceRefused(counters(*m_registry, "apricotladder_entry_allowance_refused_total", "Cost of refused calls, by workspace"))
     , m_allowanceRates(gauges(*m_registry, "apricotladder_entry_allowance_rate", "Limit of all nodes per second, by workspace"))
+    , m_endpointWaits(
+          counters(*m_registry, "apricotladder_entry_endpoint_waits_total", "Plain calls for which all endpoints were full, by outcome"))
     , m_handles(counters(*m_registry, "apricotladder_entry_handles_total", "KV handles of prefills, by what became of them"))
     , m_refusals(counters(*m_registry, "apricotladder_entry_capacity_refusals_total",
                           "Streams refused because there was no capacity, by whether their workspace used more than the average"))
@@ -120,6 +122,11 @@
     m_allowanceRefused.Add({{"workspace", recordAllowance(workspace, ratePerSecond)}}).Increment(cost);
 }
 
+void EntryMetrics::countEndpointWait(const std::string &outcome)
+{
+    m_endpointWaits.Add({{"outcome", outcome}}).Increment();
+}
+
 void EntryMetrics::countHandle(const std::string &outcome)
 {
     m_handles.Add({{"end", outcome}}).Increment();
--- a/packages/apricotladderd/entry/entrymetrics.h
+++ b/packages/apricotladderd/entry/entrymetrics.h
@@ -33,6 +33,7 @@
     void countKeyRejection(const std::string &reason);
     void countAllowanceCharge(const std::string &workspace, double ratePerSecond, double cost);
     void countAllowanceRefusal(const std::string &workspace, double ratePerSecond, double cost);
+    void countEndpointWait(const std::string &outcome);
     void countHandle(const std::string &outcome);
     void countRefusal(const std::string &share);
     void countWastedPrefillTokens(double tokens);
@@ -61,6 +62,7 @@
     prometheus::Family<prometheus::Counter> &m_allowanceCharged;
     prometheus::Family<prometheus::Counter> &m_allowanceRefused;
     prometheus::Family<prometheus::Gauge> &m_allowanceRates;
+    prometheus::Family<prometheus::Counter> &m_endpointWaits;
     prometheus::Family<prometheus::Counter> &m_handles;
     prometheus::Family<prometheus::Counter> &m_refusals;
     prometheus::Gauge &m_waitingCalls;
--- a/packages/coordination/servicepool.cpp
+++ b/packages/coordination/servicepool.cpp
@@ -1,5 +1,6 @@
 #include "coordination/servicepool.h"
 
+#include "coordination/enginepairing.h"
 #include "coordination/memoryforecast.h"
 
 #include <absl/hash/hash.h>
@@ -18,9 +19,6 @@
 constexpr absl::Duration initialPrefillTokenTime = absl::Microseconds(20);
 constexpr absl::Duration initialDecodeTokenTime = absl::Microseconds(40);
 
-/// Penalty for an engine in another data centre: the network round trip.
-constexpr double otherDataCentrePenaltyMs = 2;
-
 /// Penalty for KV transfer between data centres.
 constexpr double crossDataCentreTransferPenaltyMs = 15;
 
@@ -96,13 +94,6 @@
     return peakMemory(std::move(uses));
 }
 
-template<class Candidates>
-auto cheapest(Candidates &candidates)
-{
-    return std::min_element(candidates.begin(), candidates.end(),
-                            [](const auto &left, const auto &right) { return left.cost < right.cost; });
-}
-
 }
 
 void ServicePool::setModel(const std::optional<ModelEngineSpec> &model)
@@ -118,12 +109,14 @@
         it->second.entry = entry;
         return;
     }
-    m_engines.insert_or_assign(entry->id, Engine{entry, EngineHealth()});
+    m_engines.insert_or_assign(entry->id, Engine{entry, EngineHealth(), UnknownLoad()});
+    m_endpoints.forget(entry->id);
 }
 
 void ServicePool::remove(const EngineId &engine)
 {
     m_engines.erase(engine);
+    m_endpoints.forget(engine);
 }
 
 EngineNoticeResult ServicePool::recordNotice(const EngineEntry &engine, const EngineNotice &notice, absl::Time now)
@@ -218,15 +211,20 @@
     return jitterMs * static_cast<double>(drawn) / static_cast<double>(steps);
 }
 
-double ServicePool::failurePenalty(const Engine &engine, absl::Time now) const
+double ServicePool::lowestFailureFraction(EngineStage stage, absl::Time now) const
 {
     double lowest = 1;
-    for (const auto &[id, other] : m_engines) {
-        if (other.entry->stage == engine.entry->stage) {
-            lowest = std::min(lowest, other.health.failureFraction(now));
+    for (const auto &[id, engine] : m_engines) {
+        if (engine.entry->stage == stage) {
+            lowest = std::min(lowest, engine.health.failureFraction(now));
         }
     }
-    return 1 + failureWeight * (engine.health.failureFraction(now) - lowest);
+    return lowest;
+}
+
+double ServicePool::failurePenalty(const Engine &engine, double lowestFraction, absl::Time now) const
+{
+    return 1 + failureWeight * (engine.health.failureFraction(now) - lowestFraction);
 }
 
 absl::Duration ServicePool::expectedCost(EngineStage stage) const
@@ -241,29 +239,6 @@
     return lowest.value_or(initialEstimate(stage));
 }
 
-std::optional<EngineEntry> ServicePool::placePlain(const DataCentreName &nearTo, const std::vector<EngineId> &excludedEngines,
-                                                   absl::Time now)
-{
-    std::vector<Candidate> found = candidates(EngineStage::Plain, excludedEngines, now);
-    if (found.empty()) {
-        return std::nullopt;
-    }
-    // Rotation spreads calls over engines of equal cost.
-    std::rotate(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(++m_nextPlainEngine % found.size()), found.end());
-    const absl::Duration expected = expectedCost(EngineStage::Plain);
-    for (Candidate &it : found) {
-        const double slots = static_cast<double>(std::max<std::int64_t>(1, it.engine->entry->slots));
-        const double queuedPerSlot = static_cast<double>(it.load.requests) / slots;
-        const double callMs = absl::ToDoubleMilliseconds(it.engine->health.cost(expected, now));
-        const double networkMs = it.engine->entry->dataCentre == nearTo ? 0 : otherDataCentrePenaltyMs;
-        it.cost = (callMs * (1 + queuedPerSlot) + networkMs) * failurePenalty(*it.engine, now);
-    }
-    const EngineEntry chosen = cheapest(found)->engine->entry;
-    add(EngineReservation{chosen->id, 1, 0, std::nullopt});
-    recordAttempt(chosen->id, now);
-    return chosen;
-}
-
 double ServicePool::freeMemoryFraction(absl::Time now) const
 {
     if (!m_model) {
@@ -285,10 +260,11 @@
         || freeMemoryFraction(now) > urgentReserveFraction;
 }
 
-double ServicePool::localPrefillMs(const Candidate &decode, const ModelDemand &demand, absl::Time now) const
+double ServicePool::localPrefillMs(const Candidate &decode, const ModelDemand &demand, absl::Duration expectedTokenTime,
+                                   absl::Time now) const
 {
     const auto tokens = static_cast<double>(decode.load.pendingPrefillTokens + demand.promptTokens + demand.generatedTokens);
-    return absl::ToDoubleMilliseconds(decode.engine->health.cost(expectedCost(EngineStage::Decode), now) * tokens);
+    return absl::ToDoubleMilliseconds(decode.engine->health.cost(expectedTokenTime, now) * tokens);
 }
 
 bool ServicePool::fitsLocalPrefill(const Candidate &decode, const ModelDemand &demand, double prefillMs) const
@@ -305,6 +281,7 @@
     std::vector<Candidate> found = candidates(EngineStage::Decode, demand.excludedEngines, now);
     const EngineRun newRun{0, demand.promptTokens, expectedOutputTokens(demand, m_meanOutputTokens), demand.generatedTokens};
     const double usable = usableMemoryTokens(now);
+    const double lowestFraction = lowestFailureFraction(EngineStage::Decode, now);
     for (Candidate &it : found) {
         const bool slotIsFree = it.load.requests + spareSlots < it.engine->entry->slots;
         std::vector<EngineRun> runs = it.load.runs;
@@ -312,8 +289,9 @@
         const double peak = static_cast<double>(peakMemoryTokens(runs)) + it.engine->unknownLoad.tokens(now);
         const double used = peak / usable;
         it.memoryFraction = peak / totalMemoryTokens();
-        it.cost = slotIsFree && used <= 1 ? (fullnessPenaltyMs * used + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, now)
-                                          : noCapacityCost;
+        it.cost = slotIsFree && used <= 1
+            ? (fullnessPenaltyMs * used + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, lowestFraction, now)
+            : noCapacityCost;
     }
     std::erase_if(found, [](const Candidate &it) { return it.cost >= noCapacityCost; });
     return found;
@@ -323,10 +301,11 @@
 {
     std::vector<Candidate> found = candidates(EngineStage::Prefill, demand.excludedEngines, now);
     const absl::Duration expected = expectedCost(EngineStage::Prefill);
+    const double lowestFraction = lowestFailureFraction(EngineStage::Prefill, now);
     for (Candidate &it : found) {
         const auto tokens = static_cast<double>(it.load.pendingPrefillTokens + demand.promptTokens);
         const double prefillMs = absl::ToDoubleMilliseconds(it.engine->health.cost(expected, now) * tokens);
-        it.cost = (prefillMs + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, now);
+        it.cost = (prefillMs + jitter(it.engine->entry, demand)) * failurePenalty(*it.engine, lowestFraction, now);
     }
     return found;
 }
@@ -337,6 +316,8 @@
     // To continue an answer, the decode engine prefills the prompt and the tokens generated so far itself.
     const std::vector<Candidate> prefills = demand.generatedTokens > 0 ? std::vector<Candidate>() : prefillCandidates(demand, now);
     const double maxPrefillMs = maxPrefillTargetFraction * absl::ToDoubleMilliseconds(demand.targetLatency);
+    const std::vector<std::size_t> cheapestPrefills = cheapestOfEachDataCentre(prefills, maxPrefillMs);
+    const absl::Duration expectedTokenTime = expectedCost(EngineStage::Decode);
     const absl::Duration loadsAge = m_loads.loadsAge(now);
     std::optional<ModelPlacement> best;
     double bestCost = 0;
@@ -347,13 +328,12 @@
         }
     };
     for (const Candidate &decode : decodes) {
-        for (const Candidate &prefill : prefills) {
-            const bool isNear = prefill.engine->entry->dataCentre == decode.engine->entry->dataCentre;
-            if (prefill.cost <= maxPrefillMs) {
-                consider(decode.cost + prefill.cost + (isNear ? 0 : crossDataCentreTransferPenaltyMs), decode, prefill.engine->entry);
-            }
+        for (const std::size_t index : cheapestPrefills) {
+            const Candidate &prefill = prefills[index];
+            const bool isNear = prefill.dataCentre() == decode.dataCentre();
+            consider(decode.cost + prefill.cost + (isNear ? 0 : crossDataCentreTransferPenaltyMs), decode, prefill.engine->entry);
         }
-        const double prefillMs = localPrefillMs(decode, demand, now);
+        const double prefillMs = localPrefillMs(decode, demand, expectedTokenTime, now);
         if (prefillMs <= maxPrefillMs && fitsLocalPrefill(decode, demand, prefillMs)) {
             const double interferenceMs
                 = localPrefillPenaltyMs + localPrefillPenaltyPerStreamMs * static_cast<double>(decode.load.requests);
@@ -415,7 +395,7 @@
     }
     Candidate candidate{&it->second, totalLoad(engine, now), 0, 0};
     --candidate.load.requests; // The load already counts the call itself.
-    return fitsLocalPrefill(candidate, demand, localPrefillMs(candidate, demand, now));
+    return fitsLocalPrefill(candidate, demand, localPrefillMs(candidate, demand, expectedCost(EngineStage::Decode), now));
 }
 
 void ServicePool::addWaiter(WaiterId waiter, ModelDemand demand, absl::Time now)
@@ -508,6 +488,9 @@
     const auto it = m_engines.find(engine);
     if (it != m_engines.end()) {
         it->second.health.recordAttempt(now);
+        if (it->second.entry->stage == EngineStage::Plain) {
+            m_endpoints.recordAttempt(engine, now);
+        }
     }
 }
 
@@ -540,8 +523,12 @@
 void ServicePool::recordCost(const EngineId &engine, double units, absl::Duration duration, absl::Time now)
 {
     const auto it = m_engines.find(engine);
-    if (it != m_engines.end()) {
-        it->second.health.recordCost(units, duration, now);
+    if (it == m_engines.end()) {
+        return;
+    }
+    it->second.health.recordCost(units, duration, now);
+    if (it->second.entry->stage == EngineStage::Plain && units > 0) {
+        m_endpoints.recordCallTime(it->second.entry, duration / units, now);
     }
 }
 
@@ -550,7 +537,7 @@
     recordResult(engine, EngineResult::Failed, now);
     const auto it = m_engines.find(engine);
     if (it != m_engines.end() && duration > it->second.health.cost(expectedCost(it->second.entry->stage), now)) {
-        it->second.health.recordCost(1, duration, now);
+        recordCost(engine, 1, duration, now);
     }
 }
 
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/endpointselector.h"
 #include "coordination/engineavailability.h"
 #include "coordination/enginehealth.h"
 #include "coordination/engineloads.h"
@@ -14,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <variant>
 #include <vector>
 
 namespace Apricot {
@@ -35,6 +37,7 @@
     std::optional<EngineEntry> prefill;
     std::vector<EngineReservation> reservations; ///< what was reserved for the call
     PlacementBasis basis;
+    double requestsAhead = 0; ///< of a plain call: expected number of unfinished requests at its endpoint before it
 
     friend bool operator==(const ModelPlacement &, const ModelPlacement &) = default;
 };
@@ -64,10 +67,48 @@
     void apply(const EngineEntry &entry);
     void remove(const EngineId &engine);
 
-    /// Returns the engine for a call whose answer is not streamed, and counts one request on it. Returns nothing if there is no
-    /// ready engine outside \a excludedEngines.
+    /// Returns the engine for a call to a plain service that does not wait, and counts one request on it: if all are full, the one with
+    /// the lowest expected time. Returns nothing if there is no ready engine outside \a excludedEngines.
     std::optional<EngineEntry> placePlain(const DataCentreName &nearTo, const std::vector<EngineId> &excludedEngines, absl::Time now);
 
+    /// Decides where a plain call is sent, and counts one request there.
+    PlainDecision placePlainCall(const PlainDemand &demand, absl::Time now);
+
+    /// Like placePlainCall(), for a call that does not wait yet: it does not overtake those that do.
+    PlainDecision placeNewPlainCall(const PlainDemand &demand, absl::Time now);
+
+    /// Returns the number of plain calls that wait at this node.
+    std::size_t plainWaiterCount() const
+    {
+        return m_endpoints.queue().size();
+    }
+
+    /// Adds a plain call to those that wait at this node until an endpoint has room. Returns false if too many wait already.
+    bool addPlainWaiter(WaiterId waiter, const PlainDemand &demand)
+    {
+        return m_endpoints.queue().add(waiter, demand);
+    }
+
+    void removePlainWaiter(WaiterId waiter)
+    {
+        m_endpoints.queue().remove(waiter);
+    }
+
+    /// Assigns room at endpoints to waiting plain calls, by rank, then by arrival.
+    std::vector<Grant> grantPlainCalls(absl::Time now);
+
+    /// Records that \a placement was answered after \a duration.
+    void recordPlainAnswer(const PlainPlacement &placement, absl::Duration duration, absl::Time now);
+
+    /// Records that the endpoint of \a placement has refused the call, and releases nothing.
+    void recordPlainRefusal(const PlainPlacement &placement, absl::Time now);
+
+    /// Sets how endpoints of plain calls are chosen.
+    void setEndpointPolicy(const EndpointPolicy &policy)
+    {
+        m_endpoints.setPolicy(policy);
+    }
+
     /// Chooses the engines for a model call and reserves capacity on them. Returns nothing if there is no capacity at present.
     std::optional<ModelPlacement> placeModel(const ModelDemand &demand, absl::Time now);
 
@@ -232,17 +273,25 @@
         EngineLoad load;
         double cost = 0; ///< expected time until the call is served, with penalties, ms
         double memoryFraction = 0; ///< expected peak memory use of a decode engine, the call included, as a fraction of its memory
+
+        const DataCentreName &dataCentre() const
+        {
+            return engine->entry->dataCentre;
+        }
     };
 
     bool isOffered(const EngineEntry &engine) const;
     bool mayBeTried(const EngineEntry &engine, const std::vector<EngineId> &excludedEngines, absl::Time now) const;
     bool isUsable(const Engine &engine, const std::vector<EngineId> &excludedEngines, absl::Time now) const;
     void removeUnreachable(std::vector<Candidate> &found, absl::Time now) const;
+    std::vector<EndpointCandidate> endpointCandidates(const PlainDemand &demand, absl::Time now) const;
+    PlainDecision reserveEndpoint(const PlainDecision &decision, absl::Time now);
     std::vector<Candidate> candidates(EngineStage stage, const std::vector<EngineId> &excludedEngines, absl::Time now) const;
     std::vector<Candidate> decodeCandidates(const ModelDemand &demand, absl::Time now) const;
     std::vector<Candidate> prefillCandidates(const ModelDemand &demand, absl::Time now) const;
     double jitter(const EngineEntry &engine, const ModelDemand &demand) const;
-    double failurePenalty(const Engine &engine, absl::Time now) const;
+    double lowestFailureFraction(EngineStage stage, absl::Time now) const;
+    double failurePenalty(const Engine &engine, double lowestFraction, absl::Time now) const;
     absl::Duration expectedCost(EngineStage stage) const;
     double totalMemoryTokens() const;
     double usableMemoryTokens(absl::Time now) const;
@@ -252,7 +301,7 @@
     std::optional<ModelPlacement> choose(const ModelDemand &demand, absl::Time now) const;
     void reserve(ModelPlacement *placement, const ModelDemand &demand);
     std::optional<ModelPlacement> reserveForPeer(const WaitingCall &call, absl::Time now);
-    double localPrefillMs(const Candidate &decode, const ModelDemand &demand, absl::Time now) const;
+    double localPrefillMs(const Candidate &decode, const ModelDemand &demand, absl::Duration expectedTokenTime, absl::Time now) const;
     bool fitsLocalPrefill(const Candidate &decode, const ModelDemand &demand, double prefillMs) const;
     void recordAttempt(const EngineId &engine, absl::Time now);
 
@@ -262,8 +311,9 @@
     EngineLoads m_loads;
     WaitingCalls m_waiting; ///< calls that wait at this node
     std::uint64_t m_lastRunId = 0;
-    std::size_t m_nextPlainEngine = 0;
     double m_meanOutputTokens = 0; ///< mean answer length, tokens; 0: not known yet
+    std::uint64_t m_plainCalls = 0; ///< calls that placePlain() has placed
+    EndpointSelector m_endpoints; ///< for plain calls
 };
 
 }
--- a/packages/coordination/waitingcalls.h
+++ b/packages/coordination/waitingcalls.h
@@ -3,6 +3,7 @@
 #include "coordination/decayingrate.h"
 #include "coordination/modeldemand.h"
 #include "coordination/returnschedule.h"
+#include "coordination/waiterid.h"
 #include "coordination/workspaceusage.h"
 #include "state/engineentry.h"
 
@@ -15,9 +16,6 @@
 
 namespace Apricot {
 
-/// Identifies a call that waits for capacity in a ServicePool.
-using WaiterId = std::uint64_t;
-
 /// A call in the order in which calls get capacity.
 struct QueueEntry
 {
