coordination: Remove an unused option from the endpoint trial

No test sends a refused call of the trial to a second endpoint, and the share of refused calls was only estimated in that case. coordination_test passes with the same bounds.

--- a/packages/coordination/tests/entry/endpointtrial.cpp
+++ b/packages/coordination/tests/entry/endpointtrial.cpp
@@ -250,10 +250,6 @@
         Node &node = m_nodes[job.call->node];
         node.pool.release(EngineReservation{job.placement.engine->id, 1, 0, std::nullopt});
         node.pool.recordPlainRefusal(job.placement, m_now);
-        job.call->demand.excludedEngines.push_back(job.placement.engine->id);
-        if (m_trial.maySendElsewhere && job.call->demand.excludedEngines.size() < 2) {
-            place(job.call);
-        }
     }
 
     void report(std::size_t sender)
@@ -294,8 +290,7 @@
         m_result.spread /= m_samples;
         m_result.idleShare /= m_samples;
         // Calls that are still in progress at the end are neither served nor refused.
-        const int refused = m_trial.maySendElsewhere ? std::max(0, m_result.refusedByNode + m_result.refusedByEndpoint / 2)
-                                                     : m_result.refusedByNode + m_result.refusedByEndpoint;
+        const int refused = m_result.refusedByNode + m_result.refusedByEndpoint;
         m_result.refusedShare = static_cast<double>(refused) / std::max(1, m_result.offered);
         m_result.capacityShare = m_answered / (capacityPerSecond() * absl::ToDoubleSeconds(m_trial.duration - warmUp));
         std::sort(m_times.begin(), m_times.end());
--- a/packages/coordination/tests/entry/endpointtrial.h
+++ b/packages/coordination/tests/entry/endpointtrial.h
@@ -12,6 +12,8 @@
 
 /// A trial of the placement of plain calls in virtual time: several nodes, each with its own ServicePool, send calls to the same
 /// endpoints and know each other's loads only from reports that are some milliseconds to 200 ms old.
+///
+/// A call has one attempt, as a non-idempotent one: a refusal by an endpoint ends it.
 struct EndpointTrial
 {
     EndpointPolicy policy;
@@ -19,7 +21,6 @@
     std::vector<double> slowness{1, 1, 1}; ///< of each endpoint: its call time as a multiple of the fastest one's
     double load = 1.1; ///< offered calls as a fraction of the capacity of all endpoints
     int stalledEndpoint = -1; ///< endpoint that is 2.5 times slower for 0.6 s; -1: none
-    bool maySendElsewhere = false; ///< a refused call may be sent to a second endpoint
     absl::Duration duration = absl::Seconds(8);
     std::uint64_t seed = 1;
 
