tests: Average the test with old reports over eight seeds

The choice of engines depends on a hash that is seeded by the process, so the ratio of refusals of three seeds was 0.43 to 0.72 in seven runs, close to its bound of 0.75.

--- a/packages/coordination/tests/entry/testfairadmission.cpp
+++ b/packages/coordination/tests/entry/testfairadmission.cpp
@@ -246,9 +246,11 @@
     const absl::Duration end = surgeStart + absl::Seconds(6);
     double refused = 0;
     double refusedBefore = 0;
-    for (std::uint32_t seed = 1; seed <= 3; ++seed) {
+    // The choice of engines differs from run to run: with three seeds the ratio of the refusals was 0.43 to 0.72.
+    for (std::uint32_t seed = 1; seed <= 8; ++seed) {
         SimulatedDeployment deployment;
         deployment.seed = seed;
+        deployment.length = end;
         deployment.nodes = 6;
         deployment.reportDelay = absl::Milliseconds(200);
         const FairLoad played = play(deployment, hotWorkspace());
@@ -263,6 +265,7 @@
         refused += 1 - ordinary.atOnce;
         refusedBefore += 1 - before.atOnce;
     }
+    BOOST_TEST_MESSAGE("old reports: refusals at the first attempt, relative to rank and end of wait alone: " << refused / refusedBefore);
     BOOST_TEST(refused <= 0.75 * refusedBefore);
 }
 
