--- a/packages/protocol/logjson.cpp
+++ b/packages/protocol/logjson.cpp
@@ -175,6 +175,9 @@
     if (last->event == "call.rejected") {
         return absl::StrCat("cause: refused, not run: the API key was ", jsonText(last->fields, "reason"));
     }
+    if (last->event == "call.overallowance") {
+        return absl::StrCat("cause: refused, not run: the workspace ", jsonText(last->fields, "workspace"), " is above its allowance");
+    }
     if (last->event == "call.unconfigured") {
         return "cause: refused, not run: the node had not yet received a desired state";
     }
--- a/packages/protocol/tests/log/testlog.cpp
+++ b/packages/protocol/tests/log/testlog.cpp
@@ -94,6 +94,9 @@
     BOOST_TEST(
         outcomeCause(requestHistory("r", lines({R"({"time":"1","node":"n","event":"call.rejected","request":"r","reason":"unknown"})"})))
         == "cause: refused, not run: the API key was unknown");
+    BOOST_TEST(
+        outcomeCause(requestHistory("r", lines({R"({"time":"1","node":"n","event":"call.overallowance","request":"r","workspace":"w"})"})))
+        == "cause: refused, not run: the workspace w is above its allowance");
     BOOST_TEST(
         outcomeCause(requestHistory("r", lines({R"({"time":"1","node":"n","event":"call.repeat","request":"r"})"}))).find("call.repeat")
         != std::string::npos);
