--- a/packages/coordination/tests/entry/testworkspaceallowance.cpp
+++ b/packages/coordination/tests/entry/testworkspaceallowance.cpp
@@ -47,6 +47,32 @@
     };
 }
 
+/// Plays random cuts, restarts and suspensions of nine nodes; returns the greatest part of the rule that a window has used. With
+/// \a linksRecover, all links work for a time after each partition.
+double worstWindowOfRandomFaults(std::uint32_t seed, bool linksRecover)
+{
+    AllowanceNetwork::Options it = options(9);
+    it.seed = seed;
+    it.loss = 0.05;
+    AllowanceNetwork network(it);
+    std::mt19937 random(seed);
+    for (int i = 0; i < 20; ++i) {
+        const std::size_t node = random() % 9;
+        const std::size_t partCount = linksRecover && i % 2 == 0 ? 1 : 1 + random() % 3;
+        const bool isOneWay = random() % 4 == 0;
+        network.setCut([=](std::size_t from, std::size_t to) { return from % partCount != to % partCount && (!isOneWay || from < to); });
+        if (random() % 4 == 0) {
+            network.restart(node);
+        }
+        network.suspend(node);
+        const double demand = random() % 3 == 0 ? 0.05 * rate : rate;
+        network.run(absl::Milliseconds(random() % 500), everywhere(demand), cost);
+        network.resume(node, random() % 2 == 0);
+        network.run(absl::Milliseconds(random() % 6000), everywhere(demand), cost);
+    }
+    return network.worstWindow();
+}
+
 /**
  * \class OneNode
  * \brief One node with two active peers, which the test makes report or silent. The workspace 7 has a limit.
@@ -304,32 +330,21 @@
     BOOST_TEST(use(network, 10) >= minUse);
 }
 
-// Guards against combinations of faults that the tests above do not contain. Between two partitions all links work for a time, since
-// several partitions in one window without contact between them can exceed the rule (docs/design/workspace-allowances.md).
+// Guards against combinations of faults that the tests above do not contain. Between two partitions all links work for a time.
 BOOST_AUTO_TEST_CASE(randomFaultsKeepTheLimit)
 {
     for (std::uint32_t seed = 1; seed <= 10; ++seed) {
-        AllowanceNetwork::Options it = options(9);
-        it.seed = seed;
-        it.loss = 0.05;
-        AllowanceNetwork network(it);
-        std::mt19937 random(seed);
-        for (int i = 0; i < 20; ++i) {
-            const std::size_t node = random() % 9;
-            const std::size_t partCount = i % 2 == 0 ? 1 : 1 + random() % 3;
-            const bool isOneWay = random() % 4 == 0;
-            network.setCut(
-                [=](std::size_t from, std::size_t to) { return from % partCount != to % partCount && (!isOneWay || from < to); });
-            if (random() % 4 == 0) {
-                network.restart(node);
-            }
-            network.suspend(node);
-            const double demand = random() % 3 == 0 ? 0.05 * rate : rate;
-            network.run(absl::Milliseconds(random() % 500), everywhere(demand), cost);
-            network.resume(node, random() % 2 == 0);
-            network.run(absl::Milliseconds(random() % 6000), everywhere(demand), cost);
-        }
-        BOOST_TEST(network.worstWindow() <= 1.0, "seed " << seed << ": " << network.worstWindow());
+        const double worst = worstWindowOfRandomFaults(seed, true);
+        BOOST_TEST(worst <= 1.0, "seed " << seed << ": " << worst);
+    }
+}
+
+// The same, but one partition follows the other: no part learns what the others have spent. Listed in KNOWN-RED.txt.
+BOOST_AUTO_TEST_CASE(consecutivePartitionsKeepTheLimit)
+{
+    for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+        const double worst = worstWindowOfRandomFaults(seed, false);
+        BOOST_TEST(worst <= 1.0, "seed " << seed << ": " << worst);
     }
 }
 
