coordination: Count the order of requests of small workspaces in requests

Two requests of a node in the time of a report are now always slow enough, and the level may lack one and a half requests, at most 0.15 of the tolerance.

--- a/packages/coordination/allowancebucket.cpp
+++ b/packages/coordination/allowancebucket.cpp
@@ -9,13 +9,16 @@
 
 /// Parts of the tolerance for spending that is not reported yet, for the time in which a partition is not noticed, and for requests
 /// that a node counts in another order than its peers. The rest covers nodes that start (\see WorkspaceAllowances).
-constexpr double paceTolerance = 0.4;
+constexpr double paceTolerance = 0.3;
 constexpr double partitionTolerance = 0.35;
-constexpr double orderTolerance = 0.15;
+constexpr double orderTolerance = 0.05;
 
-/// What a node may spend in the time until its peers learn of it, whatever they spend: a part of the tolerance, or the refill of a time.
-constexpr double unreportedTolerance = 0.2;
-constexpr absl::Duration unreportedTime = absl::Milliseconds(100);
+/// What all nodes may spend besides the refill until a partition is noticed, without a check of the pace.
+constexpr double uncheckedTolerance = 0.3;
+
+/// Where requests are few and large, the order counts in requests: a level may lack this many of them, up to a part of the tolerance.
+constexpr double orderRequests = 1.5;
+constexpr double maxOrderTolerance = 0.15;
 
 /// Time in which a peer learns of spending: the interval of the reports, the batch delay and the delay of the link.
 constexpr absl::Duration reportDelay = absl::Milliseconds(60);
@@ -36,6 +39,12 @@
 /// Smallest burst, as the time that the rate needs to refill it: without a burst no request could be admitted.
 constexpr absl::Duration minBurstTime = absl::Milliseconds(250);
 
+/// Returns by how much a request of \a cost may exceed the level.
+double allowedDebt(const AllowanceLimit &limit, double cost)
+{
+    return std::clamp(orderRequests * cost, orderTolerance * limit.tolerance, maxOrderTolerance * limit.tolerance);
+}
+
 }
 
 AllowanceLimit makeAllowanceLimit(const Allowance &allowance, const AllowanceTolerance &tolerance)
@@ -89,20 +98,19 @@
     return all > 0 ? equalPart * equal + (1 - equalPart) * std::clamp(own / all, 0.0, 1.0) : equal;
 }
 
-/// Returns by how much the level is too low for spending \a cost as fast as this. Spending that is small against the tolerance is always
-/// slow enough: the requests of a small workspace are few, large, and come at random.
+/// Returns by how much the level is too low for spending \a cost as fast as this. Two requests in a period are always slow enough: those of
+/// a small workspace are few, large, and come at random.
 double AllowanceBucket::missingForPace(double cost, const AllowanceSharing &sharing, absl::Time now) const
 {
     double needed = -std::numeric_limits<double>::infinity();
     const double own = m_own.sum(reportDelay, now);
-    const double unreported = std::max(unreportedTolerance * m_limit.tolerance, m_limit.rate * absl::ToDoubleSeconds(unreportedTime));
-    if (own > 0 && own + cost > unreported) {
+    if (own > cost) {
         // The level already lacks the own spending.
         needed = (own + cost) / ownPart(sharing, now) - own - m_limit.tolerance * paceTolerance;
     }
     const double all = m_all.sum(PeerContact::silentAfter, now);
     const double refill = m_limit.rate * absl::ToDoubleSeconds(PeerContact::silentAfter);
-    if (all > 0 && all + cost > refill + m_limit.tolerance * partitionTolerance) {
+    if (all > cost && all + cost > refill + m_limit.tolerance * uncheckedTolerance) {
         const double parts = std::min(maxPartitionParts, static_cast<double>(sharing.sharerCount));
         needed = std::max(needed, parts * (all + cost) - all - m_limit.tolerance * partitionTolerance);
     }
@@ -118,7 +126,7 @@
         return over;
     }
     const double available = m_level + (cost > m_limit.burst * sharing.heardShare ? m_surplus : 0);
-    const double missing = cost - m_limit.tolerance * orderTolerance - available;
+    const double missing = cost - allowedDebt(m_limit, cost) - available;
     if (missing > 0) {
         over.retryAfter = timeUntil(missing, sharing);
         return over;
