--- a/tests/soak/nodeprocess.h
+++ b/tests/soak/nodeprocess.h
@@ -32,6 +32,12 @@
         return m_processId > 0;
     }
 
+    /// Process id; 0 if it is not running.
+    pid_t processId() const
+    {
+        return m_processId;
+    }
+
     /// Number of starts so far, which identifies the current process.
     int incarnation() const
     {
