--- a/packages/apricotladderd/entry/calldispatch.cpp
+++ b/packages/apricotladderd/entry/calldispatch.cpp
@@ -14,6 +14,9 @@
 
 constexpr absl::Duration unconfiguredRetryAfter = absl::Milliseconds(300);
 
+/// Retry-After of a call that a limit of the bytes held for callers refused: the time after which connections without progress are closed.
+constexpr absl::Duration memoryRetryAfter = absl::Seconds(1);
+
 /// Retry-After of a call that a leaving node does not take: another node can serve it at once.
 constexpr absl::Duration leavingRetryAfter = absl::Milliseconds(50);
 
@@ -25,7 +28,7 @@
 {
     const CallerLimits &limits = context.routes.current()->desired()->limits;
     return HttpServerLimits{ParseLimits{static_cast<std::size_t>(limits->headerBytes), static_cast<std::uint64_t>(limits->bodyBytes)},
-                            limits->headerTimeout, limits->idleTimeout};
+                            limits->headerTimeout, limits->idleTimeout, absl::Seconds(context.settings->callerReceiveS)};
 }
 
 const char *closeReasonName(ServerCloseReason reason)
@@ -110,6 +113,9 @@
                                {{"state", static_cast<std::int64_t>(state)}, {"path", head.target}});
         HttpListener::respondToMalformed(connection, state);
     };
+    hooks.onRefused = [](const HttpServerConnection::Ptr &connection, const HttpRequestHead &) {
+        respondWithError(*connection, ErrorKind::NoCapacity, memoryRetryAfter, "the node holds too much for its callers; try again");
+    };
     hooks.keepsConnectionsOpen = [&loop] {
         return loop.context().phase.load(std::memory_order_relaxed) == LeavePhase::Serving;
     };
--- /dev/null
+++ b/packages/apricotladderd/entry/calleraccount.cpp
@@ -0,0 +1,96 @@
+#include "apricotladderd/entry/calleraccount.h"
+
+#include <sys/resource.h>
+
+namespace Apricot {
+
+namespace {
+
+/// Requests at these ports have no body, and the largest answer is the state of the deployment for a peer, some 200 KB.
+constexpr std::size_t controlBytes = 8 << 20;
+constexpr std::size_t controlConnectionBytes = 4 << 20;
+
+/// These ports get a quarter as many connections as that of calls.
+constexpr std::size_t controlConnectionsDivisor = 4;
+
+}
+
+CallerMemoryLimits callerMemoryLimits(const EntrySettings &settings)
+{
+    rlimit descriptors{};
+    getrlimit(RLIMIT_NOFILE, &descriptors);
+    CallerMemoryLimitsFields limits;
+    limits.totalBytes = static_cast<std::size_t>(settings->callerBytes);
+    limits.addressBytes = static_cast<std::size_t>(settings->callerBytesPerAddress);
+    limits.connectionBytes = static_cast<std::size_t>(settings->callerBytesPerConnection);
+    limits.connections = settings->callerConnections > 0 ? static_cast<std::size_t>(settings->callerConnections)
+                                                         : callerConnectionLimit(static_cast<std::size_t>(descriptors.rlim_cur));
+    return CallerMemoryLimits(limits);
+}
+
+CallerMemoryLimits controlMemoryLimits(const CallerMemoryLimits &callers)
+{
+    return CallerMemoryLimits(
+        CallerMemoryLimitsFields{controlBytes, controlBytes, controlConnectionBytes, callers->connections / controlConnectionsDivisor + 1});
+}
+
+CallerAccount::CallerAccount(const CallerMemoryLimits &limits, const std::atomic<std::size_t> &answerBytes)
+    : m_limits(limits)
+    , m_answerBytes(answerBytes)
+{
+}
+
+ReadDecision CallerAccount::update(const CallerConnection &connection, bool isNewRequest)
+{
+    const std::size_t before = m_connections.update(connection->id, [&](CallerConnection &stored) {
+        const std::size_t bytes = stored->bytes;
+        stored = connection;
+        return bytes;
+    });
+    const std::size_t ofAddress = charge(connection->address, before, connection->bytes);
+    const bool isPreferred = m_preferred.load(std::memory_order_relaxed) == connection->id;
+    return decideRead(m_limits, CallerMemoryUse(CallerMemoryUseFields{totalBytes(), ofAddress, isPreferred}), connection, isNewRequest);
+}
+
+void CallerAccount::remove(CallerConnectionId connection)
+{
+    const CallerConnection found = m_connections.find(connection);
+    if (m_connections.erase(connection)) {
+        charge(found->address, found->bytes, 0);
+    }
+}
+
+std::size_t CallerAccount::charge(std::uint32_t address, std::size_t before, std::size_t after)
+{
+    m_bytes.fetch_add(after - before, std::memory_order_relaxed); // Unsigned arithmetic wraps around, so a decrease is correct too.
+    const std::size_t ofAddress = m_addressBytes.update(address, [&](std::size_t &bytes) { return bytes += after - before; });
+    if (ofAddress == 0) {
+        m_addressBytes.eraseOneIf(address, [](std::size_t bytes) { return bytes == 0; });
+    }
+    return ofAddress;
+}
+
+std::vector<CallerConnection> CallerAccount::connections() const
+{
+    std::vector<CallerConnection> found;
+    m_connections.forEach([&](CallerConnectionId, const CallerConnection &it) { found.push_back(it); });
+    return found;
+}
+
+CallerRelief CallerAccount::relieve(absl::Time now)
+{
+    const CallerRelief relief = chooseRelief(m_limits, totalBytes(), connections(), now);
+    m_preferred.store(relief->preferred.value_or(0), std::memory_order_relaxed);
+    return relief;
+}
+
+std::optional<CallerConnectionId> CallerAccount::takeForNewConnection()
+{
+    const std::optional<CallerConnectionId> chosen = chooseForNewConnection(connections());
+    if (chosen) {
+        remove(*chosen);
+    }
+    return chosen;
+}
+
+}
--- a/packages/apricotladderd/entry/entrycontext.h
+++ b/packages/apricotladderd/entry/entrycontext.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "apricotladderd/entry/calleraccount.h"
+#include "apricotladderd/entry/callerguard.h"
 #include "apricotladderd/entry/entrymetrics.h"
 #include "apricotladderd/entry/eventlog.h"
 #include "apricotladderd/entry/sharedquarantine.h"
@@ -65,6 +67,7 @@
         , log(initialSettings->node, logLevelFromName(initialSettings->logLevel))
         , quarantine(initialSettings->node, log, metrics)
         , pools(std::move(onGrant))
+        , callers(callerMemoryLimits(initialSettings), bufferedAnswerBytes)
     {
     }
 
@@ -105,6 +108,8 @@
     std::atomic<double> retryHeadroomShare{1}; ///< this node's share of the retry headroom, 0 to 1
     std::atomic<std::uint64_t> callCount{0}; ///< calls received since the start
     std::atomic<std::size_t> bufferedAnswerBytes{0}; ///< of all calls; \see AnswerBuffer
+    CallerAccount callers; ///< what is held for callers of the address for calls
+    std::function<void(CallerConnectionId, CallerCloseReason)> closeCaller; ///< closes a connection of any loop; any thread may call it
     std::atomic<LeavePhase> phase{LeavePhase::Serving};
     std::function<void()> onLoadsChanged; ///< schedules a load report to the peers; any thread may call it
 };
--- a/packages/apricotladderd/entry/entryloop.cpp
+++ b/packages/apricotladderd/entry/entryloop.cpp
@@ -18,6 +18,8 @@
 EntryLoop::EntryLoop(EntryContext &context, std::uint64_t index)
     : m_context(context)
     , m_index(index)
+    , m_guard(m_events, context.callers, index, context.log, context.metrics,
+              [&context](CallerConnectionId connection, CallerCloseReason reason) { context.closeCaller(connection, reason); })
 {
 }
 
@@ -25,8 +27,9 @@
 
 bool EntryLoop::listen()
 {
-    m_listener
-        = std::make_unique<HttpListener>(m_events, m_context.settings->callerAddress, AddressSharing::Shared, callListenerHooks(*this));
+    HttpListener::Hooks hooks = callListenerHooks(*this);
+    m_guard.guard(hooks);
+    m_listener = std::make_unique<HttpListener>(m_events, m_context.settings->callerAddress, AddressSharing::Shared, std::move(hooks));
     return m_listener->isOpen();
 }
 
@@ -76,6 +79,11 @@
     m_events.post([this] { m_listener->interruptRequests(); });
 }
 
+void EntryLoop::closeCaller(CallerConnectionId connection, CallerCloseReason reason)
+{
+    m_events.post([this, connection, reason] { m_guard.close(connection, reason); });
+}
+
 WaiterId EntryLoop::addWaiter(const PlacementCallback &callback)
 {
     const WaiterId id = (m_index << loopIndexShift) | ++m_lastWaiterId;
--- a/packages/apricotladderd/entry/entryloop.h
+++ b/packages/apricotladderd/entry/entryloop.h
@@ -63,6 +63,9 @@
         return m_listener ? m_listener->connectionCount() : 0;
     }
 
+    /// Closes the connection of a caller of this loop. Any thread may call it.
+    void closeCaller(CallerConnectionId connection, CallerCloseReason reason);
+
     // The functions below are called only on this loop's thread, by its connections and calls.
 
     EntryContext &context()
@@ -113,6 +116,7 @@
     EventLoop m_events;
     ConnectionPool m_engines;
     absl::InsecureBitGen m_random;
+    CallerGuard m_guard; ///< before the listener, whose connections refer to it
     std::unique_ptr<HttpListener> m_listener;
     LeavePlan m_leavePlan;
     std::atomic<bool> m_isListenerClosed{false};
--- a/packages/apricotladderd/entry/entrymain.cpp
+++ b/packages/apricotladderd/entry/entrymain.cpp
@@ -12,6 +12,7 @@
 #include <ctime>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <map>
 #include <optional>
 #include <pthread.h>
@@ -82,6 +83,9 @@
     return signals;
 }
 
+/// Buffers from this size on are returned to the system when they are freed.
+constexpr int mappedBufferBytes = 64 * 1024;
+
 void reload(EntryNode &node, const std::string &path, const std::map<std::string, std::string> &overrides)
 {
     const auto settings = readEntrySettings(path, overrides);
@@ -113,6 +117,9 @@
 
 int serve(const EntrySettings &settings, const std::string &path, const std::map<std::string, std::string> &overrides)
 {
+    // Without these, glibc raises the size from which it maps buffers, and keeps the memory of bodies that have been freed.
+    mallopt(M_MMAP_THRESHOLD, mappedBufferBytes);
+    mallopt(M_TRIM_THRESHOLD, mappedBufferBytes);
     FLAGS_logtostdout = true;
     FLAGS_log_prefix = false;
     google::InitGoogleLogging("apricotladderd");
--- a/packages/apricotladderd/entry/entrymetrics.cpp
+++ b/packages/apricotladderd/entry/entrymetrics.cpp
@@ -29,6 +29,12 @@
     , m_attempts(counters(*m_registry, "apricotladder_entry_attempts_total", "Tries at engines, by stage and end"))
     , m_storeCalls(counters(*m_registry, "apricotladder_entry_store_calls_total", "Calls to the platform's store, by call and end"))
     , m_closedConnections(counters(*m_registry, "apricotladder_entry_connections_closed_total", "Connections of callers closed, by reason"))
+    , m_callerRefusals(
+          counters(*m_registry, "apricotladder_entry_caller_refusals_total", "Requests and connections of callers refused, by limit"))
+    , m_callerEvictions(
+          counters(*m_registry, "apricotladder_entry_caller_evictions_total", "Connections of callers closed by the node, by reason"))
+    , m_callerBytes(gauges(*m_registry, "apricotladder_entry_caller_bytes", "Bytes that are held for callers").Add({}))
+    , m_callerConnections(gauges(*m_registry, "apricotladder_entry_caller_connections", "Open connections of callers").Add({}))
     , m_malformed(counters(*m_registry, "apricotladder_entry_malformed_entries_total", "Entries of the store that could not be read"))
     , m_engineNotices(counters(*m_registry, "apricotladder_entry_engine_notices_total", "Notices in the answers of engines, by kind"))
     , m_handles(counters(*m_registry, "apricotladder_entry_handles_total", "KV handles of prefills, by what became of them"))
@@ -76,6 +82,22 @@
     m_closedConnections.Add({{"reason", reason}}).Increment();
 }
 
+void EntryMetrics::countCallerRefusal(const std::string &limit)
+{
+    m_callerRefusals.Add({{"limit", limit}}).Increment();
+}
+
+void EntryMetrics::countCallerEviction(const std::string &reason)
+{
+    m_callerEvictions.Add({{"reason", reason}}).Increment();
+}
+
+void EntryMetrics::setCallerMemory(double bytes, double connections)
+{
+    m_callerBytes.Set(bytes);
+    m_callerConnections.Set(connections);
+}
+
 void EntryMetrics::countMalformedEntries(const std::string &kind, std::size_t count)
 {
     if (count > 0) {
--- a/packages/apricotladderd/entry/entrymetrics.h
+++ b/packages/apricotladderd/entry/entrymetrics.h
@@ -26,6 +26,10 @@
     void countAttempt(const std::string &stage, const std::string &outcome);
     void countStoreCall(const std::string &call, const std::string &outcome);
     void countClosedConnection(const std::string &reason);
+    /// Counts a request or connection that a limit refused.
+    void countCallerRefusal(const std::string &limit);
+    void countCallerEviction(const std::string &reason);
+    void setCallerMemory(double bytes, double connections);
     void countMalformedEntries(const std::string &kind, std::size_t count);
     void countEngineNotice(const std::string &kind);
     void countHandle(const std::string &outcome);
@@ -45,6 +49,10 @@
     prometheus::Family<prometheus::Counter> &m_attempts;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
     prometheus::Family<prometheus::Counter> &m_closedConnections;
+    prometheus::Family<prometheus::Counter> &m_callerRefusals;
+    prometheus::Family<prometheus::Counter> &m_callerEvictions;
+    prometheus::Gauge &m_callerBytes;
+    prometheus::Gauge &m_callerConnections;
     prometheus::Family<prometheus::Counter> &m_malformed;
     prometheus::Family<prometheus::Counter> &m_engineNotices;
     prometheus::Family<prometheus::Counter> &m_handles;
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -20,6 +20,9 @@
 
 constexpr int statusUnavailable = 503;
 
+/// Requests for discovery, readiness, metrics and the state of the deployment have no body.
+constexpr std::uint64_t maxControlBodyBytes = 4096;
+
 constexpr absl::Duration peerResponseTimeout = absl::Milliseconds(1500);
 
 /// Minimum interval between requests for a peer's state. A node that takes no calls may know changes of engines later.
@@ -55,6 +58,9 @@
 
 EntryNode::EntryNode(const EntrySettings &settings)
     : m_context(settings, [this](const Grant &grant) { m_loops[EntryLoop::loopIndex(grant.waiter)]->deliverGrant(grant); })
+    , m_controlCallers(controlMemoryLimits(m_context.callers.limits()), m_noAnswerBytes)
+    , m_controlGuard(m_controlLoop, m_controlCallers, 0, m_context.log, m_context.metrics,
+                     [](CallerConnectionId, CallerCloseReason) { /* All its connections belong to one loop. */ })
 {
     for (std::int64_t i = 0; i < settings->threads; ++i) {
         m_loops.push_back(std::make_unique<EntryLoop>(m_context, static_cast<std::uint64_t>(i)));
@@ -73,6 +79,9 @@
     m_engines = std::make_unique<EngineCatalogue>(m_controlLoop, m_controlPool, m_context);
     m_peerLink = std::make_unique<PeerLink>(m_controlLoop, m_context, incarnation, std::move(hooks));
     m_nodeDirectory = std::make_unique<NodeDirectory>(m_controlLoop, m_controlPool, m_context, *m_peerLink);
+    m_context.closeCaller = [this](CallerConnectionId connection, CallerCloseReason reason) {
+        m_loops[CallerGuard::index(connection)]->closeCaller(connection, reason);
+    };
     m_context.onLoadsChanged = [this] {
         m_controlLoop.post([this] { m_peerLink->scheduleLoadReport(); });
     };
@@ -92,6 +101,12 @@
         head.headers.push_back(HttpHeader{"Content-Type", response.contentType});
         connection->respond(std::move(head), response.body);
     };
+    hooks.limits = [] {
+        HttpServerLimits limits;
+        limits.parse.bodyBytes = maxControlBodyBytes;
+        return limits;
+    };
+    m_controlGuard.guard(hooks);
     m_servers.push_back(std::make_unique<HttpListener>(m_controlLoop, address, AddressSharing::Exclusive, std::move(hooks)));
     return m_servers.back()->isOpen();
 }
@@ -334,6 +349,8 @@
 LocalResponse EntryNode::handleMetrics()
 {
     m_context.metrics.setLinesDropped(static_cast<double>(m_context.log.dropped()));
+    m_context.metrics.setCallerMemory(static_cast<double>(m_context.callers.totalBytes()),
+                                      static_cast<double>(m_context.callers.connectionCount()));
     return LocalResponse{statusOk, "text/plain", m_context.metrics.text()};
 }
 
--- a/packages/apricotladderd/entry/entrynode.h
+++ b/packages/apricotladderd/entry/entrynode.h
@@ -15,6 +15,7 @@
 
 #include <absl/time/time.h>
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
@@ -98,6 +99,9 @@
     std::unique_ptr<StoreWatch> m_desiredWatch;
     StoreDuty m_storeDuty;
     std::unique_ptr<EngineCatalogue> m_engines;
+    std::atomic<std::size_t> m_noAnswerBytes{0}; ///< the ports of the control loop read no answers of engines
+    CallerAccount m_controlCallers; ///< what is held for the clients of the ports of the control loop
+    CallerGuard m_controlGuard;
     std::vector<std::unique_ptr<HttpListener>> m_servers;
     absl::Time m_lastPeerSync = absl::InfinitePast(); ///< when a peer was last asked for its state
     absl::Time m_startedAt = absl::InfiniteFuture();
--- /dev/null
+++ b/packages/coordination/callermemory.cpp
@@ -0,0 +1,176 @@
+#include "coordination/callermemory.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace Apricot {
+
+namespace {
+
+/// Fraction of a limit above which reading pauses. The rest is for small requests and for one large request at a time: 3/8 of the default
+/// limits hold a body of 4 MiB twice, as received and as it is sent to an engine.
+constexpr double pauseFraction = 0.625;
+
+/// Stalled connections are closed until the use is below this fraction. Those that wait would otherwise use up at once what one closed
+/// connection leaves, and clients that stop short of their end would get through one at a time.
+constexpr double stalledTargetFraction = 0.5;
+
+/// Maximum fraction in use at which a connection becomes the preferred one: a body of 4 MiB in both copies must still fit.
+constexpr double preferFraction = 0.7;
+
+/// Fraction of a limit above which new requests are refused at their head.
+constexpr double refuseFraction = 0.875;
+
+/// Requests up to this size are read above the pause level, so that ordinary calls are served while large ones wait.
+constexpr std::size_t smallRequestBytes = 64 * 1024;
+
+/// Above this fraction of the limit connections are closed even though engines may be running their requests.
+constexpr double emergencyFraction = 1.25;
+
+/// A connection that could send or receive and has not for this long makes no progress. A retransmission after a loss takes 0.2 to 0.6 s.
+constexpr absl::Duration stallTime = absl::Seconds(1);
+
+/// Connections that hold less than this are not worth closing: closing them all would free little.
+constexpr std::size_t minClosedBytes = 6 * 1024;
+
+/// Descriptors that the platform reserves for files.
+constexpr std::size_t fileDescriptors = 200;
+constexpr std::size_t minConnections = 16;
+constexpr std::size_t maxConnections = 10'000;
+
+std::size_t part(std::size_t limit, double fraction)
+{
+    return static_cast<std::size_t>(static_cast<double>(limit) * fraction);
+}
+
+/// Order in which groups of connections are closed.
+enum class CloseOrder : std::uint8_t { Stalled, Progressing, Running };
+
+/// Time without progress. A connection that is held back could not make any, so that it does not count as stalled.
+absl::Duration stalledFor(const CallerConnection &connection, absl::Time now)
+{
+    return connection->isHeldBack ? absl::ZeroDuration() : now - connection->lastProgress;
+}
+
+CloseOrder closeOrderOf(const CallerConnection &connection, absl::Time now)
+{
+    if (connection->phase == CallerPhase::Running) {
+        return CloseOrder::Running;
+    }
+    return stalledFor(connection, now) >= stallTime ? CloseOrder::Stalled : CloseOrder::Progressing;
+}
+
+/// Bytes in use above which connections of a group are closed, for a limit of \a limit bytes.
+std::size_t closeLevel(CloseOrder order, std::size_t limit)
+{
+    switch (order) {
+    case CloseOrder::Stalled:
+        return part(limit, pauseFraction);
+    case CloseOrder::Progressing:
+        return limit;
+    case CloseOrder::Running:
+        return part(limit, emergencyFraction);
+    }
+    return limit;
+}
+
+/// Whether a connection of a group is closed while \a remaining bytes are left of \a initial ones.
+bool mustClose(CloseOrder order, std::size_t limit, std::size_t initial, std::size_t remaining)
+{
+    const std::size_t level = closeLevel(order, limit);
+    const std::size_t target = order == CloseOrder::Stalled ? part(limit, stalledTargetFraction) : level;
+    return initial > level && remaining > target;
+}
+
+}
+
+ReadDecision decideRead(const CallerMemoryLimits &limits, const CallerMemoryUse &use, const CallerConnection &connection, bool isNewRequest)
+{
+    const bool isReceiving = connection->phase == CallerPhase::Receiving;
+    if (isReceiving && connection->bytes > limits->connectionBytes) {
+        return RefuseRequest{CallerLimit::Connection};
+    }
+    const bool isSmall = connection->bytes <= smallRequestBytes;
+    const double admitFraction = isSmall ? refuseFraction : 1;
+    if (isReceiving && isNewRequest && use->totalBytes > part(limits->totalBytes, admitFraction)) {
+        return RefuseRequest{CallerLimit::Total};
+    }
+    if (isReceiving && isNewRequest && use->addressBytes > part(limits->addressBytes, admitFraction)) {
+        return RefuseRequest{CallerLimit::Address};
+    }
+    const bool mayExceedPauseLevel = isSmall || use->isPreferred;
+    const double readFraction = mayExceedPauseLevel ? 1 : pauseFraction;
+    const bool fits
+        = use->totalBytes <= part(limits->totalBytes, readFraction) && use->addressBytes <= part(limits->addressBytes, readFraction);
+    return fits ? ReadDecision(ReadOn{}) : ReadDecision(PauseReading{});
+}
+
+bool needsRelief(const CallerMemoryLimits &limits, std::size_t totalBytes)
+{
+    return totalBytes > part(limits->totalBytes, pauseFraction);
+}
+
+CallerRelief chooseRelief(const CallerMemoryLimits &limits, std::size_t totalBytes, const std::vector<CallerConnection> &connections,
+                          absl::Time now)
+{
+    std::vector<const CallerConnection *> ordered;
+    absl::flat_hash_map<std::uint32_t, std::size_t> addressBytes;
+    for (const CallerConnection &it : connections) {
+        ordered.push_back(&it);
+        addressBytes[it->address] += it->bytes;
+    }
+    const auto weight = [now](const CallerConnection &it) {
+        return static_cast<double>(it->bytes) * absl::ToDoubleSeconds(stalledFor(it, now) + stallTime);
+    };
+    std::sort(ordered.begin(), ordered.end(), [&](const CallerConnection *left, const CallerConnection *right) {
+        return std::tuple(closeOrderOf(*left, now), -weight(*left), (*left)->id)
+            < std::tuple(closeOrderOf(*right, now), -weight(*right), (*right)->id);
+    });
+    const absl::flat_hash_map<std::uint32_t, std::size_t> initialAddressBytes = addressBytes;
+    CallerReliefFields relief;
+    std::size_t remaining = totalBytes;
+    std::size_t preferredBytes = 0;
+    for (const CallerConnection *it : ordered) {
+        const CloseOrder order = closeOrderOf(*it, now);
+        std::size_t &ofAddress = addressBytes[(*it)->address];
+        const bool isOver = mustClose(order, limits->totalBytes, totalBytes, remaining)
+            || mustClose(order, limits->addressBytes, initialAddressBytes.at((*it)->address), ofAddress);
+        if ((*it)->bytes >= minClosedBytes && isOver) {
+            relief.closed.push_back((*it)->id);
+            remaining -= std::min(remaining, (*it)->bytes);
+            ofAddress -= (*it)->bytes;
+            continue;
+        }
+        const bool hasRoom
+            = remaining <= part(limits->totalBytes, preferFraction) && ofAddress <= part(limits->addressBytes, preferFraction);
+        if (hasRoom && (*it)->isHeldBack && (*it)->phase == CallerPhase::Receiving && (*it)->bytes > preferredBytes) {
+            relief.preferred = (*it)->id; // The largest one is closest to its end.
+            preferredBytes = (*it)->bytes;
+        }
+    }
+    return CallerRelief(relief);
+}
+
+std::optional<CallerConnectionId> chooseForNewConnection(const std::vector<CallerConnection> &connections)
+{
+    const CallerConnection *chosen = nullptr;
+    const auto key = [](const CallerConnection &it) {
+        return std::tuple(it->hasCompletedRequest, it->lastProgress, it->id);
+    };
+    for (const CallerConnection &it : connections) {
+        if (it->phase != CallerPhase::Running && (chosen == nullptr || key(it) < key(*chosen))) {
+            chosen = &it;
+        }
+    }
+    return chosen == nullptr ? std::nullopt : std::optional((*chosen)->id);
+}
+
+std::size_t callerConnectionLimit(std::size_t descriptors)
+{
+    const std::size_t free = descriptors > fileDescriptors ? descriptors - fileDescriptors : 0;
+    return std::clamp(free / 2, minConnections, maxConnections);
+}
+
+}
--- /dev/null
+++ b/packages/coordination/callermemory.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "state/immutable.h"
+
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace Apricot {
+
+/// Identifies the connection of a caller within a node.
+using CallerConnectionId = std::uint64_t;
+
+/// What the connection of a caller is doing.
+enum class CallerPhase : std::uint8_t {
+    Idle, ///< between requests
+    Receiving, ///< a part of a request has been received
+    Running, ///< an engine may be running the request
+    Answering, ///< the answer is complete, and a part of it has not been sent
+};
+
+struct CallerMemoryLimitsFields
+{
+    std::size_t totalBytes = 0; ///< of all connections and of the answers that are being read
+    std::size_t addressBytes = 0; ///< of all connections of one address
+    std::size_t connectionBytes = 0;
+    std::size_t connections = 0; ///< maximum number of connections
+
+    friend bool operator==(const CallerMemoryLimitsFields &, const CallerMemoryLimitsFields &) = default;
+};
+
+/// Limits of the bytes that a node holds for its callers.
+using CallerMemoryLimits = Immutable<CallerMemoryLimitsFields>;
+
+struct CallerConnectionFields
+{
+    CallerConnectionId id = 0;
+    std::uint32_t address = 0; ///< IPv4 address of the caller
+    CallerPhase phase = CallerPhase::Idle;
+    std::size_t bytes = 0;
+    absl::Time lastProgress; ///< when the caller last sent or received a byte, or its connection was opened
+    bool isHeldBack = false; ///< the node does not read what it has sent, so that it cannot make progress
+    bool hasCompletedRequest = false;
+
+    friend bool operator==(const CallerConnectionFields &, const CallerConnectionFields &) = default;
+};
+
+/// What a node holds for one connection of a caller.
+using CallerConnection = Immutable<CallerConnectionFields>;
+
+struct CallerMemoryUseFields
+{
+    std::size_t totalBytes = 0;
+    std::size_t addressBytes = 0; ///< of the connection's address
+    bool isPreferred = false; ///< the connection may go on above the pause level; \see CallerRelief
+
+    friend bool operator==(const CallerMemoryUseFields &, const CallerMemoryUseFields &) = default;
+};
+
+/// The bytes in use that the decision about one connection depends on.
+using CallerMemoryUse = Immutable<CallerMemoryUseFields>;
+
+/// The limit that is the reason for a refusal.
+enum class CallerLimit : std::uint8_t { Total, Address, Connection };
+
+/// Go on reading.
+struct ReadOn
+{
+    friend bool operator==(const ReadOn &, const ReadOn &) = default;
+};
+
+/// Stop reading until less memory is in use.
+struct PauseReading
+{
+    friend bool operator==(const PauseReading &, const PauseReading &) = default;
+};
+
+/// Refuse the request that is being received; it has not run.
+struct RefuseRequest
+{
+    CallerLimit limit = CallerLimit::Total;
+
+    friend bool operator==(const RefuseRequest &, const RefuseRequest &) = default;
+};
+
+using ReadDecision = std::variant<ReadOn, PauseReading, RefuseRequest>;
+
+/// Decides whether to read on from \a connection, whose bytes are included in \a use. \a isNewRequest: the head of its request has just
+/// been read, or its request is complete and about to be sent to an engine.
+ReadDecision decideRead(const CallerMemoryLimits &limits, const CallerMemoryUse &use, const CallerConnection &connection,
+                        bool isNewRequest);
+
+struct CallerReliefFields
+{
+    std::vector<CallerConnectionId> closed; ///< connections to close
+    std::optional<CallerConnectionId> preferred; ///< the one connection that may go on above the pause level
+
+    friend bool operator==(const CallerReliefFields &, const CallerReliefFields &) = default;
+};
+
+/// What a node does to get below its limits.
+using CallerRelief = Immutable<CallerReliefFields>;
+
+/// Whether \a totalBytes in use need a CallerRelief, also if no connection is paused.
+bool needsRelief(const CallerMemoryLimits &limits, std::size_t totalBytes);
+
+/// Chooses what to do about \a totalBytes in use by \a connections and by answers that are being read. Connections that hold bytes and make
+/// no progress are closed first, those with most bytes for longest before others; then, above a limit, those that make progress; and those
+/// whose request an engine may be running only if the others do not suffice and a limit is exceeded by far.
+CallerRelief chooseRelief(const CallerMemoryLimits &limits, std::size_t totalBytes, const std::vector<CallerConnection> &connections,
+                          absl::Time now);
+
+/// Chooses the connection to close for a new one when the maximum number of connections is reached: the one that has been without progress
+/// for longest, those that have never completed a request first; std::nullopt if engines may be running the requests of all.
+std::optional<CallerConnectionId> chooseForNewConnection(const std::vector<CallerConnection> &connections);
+
+/// Returns the maximum number of connections of callers for a process that may open \a descriptors: half of what files leave, so that each
+/// call can have a connection to an engine, peers and the store included.
+std::size_t callerConnectionLimit(std::size_t descriptors);
+
+}
--- /dev/null
+++ b/packages/coordination/tests/entry/testcallermemory.cpp
@@ -0,0 +1,113 @@
+#include "coordination/callermemory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Apricot;
+
+namespace {
+
+constexpr std::size_t mib = 1 << 20;
+const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+const CallerMemoryLimits limits(CallerMemoryLimitsFields{32 * mib, 28 * mib, 16 * mib, 100});
+
+CallerConnection connection(CallerConnectionId id, CallerPhase phase, std::size_t bytes, absl::Duration silence, bool isHeldBack = false)
+{
+    return CallerConnection(CallerConnectionFields{id, 1, phase, bytes, now - silence, isHeldBack, true});
+}
+
+CallerMemoryUse use(std::size_t total, std::size_t address, bool isPreferred = false)
+{
+    return CallerMemoryUse(CallerMemoryUseFields{total, address, isPreferred});
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(CallerMemories)
+
+/// Guards against a large body that is never accepted although the node holds nothing else.
+BOOST_AUTO_TEST_CASE(oneLargestBodyFitsBesideBodiesAtThePauseLevel)
+{
+    const auto body = connection(1, CallerPhase::Receiving, 4 * mib, absl::ZeroDuration());
+    BOOST_TEST((decideRead(limits, use(24 * mib, 10 * mib, true), body, false) == ReadDecision(ReadOn{})));
+    const auto complete = connection(1, CallerPhase::Receiving, 8 * mib, absl::ZeroDuration());
+    BOOST_TEST((decideRead(limits, use(28 * mib, 25 * mib, true), complete, true) == ReadDecision(ReadOn{})));
+}
+
+/// Guards against ordinary calls that wait behind large bodies which stopped.
+BOOST_AUTO_TEST_CASE(smallRequestsAreReadWhileLargeOnesPause)
+{
+    const auto small = connection(1, CallerPhase::Receiving, 10'000, absl::ZeroDuration());
+    const auto large = connection(2, CallerPhase::Receiving, mib, absl::ZeroDuration());
+    BOOST_TEST((decideRead(limits, use(21 * mib, mib), small, true) == ReadDecision(ReadOn{})));
+    BOOST_TEST((decideRead(limits, use(21 * mib, mib), large, false) == ReadDecision(PauseReading{})));
+}
+
+/// Guards against memory that grows beyond a limit because of new requests, and names the limit.
+BOOST_AUTO_TEST_CASE(newRequestsAreRefusedShortlyBelowEachLimit)
+{
+    const auto small = connection(1, CallerPhase::Receiving, 10'000, absl::ZeroDuration());
+    BOOST_TEST((decideRead(limits, use(29 * mib, mib), small, true) == ReadDecision(RefuseRequest{CallerLimit::Total})));
+    BOOST_TEST((decideRead(limits, use(25 * mib, 25 * mib), small, true) == ReadDecision(RefuseRequest{CallerLimit::Address})));
+    const auto huge = connection(1, CallerPhase::Receiving, 17 * mib, absl::ZeroDuration());
+    BOOST_TEST((decideRead(limits, use(17 * mib, 17 * mib), huge, false) == ReadDecision(RefuseRequest{CallerLimit::Connection})));
+}
+
+/// Guards against requests that an engine may be running being cut off while connections that make no progress are kept.
+BOOST_AUTO_TEST_CASE(stalledConnectionsAreClosedFirstAndRunningOnesLast)
+{
+    const std::vector<CallerConnection> connections{
+        connection(1, CallerPhase::Running, 12 * mib, absl::Seconds(20)),
+        connection(2, CallerPhase::Receiving, 4 * mib, absl::ZeroDuration(), true),
+        connection(3, CallerPhase::Receiving, 4 * mib, absl::Seconds(3)),
+        connection(4, CallerPhase::Answering, 8 * mib, absl::Seconds(9)),
+    };
+    const CallerMemoryLimits wide = limits.with(&CallerMemoryLimitsFields::addressBytes, 64 * mib);
+    const CallerRelief relief = chooseRelief(wide, 24 * mib, connections, now);
+    BOOST_TEST(relief->closed == std::vector<CallerConnectionId>({4}), boost::test_tools::per_element());
+    BOOST_TEST(relief->preferred.value_or(0) == 2U);
+    const CallerRelief more = chooseRelief(wide, 34 * mib, connections, now);
+    BOOST_TEST(more->closed == std::vector<CallerConnectionId>({4, 3}), boost::test_tools::per_element());
+    const CallerRelief all = chooseRelief(wide, 60 * mib, connections, now);
+    BOOST_TEST(all->closed == std::vector<CallerConnectionId>({4, 3, 2, 1}), boost::test_tools::per_element());
+}
+
+/// Guards against a caller that is closed for a silence which the node itself has caused by not reading.
+BOOST_AUTO_TEST_CASE(aConnectionThatIsHeldBackDoesNotCountAsStalled)
+{
+    const std::vector<CallerConnection> connections{connection(1, CallerPhase::Receiving, 9 * mib, absl::Seconds(20), true),
+                                                    connection(2, CallerPhase::Receiving, 8 * mib, absl::Seconds(20), true)};
+    const CallerRelief relief = chooseRelief(limits, 21 * mib, connections, now);
+    BOOST_TEST(relief->closed.empty());
+    BOOST_TEST(relief->preferred.value_or(0) == 1U);
+}
+
+/// Guards against callers of one address that keep their memory while the total is far from its limit.
+BOOST_AUTO_TEST_CASE(stalledConnectionsOfAnAddressAboveItsLimitAreClosed)
+{
+    const CallerMemoryLimits narrow = limits.with(&CallerMemoryLimitsFields::addressBytes, 2 * mib);
+    const std::vector<CallerConnection> connections{connection(1, CallerPhase::Receiving, mib, absl::Seconds(2)),
+                                                    connection(2, CallerPhase::Receiving, mib, absl::Seconds(3))};
+    BOOST_TEST(chooseRelief(narrow, 2 * mib, connections, now)->closed == std::vector<CallerConnectionId>({2}),
+               boost::test_tools::per_element());
+}
+
+/// Guards against callers that connect and send nothing, and displace the connections of callers that are served.
+BOOST_AUTO_TEST_CASE(aNewConnectionReplacesTheLongestSilentOne)
+{
+    CallerConnection served = connection(1, CallerPhase::Idle, 0, absl::Seconds(50));
+    CallerConnection silent
+        = connection(2, CallerPhase::Idle, 0, absl::Seconds(5)).with(&CallerConnectionFields::hasCompletedRequest, false);
+    CallerConnection running = connection(3, CallerPhase::Running, 0, absl::Seconds(90));
+    BOOST_TEST(chooseForNewConnection({served, silent, running}).value_or(0) == 2U);
+    BOOST_TEST(chooseForNewConnection({served, running}).value_or(0) == 1U);
+    BOOST_TEST(!chooseForNewConnection({running}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(theConnectionLimitLeavesHalfOfTheDescriptors)
+{
+    BOOST_TEST(callerConnectionLimit(3075) == 1437U);
+    BOOST_TEST(callerConnectionLimit(100) == 16U);
+    BOOST_TEST(callerConnectionLimit(1'000'000) == 10'000U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/protocol/entrysettingsjson.cpp
+++ b/packages/protocol/entrysettingsjson.cpp
@@ -37,6 +37,16 @@
         {"repeatWindowS", "number", "s", false, "10", 1, 600, "Time window of the retry limit."},
         {"processorShare", "number", "cores", false, "1", 0, 1000,
          "Processor cores that the node may use. Callers are directed to the nodes with the most, as many as the load needs."},
+        {"callerBytes", "whole number", "bytes", false, "33554432", 1048576, 1099511627776,
+         "Memory that the node may use for its callers: connections, requests, answers and what waits to be sent."},
+        {"callerBytesPerAddress", "whole number", "bytes", false, "29360128", 65536, 1099511627776,
+         "The same for all callers of one IP address."},
+        {"callerBytesPerConnection", "whole number", "bytes", false, "16777216", 65536, 1099511627776,
+         "The same for one connection; a request body counts twice."},
+        {"callerConnections", "whole number", "connections", false, "0", 0, 1000000,
+         "Maximum number of connections of callers; 0: half of the descriptors that files leave, at most 10,000."},
+        {"callerReceiveS", "number", "s", false, "60", 1, 86400,
+         "Maximum time to receive a whole request, also while its bytes keep arriving."},
         {"logLevel", "text", "", false, "info", 0, 0, "Minimum severity that is logged: info, warning or error."},
     };
     return specs;
@@ -64,6 +74,12 @@
         .set(&EntrySettingsFields::repeatHeadroom, jsonNumber(parsed, "repeatHeadroom", defaults.repeatHeadroom))
         .set(&EntrySettingsFields::repeatWindowS, jsonNumber(parsed, "repeatWindowS", defaults.repeatWindowS))
         .set(&EntrySettingsFields::processorShare, jsonNumber(parsed, "processorShare", defaults.processorShare))
+        .set(&EntrySettingsFields::callerBytes, jsonInteger(parsed, "callerBytes", defaults.callerBytes))
+        .set(&EntrySettingsFields::callerBytesPerAddress, jsonInteger(parsed, "callerBytesPerAddress", defaults.callerBytesPerAddress))
+        .set(&EntrySettingsFields::callerBytesPerConnection,
+             jsonInteger(parsed, "callerBytesPerConnection", defaults.callerBytesPerConnection))
+        .set(&EntrySettingsFields::callerConnections, jsonInteger(parsed, "callerConnections", defaults.callerConnections))
+        .set(&EntrySettingsFields::callerReceiveS, jsonNumber(parsed, "callerReceiveS", defaults.callerReceiveS))
         .set(&EntrySettingsFields::logLevel, jsonText(parsed, "logLevel", defaults.logLevel))
         .build();
 }
--- a/packages/state/entrysettings.h
+++ b/packages/state/entrysettings.h
@@ -28,6 +28,11 @@
     double repeatHeadroom = 20; ///< retries that are always allowed, summed over all nodes
     double repeatWindowS = 10; ///< time window of repeatRatio and repeatHeadroom, s
     double processorShare = 1; ///< processor cores that the node may use; nodes with more are preferred for calls
+    std::int64_t callerBytes = 32 << 20; ///< bytes that the node may hold for its callers
+    std::int64_t callerBytesPerAddress = 28 << 20; ///< of which for the callers of one IP address
+    std::int64_t callerBytesPerConnection = 16 << 20; ///< and for one connection
+    std::int64_t callerConnections = 0; ///< maximum number of connections of callers; 0: derived from the limit of descriptors
+    double callerReceiveS = 60; ///< maximum time to receive a whole request, s
     std::string logLevel = "info"; ///< info, warning or error
 
     friend bool operator==(const EntrySettingsFields &, const EntrySettingsFields &) = default;
--- a/packages/transport/httpexchange.cpp
+++ b/packages/transport/httpexchange.cpp
@@ -85,7 +85,7 @@
     }
     m_hasEarlierResponse = true;
     m_connection->setCallbacks(connectionCallbacks());
-    m_connection->write(m_request.encodedRequest);
+    m_connection->writeOwned(std::exchange(m_request.encodedRequest, std::string()));
     const std::shared_ptr<Callbacks> callbacks = m_callbacks;
     if (callbacks->onSent) {
         callbacks->onSent();
@@ -100,7 +100,7 @@
         return;
     }
     m_connection = TcpConnection::connect(m_loop, *address, m_request.tcpTimeouts, connectionCallbacks());
-    m_connection->write(m_request.encodedRequest);
+    m_connection->writeOwned(std::exchange(m_request.encodedRequest, std::string()));
     m_connectTimer = m_loop.after(m_request.connectTimeout, [self = shared_from_this()] { self->finish(ExchangeOutcome::NotSent); });
 }
 
--- a/packages/transport/httplistener.cpp
+++ b/packages/transport/httplistener.cpp
@@ -11,6 +11,7 @@
 constexpr int requestTimeout = 408;
 constexpr int bodyTooLarge = 413;
 constexpr int headTooLarge = 431;
+constexpr int unavailable = 503;
 
 int statusOf(ParseState state)
 {
@@ -34,18 +35,22 @@
 HttpListener::HttpListener(EventLoop &loop, const std::string &address, AddressSharing sharing, Hooks hooks)
     : m_loop(loop)
     , m_hooks(std::make_shared<HttpServerConnection::Hooks>())
-    , m_listener(loop, address, sharing, TcpTimeouts(), [this](std::shared_ptr<TcpConnection> it) { accept(std::move(it)); })
+    , m_listener(loop, address, sharing, TcpTimeouts(), [this](const std::shared_ptr<TcpConnection> &it) { accept(it); })
 {
     m_hooks->limits = std::move(hooks.limits);
     m_hooks->onRequest = std::move(hooks.onRequest);
     m_hooks->onMalformed = std::move(hooks.onMalformed);
+    m_hooks->onRefused = std::move(hooks.onRefused);
+    m_hooks->onUse = std::move(hooks.onUse);
     m_hooks->keepsConnectionsOpen = std::move(hooks.keepsConnectionsOpen);
-    m_hooks->onClosed
-        = [this, report = std::move(hooks.onConnectionClosed)](const HttpServerConnection::Ptr &it, ServerCloseReason reason) {
-              m_connections.erase(it);
-              m_connectionCount.store(m_connections.size(), std::memory_order_relaxed);
-              report(reason);
-          };
+    m_onOpened = std::move(hooks.onOpened);
+    m_hooks->onClosed = [this, report = std::move(hooks.onConnectionClosed),
+                         release = std::move(hooks.onReleased)](const HttpServerConnection::Ptr &it, ServerCloseReason reason) {
+        m_connections.erase(it);
+        release(it);
+        m_connectionCount.store(m_connections.size(), std::memory_order_relaxed);
+        report(reason);
+    };
 }
 
 HttpListener::~HttpListener()
@@ -70,9 +75,13 @@
     }
 }
 
-void HttpListener::accept(std::shared_ptr<TcpConnection> connection)
+void HttpListener::accept(const std::shared_ptr<TcpConnection> &connection)
 {
-    const auto accepted = std::make_shared<HttpServerConnection>(m_loop, std::move(connection), m_hooks);
+    const auto accepted = std::make_shared<HttpServerConnection>(m_loop, connection, m_hooks);
+    if (!m_onOpened(accepted)) {
+        connection->close();
+        return;
+    }
     m_connections.insert(accepted);
     m_connectionCount.store(m_connections.size(), std::memory_order_relaxed);
     accepted->start();
@@ -88,6 +97,15 @@
     }
 }
 
+void HttpListener::respondToRefused(const HttpServerConnection::Ptr &connection)
+{
+    HttpResponseHead head;
+    head.status = unavailable;
+    head.reason = std::string(reasonPhrase(head.status));
+    head.headers = {{"Content-Type", "text/plain"}, {"Retry-After", "1"}};
+    connection->respond(std::move(head), "too much is held for callers; the request has not run\n");
+}
+
 void HttpListener::respondToMalformed(const HttpServerConnection::Ptr &connection, ParseState state)
 {
     HttpResponseHead head;
--- a/packages/transport/httplistener.h
+++ b/packages/transport/httplistener.h
@@ -31,6 +31,22 @@
             = [](const HttpServerConnection::Ptr &connection, ParseState state, const HttpRequestHead &) {
                   respondToMalformed(connection, state);
               };
+        /// Handles a request that onUse refuses. \see HttpServerConnection::Hooks::onRefused
+        std::function<void(const HttpServerConnection::Ptr &, const HttpRequestHead &)> onRefused
+            = [](const HttpServerConnection::Ptr &connection, const HttpRequestHead &) {
+                  respondToRefused(connection);
+              };
+        /// Returns whether a new connection is kept; it is closed if not.
+        std::function<bool(const HttpServerConnection::Ptr &)> onOpened = [](const HttpServerConnection::Ptr &) {
+            return true;
+        };
+        std::function<ReadPermission(const HttpServerConnection::Ptr &, const ConnectionUse &)> onUse
+            = [](const HttpServerConnection::Ptr &, const ConnectionUse &) {
+                  return ReadPermission::Read;
+              };
+        /// Runs once for a connection that was closed.
+        std::function<void(const HttpServerConnection::Ptr &)> onReleased = [](const HttpServerConnection::Ptr &) {
+        };
         std::function<bool()> keepsConnectionsOpen = [] {
             return true;
         };
@@ -74,11 +90,15 @@
     /// Responds to a malformed, oversized or late request with the status for \a state.
     static void respondToMalformed(const HttpServerConnection::Ptr &connection, ParseState state);
 
+    /// Responds to a request for which there is no memory with status 503.
+    static void respondToRefused(const HttpServerConnection::Ptr &connection);
+
 private:
-    void accept(std::shared_ptr<TcpConnection> connection);
+    void accept(const std::shared_ptr<TcpConnection> &connection);
 
     EventLoop &m_loop;
     std::shared_ptr<HttpServerConnection::Hooks> m_hooks;
+    std::function<bool(const HttpServerConnection::Ptr &)> m_onOpened;
     absl::flat_hash_set<HttpServerConnection::Ptr> m_connections;
     std::atomic<std::size_t> m_connectionCount{0};
     TcpListener m_listener; ///< declared last, because its callback uses the other members
--- a/packages/transport/httpparser.cpp
+++ b/packages/transport/httpparser.cpp
@@ -22,6 +22,9 @@
 /// Maximum size of a response head, in bytes.
 constexpr std::uint32_t maxResponseHeadBytes = 32 * 1024;
 
+/// Overhead of a header line: an element of Beast's list, and an HttpHeader.
+constexpr std::size_t bytesPerHeader = 160;
+
 std::string textOf(boost::beast::string_view view)
 {
     return {view.data(), view.size()};
@@ -123,6 +126,10 @@
         head.headers = headersOf(message);
         head.keepAlive = message.keep_alive();
         hasHead = true;
+        headBytes = head.headers.size() * bytesPerHeader + head.target.size();
+        for (const HttpHeader &header : head.headers) {
+            headBytes += 2 * (header.name.size() + header.value.size());
+        }
         if (!isFramingUnambiguous(head.headers)) {
             state = ParseState::Malformed;
         }
@@ -132,6 +139,7 @@
     std::size_t maxPendingBytes;
     std::string pending;
     HttpRequestHead head;
+    std::size_t headBytes = 0;
     ParseState state = ParseState::Head;
     bool hasHead = false;
 };
@@ -184,6 +192,21 @@
     return m_data->parser.get().body();
 }
 
+std::string HttpRequestParser::takeBody()
+{
+    return std::exchange(m_data->parser.get().body(), std::string());
+}
+
+bool HttpRequestParser::hasHead() const
+{
+    return m_data->hasHead;
+}
+
+std::size_t HttpRequestParser::heldBytes() const
+{
+    return sizeof(Private) + m_data->pending.capacity() + m_data->headBytes + m_data->parser.get().body().size();
+}
+
 struct HttpResponseParser::Private
 {
     explicit Private(bool hasNoBody)
--- a/packages/transport/httpparser.h
+++ b/packages/transport/httpparser.h
@@ -53,6 +53,15 @@
     /// Returns the body; valid at ParseState::Done.
     const std::string &body() const;
 
+    /// Returns the body and removes it from the parser; valid once, at ParseState::Done.
+    std::string takeBody();
+
+    /// Whether the head is complete.
+    bool hasHead() const;
+
+    /// Number of bytes that this parser holds, the overhead of many short header lines included.
+    std::size_t heldBytes() const;
+
 private:
     struct Private;
     std::unique_ptr<Private> m_data;
--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -1,5 +1,7 @@
 #include "transport/httpserverconnection.h"
 
+#include "transport/socketaddress.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -13,6 +15,22 @@
 /// How long the remaining input of a rejected request is read and discarded.
 constexpr absl::Duration lingerTimeout = absl::Seconds(2);
 
+/// How many bytes of it at most: as much as a body within usual limits.
+constexpr std::size_t maxDiscardedBytes = 4 << 20;
+
+/// What the system buffers for a connection in each direction. Unread input and unsent responses of many clients would otherwise grow
+/// to megabytes each.
+constexpr int systemBufferBytes = 128 * 1024;
+
+/// An owner learns of the unsent part of a stream when it has grown by this much.
+constexpr std::size_t minReportedBytes = 16 * 1024;
+
+/// Memory of a connection without any buffer: its objects, callbacks and timer.
+constexpr std::size_t baseBytes = 4096;
+
+/// Copies of a body that exist while its request is sent to an engine: the received one and the encoded one.
+constexpr std::size_t bodyCopies = 2;
+
 }
 
 HttpServerConnection::HttpServerConnection(EventLoop &loop, std::shared_ptr<TcpConnection> connection, std::shared_ptr<const Hooks> hooks)
@@ -20,8 +38,11 @@
     , m_connection(std::move(connection))
     , m_hooks(std::move(hooks))
     , m_limits(m_hooks->limits())
+    , m_peerAddress(m_connection->peerAddress())
     , m_phaseStart(loop.now())
+    , m_lastProgress(loop.now())
 {
+    m_connection->setSystemBuffers(systemBufferBytes);
 }
 
 void HttpServerConnection::start()
@@ -35,12 +56,11 @@
         self->handlePeerClosed();
     };
     callbacks.onDrained = [self] {
-        if (const std::function<void()> onDrained = self->m_onDrained) {
-            onDrained();
-        }
+        self->handleDrained();
     };
     m_connection->setCallbacks(std::move(callbacks));
     armTimer();
+    requestPermission(false);
 }
 
 void HttpServerConnection::setPeerClosedHandler(std::function<void()> onPeerClosed)
@@ -67,55 +87,199 @@
 
 void HttpServerConnection::handleData(std::string_view bytes)
 {
+    const Ptr self = shared_from_this();
+    m_lastProgress = m_loop.now();
     m_input.append(bytes);
-    if (m_requestInProgress) {
-        m_connection->setReading(m_input.size() < maxPipelinedInputBytes);
+    if (!m_requestInProgress) {
+        readRequests();
+    }
+    if (m_closed || m_isEnding) {
         return;
     }
-    readRequests();
+    if (m_input.empty()) {
+        std::string().swap(m_input); // Idle connections hold no buffer.
+    }
+    if (m_input.size() >= maxPipelinedInputBytes) {
+        m_connection->setReading(false);
+    }
+    requestPermission(false);
 }
 
 void HttpServerConnection::readRequests()
 {
     const Ptr self = shared_from_this();
-    while (!m_closed && !m_requestInProgress && !m_input.empty()) {
+    // A client that does not read its responses must not make them pile up, so the next request waits until they are sent.
+    while (!m_closed && !m_requestInProgress && !m_input.empty() && m_connection->unsentBytes() == 0) {
         if (!m_parser) {
             beginRequest();
         }
         const std::size_t used = m_parser->feed(m_input);
         m_input.erase(0, used);
         const ParseState state = m_parser->state();
+        if (state != ParseState::Head && state != ParseState::Body && state != ParseState::Done) {
+            rejectRequest(state);
+            return;
+        }
+        if (m_parser->hasHead() && !m_isHeadReported) {
+            m_isHeadReported = true;
+            requestPermission(true);
+        }
+        if (m_requestInProgress || m_closed) {
+            return;
+        }
         if (state == ParseState::Done) {
             dispatchRequest();
-        } else if (state != ParseState::Head && state != ParseState::Body) {
-            rejectRequest(state);
         } else if (used == 0) {
             return;
         }
     }
 }
 
+void HttpServerConnection::handleDrained()
+{
+    const Ptr self = shared_from_this();
+    m_lastProgress = m_loop.now();
+    if (const std::function<void()> onDrained = m_onDrained) {
+        onDrained();
+    }
+    if (!m_closed && !m_requestInProgress) {
+        continueReading();
+    }
+}
+
+void HttpServerConnection::continueReading()
+{
+    if (!m_isPaused) {
+        m_connection->setReading(true);
+    }
+    readRequests();
+    if (!m_closed && !m_isEnding) {
+        requestPermission(false);
+    }
+}
+
+ConnectionPhase HttpServerConnection::phase() const
+{
+    if (m_isEnding) {
+        return ConnectionPhase::Sending;
+    }
+    if (m_requestInProgress) {
+        return ConnectionPhase::Responding;
+    }
+    if (m_parser) {
+        return ConnectionPhase::Receiving;
+    }
+    return m_connection->unsentBytes() > 0 ? ConnectionPhase::Sending : ConnectionPhase::Idle;
+}
+
+std::size_t HttpServerConnection::heldBytes() const
+{
+    return baseBytes + m_input.capacity() + (m_parser ? m_parser->heldBytes() : 0) + m_requestBytes + m_connection->bufferedBytes();
+}
+
+std::string HttpServerConnection::peerAddressText() const
+{
+    return socketAddressText(m_peerAddress);
+}
+
+bool HttpServerConnection::requestPermission(bool isNewRequest)
+{
+    if (!m_hooks) {
+        return false;
+    }
+    const Ptr self = shared_from_this();
+    const std::size_t unsent = m_connection->unsentBytes();
+    if (unsent < m_lastUnsentBytes) {
+        m_lastProgress = m_loop.now();
+    }
+    m_lastUnsentBytes = unsent;
+    ConnectionUse use;
+    use.phase = phase();
+    use.bytes = heldBytes();
+    use.peerAddress = m_peerAddress.sin_addr.s_addr;
+    use.lastProgress = m_lastProgress;
+    use.isHeldBack = m_isPaused && !m_connection->isIdle();
+    use.hasCompletedRequest = m_hasCompletedRequest;
+    use.isNewRequest = isNewRequest;
+    const ReadPermission permission = m_hooks->onUse(self, use);
+    if (m_isEnding || m_requestInProgress || m_closed) {
+        return true; // What is read meanwhile is bounded.
+    }
+    if (permission == ReadPermission::Refuse && m_parser && m_parser->hasHead()) {
+        refuseRequest();
+        return false;
+    }
+    const bool pauses = permission != ReadPermission::Read;
+    if (pauses && !m_isPaused) {
+        m_connection->setReading(false);
+    } else if (!pauses && m_isPaused) {
+        m_lastProgress = use.isHeldBack ? m_loop.now() : m_lastProgress; // The client gets the usual time to go on.
+        m_connection->setReading(m_input.size() < maxPipelinedInputBytes);
+    }
+    m_isPaused = pauses;
+    return !pauses;
+}
+
+void HttpServerConnection::reviewUse()
+{
+    if (!m_closed) {
+        requestPermission(false);
+    }
+}
+
+void HttpServerConnection::evict()
+{
+    if (m_parser && m_parser->hasHead() && !m_requestInProgress) {
+        refuseRequest();
+    } else if (!m_closed) {
+        abortAsPeerClosed();
+    }
+}
+
 void HttpServerConnection::beginRequest()
 {
     m_phaseStart = m_loop.now();
+    m_isHeadReported = false;
     m_parser.emplace(m_hooks->limits().parse);
 }
 
-void HttpServerConnection::rejectRequest(ParseState state)
+HttpRequestHead HttpServerConnection::endReading()
 {
+    HttpRequestHead head = m_parser->head();
+    m_parser.reset();
+    std::string().swap(m_input);
     m_requestInProgress = true;
     m_requestKeepsAlive = false;
     m_hasUnreadInput = true;
-    m_hooks->onMalformed(shared_from_this(), state, m_parser->head());
+    return head;
+}
+
+void HttpServerConnection::rejectRequest(ParseState state)
+{
+    const HttpRequestHead head = endReading();
+    m_hooks->onMalformed(shared_from_this(), state, head);
+}
+
+void HttpServerConnection::refuseRequest()
+{
+    const HttpRequestHead head = endReading();
+    m_hooks->onRefused(shared_from_this(), head);
 }
 
 void HttpServerConnection::dispatchRequest()
 {
     HttpRequestHead head = m_parser->head();
-    std::string body = m_parser->body();
+    std::string body = m_parser->takeBody();
+    m_requestBytes = m_parser->heldBytes() + bodyCopies * body.size();
+    m_responseHasNoBody = head.method == "HEAD";
+    if (!requestPermission(true) && m_requestInProgress) {
+        return; // It was refused: a request that runs needs more memory than one that is received.
+    }
     m_parser.reset();
+    m_isPaused = false;
+    m_connection->setReading(m_input.size() < maxPipelinedInputBytes); // The end of the connection must be noticed from now on.
+    m_hasCompletedRequest = true;
     m_requestKeepsAlive = head.keepAlive;
-    m_responseHasNoBody = head.method == "HEAD";
     m_requestInProgress = true;
     if (m_connection->isClosedByPeer()) {
         return; // A busy node may read a request after its client has left; the end of the connection is reported next.
@@ -128,7 +292,7 @@
     const Ptr self = shared_from_this();
     head.keepAlive = m_requestKeepsAlive && m_hooks->keepsConnectionsOpen();
     m_requestKeepsAlive = head.keepAlive;
-    m_connection->write(encodeHttpResponse(head, body, !m_responseHasNoBody));
+    m_connection->writeOwned(encodeHttpResponse(head, body, !m_responseHasNoBody));
     handleResponseSent();
 }
 
@@ -148,6 +312,9 @@
     if (!part.empty()) {
         m_connection->write(encodeChunk(part));
     }
+    if (m_connection->unsentBytes() > m_lastUnsentBytes + minReportedBytes) {
+        requestPermission(false);
+    }
 }
 
 void HttpServerConnection::endStream()
@@ -166,10 +333,12 @@
 void HttpServerConnection::handleResponseSent()
 {
     m_requestInProgress = false;
+    m_requestBytes = 0;
     m_onPeerClosed = nullptr;
     m_onInterrupt = nullptr;
     m_onDrained = nullptr;
     m_phaseStart = m_loop.now();
+    m_lastProgress = m_loop.now();
     m_limits = m_hooks->limits();
     if (m_hasUnreadInput) {
         closeAfterDiscardingInput();
@@ -179,11 +348,12 @@
         closeWhenSent();
         return;
     }
-    m_connection->setReading(true);
+    m_connection->setReading(m_input.size() < maxPipelinedInputBytes);
+    requestPermission(false);
     if (!m_input.empty()) {
         m_loop.post([self = shared_from_this()] {
             if (!self->m_closed && !self->m_requestInProgress) {
-                self->readRequests();
+                self->continueReading();
             }
         });
     }
@@ -210,8 +380,16 @@
     // Closing a socket with unread input resets the connection, which could destroy the response before the client has read it.
     const Ptr self = shared_from_this();
     m_requestInProgress = true;
-    m_input.clear();
+    m_isEnding = true;
+    std::string().swap(m_input);
+    requestPermission(false);
     TcpConnection::Callbacks callbacks;
+    callbacks.onData = [self](std::string_view bytes) {
+        self->m_discardedBytes += bytes.size();
+        if (self->m_discardedBytes > maxDiscardedBytes) {
+            self->m_connection->setReading(false);
+        }
+    };
     callbacks.onClosed = [self](TcpCloseReason) {
         self->close(ServerCloseReason::AfterResponse);
     };
@@ -234,6 +412,9 @@
     // Until then the owner must know the connection: a process that ends would cut off the response.
     const Ptr self = shared_from_this();
     m_requestInProgress = true;
+    m_isEnding = true;
+    std::string().swap(m_input);
+    requestPermission(false);
     TcpConnection::Callbacks callbacks;
     callbacks.onDrained = [self] {
         self->close(ServerCloseReason::AfterResponse);
@@ -279,11 +460,15 @@
 void HttpServerConnection::checkTimeouts()
 {
     m_timer = 0;
+    const absl::Duration elapsed = m_loop.now() - m_phaseStart;
+    if (!m_requestInProgress && m_parser && elapsed > std::max(m_limits.receiveTimeout, m_hooks->limits().receiveTimeout)) {
+        rejectRequest(ParseState::Head);
+        return;
+    }
     if (!m_requestInProgress && hasPendingBytes()) {
         armTimer();
         return;
     }
-    const absl::Duration elapsed = m_loop.now() - m_phaseStart;
     const bool isReadingHead = m_parser && m_parser->state() == ParseState::Head;
     // The client may rely on the limits of its last response, so lower ones apply from its next response on.
     const HttpServerLimits current = m_hooks->limits();
@@ -292,6 +477,10 @@
         return;
     }
     const absl::Duration idleTimeout = std::max(m_limits.idleTimeout, current.idleTimeout);
+    if (!m_requestInProgress && m_parser && elapsed > idleTimeout) {
+        rejectRequest(ParseState::Head);
+        return;
+    }
     if (!m_requestInProgress && elapsed > idleTimeout) {
         close(ServerCloseReason::IdleTimeout);
         return;
--- a/packages/transport/httpserverconnection.h
+++ b/packages/transport/httpserverconnection.h
@@ -6,8 +6,10 @@
 
 #include <absl/time/time.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <netinet/in.h>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,6 +22,34 @@
     ParseLimits parse;
     absl::Duration headerTimeout = absl::Seconds(10); ///< maximum time to receive the whole head of a request
     absl::Duration idleTimeout = absl::Seconds(30); ///< maximum time between requests, and to receive a whole request
+    absl::Duration receiveTimeout = absl::Seconds(60); ///< maximum time to receive a whole request, also while its bytes keep arriving
+};
+
+/// What a connection is doing.
+enum class ConnectionPhase {
+    Idle, ///< between requests
+    Receiving, ///< a part of a request has been received
+    Responding, ///< the owner has the request and has not completed its response
+    Sending, ///< the response is complete, and a part of it has not been sent
+};
+
+/// What a connection holds in memory.
+struct ConnectionUse
+{
+    ConnectionPhase phase = ConnectionPhase::Idle;
+    std::size_t bytes = 0;
+    std::uint32_t peerAddress = 0; ///< IPv4 address of the client
+    absl::Time lastProgress; ///< when the client last sent or received a byte
+    bool isHeldBack = false; ///< there is input that is not read, because the owner has paused reading
+    bool hasCompletedRequest = false; ///< a whole request has been received since the connection was opened
+    bool isNewRequest = false; ///< the head of the request has just been received, or the whole request
+};
+
+/// Whether a connection may go on reading.
+enum class ReadPermission {
+    Read,
+    Pause, ///< stops reading until reviewUse() gets another permission
+    Refuse, ///< refuses the request that is being received
 };
 
 /// Why the connection of a client was closed.
@@ -54,6 +84,12 @@
         /// valid request; the connection is closed afterwards.
         std::function<void(const Ptr &, ParseState, const HttpRequestHead &)> onMalformed;
 
+        /// Handles a request that a ReadPermission refuses, with its head. It needs a response; the connection is closed afterwards.
+        std::function<void(const Ptr &, const HttpRequestHead &)> onRefused;
+
+        /// Decides whether the connection may go on reading. Runs whenever what it holds has changed.
+        std::function<ReadPermission(const Ptr &, const ConnectionUse &)> onUse;
+
         std::function<bool()> keepsConnectionsOpen; ///< returns whether connections stay open after a response
         std::function<void(const Ptr &, ServerCloseReason)> onClosed; ///< runs once after the connection was closed, as the last callback
     };
@@ -97,6 +133,35 @@
     /// Resets the connection, so that the client cannot mistake an incomplete chunked response for a complete one.
     void abort();
 
+    /// Asks the owner again whether the connection may read, and records what it holds.
+    void reviewUse();
+
+    /// Ends the connection, which the owner cannot keep: refuses the request that is being received, or else resets the connection.
+    void evict();
+
+    /// Number of bytes that the connection holds.
+    std::size_t heldBytes() const;
+
+    /// Whether the owner has paused reading.
+    bool isPaused() const
+    {
+        return m_isPaused;
+    }
+
+    /// Returns the address of the client as "IP:port".
+    std::string peerAddressText() const;
+
+    /// A number of the owner's choice that identifies the connection.
+    std::uint64_t tag() const
+    {
+        return m_tag;
+    }
+
+    void setTag(std::uint64_t tag)
+    {
+        m_tag = tag;
+    }
+
     /// Returns the number of bytes that are not yet handed to the system.
     std::size_t unsentBytes() const
     {
@@ -113,7 +178,15 @@
     void readRequests();
     void beginRequest();
     void rejectRequest(ParseState state);
+    /// Frees what was received of a request that gets a response instead of being read further; returns its head.
+    HttpRequestHead endReading();
+    void refuseRequest();
     void dispatchRequest();
+    /// Applies the owner's decision about what the connection holds; returns whether it may read on.
+    bool requestPermission(bool isNewRequest);
+    ConnectionPhase phase() const;
+    void continueReading();
+    void handleDrained();
     void handleResponseSent();
     void handlePeerClosed();
     void closeWhenSent();
@@ -128,13 +201,23 @@
     std::shared_ptr<TcpConnection> m_connection;
     std::shared_ptr<const Hooks> m_hooks;
     HttpServerLimits m_limits; ///< as of the last response; of the start before the first one
+    sockaddr_in m_peerAddress;
+    std::uint64_t m_tag = 0;
     std::optional<HttpRequestParser> m_parser; ///< of the request that is being received
     std::string m_input; ///< input that is not parsed yet, such as pipelined requests
     std::function<void()> m_onPeerClosed;
     std::function<void()> m_onInterrupt;
     std::function<void()> m_onDrained;
+    std::size_t m_requestBytes = 0; ///< held by the owner for the request in progress
+    std::size_t m_lastUnsentBytes = 0; ///< as of the last review
+    std::size_t m_discardedBytes = 0; ///< after the response to a rejected request
     TimerId m_timer = 0;
     absl::Time m_phaseStart; ///< start of the current phase: idle, or receiving a request
+    absl::Time m_lastProgress; ///< when the client last sent or received a byte
+    bool m_isPaused = false; ///< by the owner, through a ReadPermission
+    bool m_isHeadReported = false; ///< the owner knows the head of the request that is being received
+    bool m_hasCompletedRequest = false;
+    bool m_isEnding = false; ///< no request is read any more
     bool m_requestInProgress = false;
     bool m_requestKeepsAlive = true;
     bool m_responseHasNoBody = false;
--- a/packages/transport/tcpconnection.cpp
+++ b/packages/transport/tcpconnection.cpp
@@ -148,12 +148,7 @@
         m_unsent.append(bytes);
         return;
     }
-    const ssize_t n = send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    const std::size_t sent = n > 0 ? static_cast<std::size_t>(n) : 0;
-    if (n < 0 && errno != EAGAIN && errno != EINTR) {
-        // An epoll event reports the reset. Handling it here would run a callback while the caller is still writing.
-        return;
-    }
+    const std::size_t sent = sendNow(bytes);
     if (sent < bytes.size()) {
         m_unsent.assign(bytes.substr(sent));
         m_unsentOffset = 0;
@@ -161,6 +156,33 @@
     }
 }
 
+void TcpConnection::writeOwned(std::string bytes)
+{
+    if (m_descriptor < 0 || m_closeAfterFlush) {
+        return;
+    }
+    if (unsentBytes() > 0) {
+        m_unsent.append(bytes);
+        return;
+    }
+    const std::size_t sent = m_connecting ? 0 : sendNow(bytes);
+    if (sent < bytes.size()) {
+        m_unsent = std::move(bytes);
+        m_unsentOffset = sent;
+        updateEvents();
+    }
+}
+
+std::size_t TcpConnection::sendNow(std::string_view bytes) const
+{
+    const ssize_t n = send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (n < 0 && errno != EAGAIN && errno != EINTR) {
+        // An epoll event reports the reset. Handling it here would run a callback while the caller is still writing.
+        return bytes.size();
+    }
+    return n > 0 ? static_cast<std::size_t>(n) : 0;
+}
+
 void TcpConnection::flush()
 {
     while (m_descriptor >= 0 && unsentBytes() > 0) {
@@ -177,7 +199,7 @@
         return;
     }
     const bool hadUnsentBytes = !m_unsent.empty();
-    m_unsent.clear();
+    std::string().swap(m_unsent); // Idle connections hold no buffer.
     m_unsentOffset = 0;
     if (m_closeAfterFlush) {
         closeDescriptor();
@@ -225,6 +247,22 @@
     updateEvents();
 }
 
+void TcpConnection::setSystemBuffers(int bytes) const
+{
+    setOption(m_descriptor, SOL_SOCKET, SO_RCVBUF, bytes);
+    setOption(m_descriptor, SOL_SOCKET, SO_SNDBUF, bytes);
+}
+
+sockaddr_in TcpConnection::peerAddress() const
+{
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    if (m_descriptor < 0 || getpeername(m_descriptor, reinterpret_cast<sockaddr *>(&address), &length) != 0) {
+        return sockaddr_in{};
+    }
+    return address;
+}
+
 void TcpConnection::close()
 {
     if (m_descriptor < 0) {
--- a/packages/transport/tcpconnection.h
+++ b/packages/transport/tcpconnection.h
@@ -70,9 +70,24 @@
         return m_unsent.size() - m_unsentOffset;
     }
 
+    /// Sends \a bytes like write(), and buffers them without another copy.
+    void writeOwned(std::string bytes);
+
+    /// Returns the size of the buffer that holds them, which is larger while it is being sent.
+    std::size_t bufferedBytes() const
+    {
+        return m_unsent.capacity();
+    }
+
     /// Pauses or resumes reading. An accepted connection detects a close by the peer even while reading is paused.
     void setReading(bool reading);
 
+    /// Limits what the system buffers for this connection in each direction, in bytes.
+    void setSystemBuffers(int bytes) const;
+
+    /// The IPv4 address and the port of the peer; zero if it is not known.
+    sockaddr_in peerAddress() const;
+
     /// Closes the connection in order after the buffered bytes were sent.
     void close();
 
@@ -103,6 +118,8 @@
     /// Reads once, so that a peer that sends fast does not keep the loop from its timers and other descriptors. The loop calls again
     /// while there is more.
     void readOnce();
+    /// Hands bytes to the system; returns how many need not be buffered.
+    std::size_t sendNow(std::string_view bytes) const;
     void flush();
     void updateEvents();
     void handleClosed(TcpCloseReason reason);
--- a/packages/transport/tcplistener.cpp
+++ b/packages/transport/tcplistener.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/socketaddress.h"
 
+#include <cerrno>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -14,6 +15,9 @@
 
 constexpr int backlog = 512;
 
+/// Time until the next attempt to accept after one that failed for lack of descriptors or memory.
+constexpr absl::Duration acceptRetryInterval = absl::Milliseconds(50);
+
 }
 
 TcpListener::TcpListener(EventLoop &loop, const std::string &address, AddressSharing sharing, const TcpTimeouts &timeouts,
@@ -53,8 +57,20 @@
     return ntohs(address.sin_port);
 }
 
+void TcpListener::pauseAccepting()
+{
+    // The connection stays in the backlog, so epoll would report it again and again.
+    m_loop.changeEvents(m_descriptor, 0);
+    m_loop.cancel(m_retryTimer);
+    m_retryTimer = m_loop.after(acceptRetryInterval, [this] {
+        m_retryTimer = 0;
+        m_loop.changeEvents(m_descriptor, EPOLLIN);
+    });
+}
+
 void TcpListener::close()
 {
+    m_loop.cancel(std::exchange(m_retryTimer, 0));
     if (m_descriptor >= 0) {
         m_loop.unwatch(m_descriptor);
         ::close(std::exchange(m_descriptor, -1));
@@ -65,6 +81,9 @@
 {
     while (m_descriptor >= 0) {
         const int descriptor = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0 && (errno == EMFILE || errno == ENFILE || errno == ENOMEM || errno == ENOBUFS)) {
+            pauseAccepting();
+        }
         if (descriptor < 0) {
             return;
         }
--- a/packages/transport/tcplistener.h
+++ b/packages/transport/tcplistener.h
@@ -46,10 +46,13 @@
     void close();
 
 private:
+    void pauseAccepting();
+
     EventLoop &m_loop;
     TcpTimeouts m_timeouts;
     AcceptHandler m_onAccepted;
     int m_descriptor = -1;
+    TimerId m_retryTimer = 0;
 };
 
 }
--- a/packages/transport/tests/exchange/testserverconnection.cpp
+++ b/packages/transport/tests/exchange/testserverconnection.cpp
@@ -54,6 +54,7 @@
         while ((n = recv(m_descriptor, buf, sizeof(buf), MSG_DONTWAIT)) > 0) {
             m_received.append(buf, static_cast<std::size_t>(n));
         }
+        m_endedInOrder = m_endedInOrder || n == 0;
         m_ended = m_ended || n == 0 || (errno != EAGAIN && errno != EINTR);
     }
 
@@ -75,6 +76,12 @@
         return m_ended;
     }
 
+    /// Whether the end that isEnded() reports was no reset.
+    bool hasEndedInOrder() const
+    {
+        return m_endedInOrder;
+    }
+
     const std::string &received() const
     {
         return m_received;
@@ -84,6 +91,7 @@
     int m_descriptor;
     std::string m_received;
     bool m_ended = false;
+    bool m_endedInOrder = false;
 };
 
 /// Fixture: a listener whose limits a test changes, and which answers each request at once.
@@ -101,8 +109,14 @@
             return limits;
         };
         hooks.onRequest = [this](const HttpServerConnection::Ptr &connection, const HttpRequestHead &, const std::string &) {
+            ++requestCount;
             respond(connection);
         };
+        hooks.onUse = [this](const HttpServerConnection::Ptr &connection, const ConnectionUse &use) {
+            lastConnection = connection;
+            lastUse = use;
+            return permission(use);
+        };
         hooks.keepsConnectionsOpen = [this] {
             return keepsConnectionsOpen;
         };
@@ -137,6 +151,12 @@
     EventLoop events;
     HttpServerLimits limits;
     bool keepsConnectionsOpen = true;
+    int requestCount = 0;
+    HttpServerConnection::Ptr lastConnection;
+    ConnectionUse lastUse;
+    std::function<ReadPermission(const ConnectionUse &)> permission = [](const ConnectionUse &) {
+        return ReadPermission::Read;
+    };
     std::function<void(const HttpServerConnection::Ptr &)> respond = [](const HttpServerConnection::Ptr &connection) {
         connection->respond(HttpResponseHead{200, "OK", {}, true, false}, "ok");
     };
@@ -291,4 +311,101 @@
     BOOST_TEST(std::count_if(clients.begin(), clients.end(), [](const auto &it) { return it->responseCount() == 2; }) == 200);
 }
 
+/// Guards against a refusal that the client never sees, because the connection is reset while it goes on sending.
+BOOST_AUTO_TEST_CASE(aRefusedBodyGetsItsWholeResponse)
+{
+    limits.parse.bodyBytes = 1000;
+    for (const std::string head : {"Content-Length: 10000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n5000\r\n"}) {
+        RawClient client(listener->port());
+        client.send("POST /x HTTP/1.1\r\nHost: h\r\n" + head);
+        for (int i = 0; i < 10; ++i) {
+            client.send(std::string(1900, 'x'));
+            runFor(absl::Milliseconds(2));
+        }
+        runUntil([&] { return client.isEnded(); });
+        BOOST_TEST(client.received().starts_with("HTTP/1.1 413 "));
+        BOOST_TEST(client.received().ends_with("not received in time\n"));
+        BOOST_TEST(client.hasEndedInOrder());
+    }
+    BOOST_TEST(requestCount == 0);
+}
+
+/// Guards against responses that pile up for a client that sends requests and does not read.
+BOOST_AUTO_TEST_CASE(aPipelinedRequestWaitsUntilTheResponseBeforeItIsSent)
+{
+    const std::string hugeBody(16'000'000, 'a');
+    respond = [&](const HttpServerConnection::Ptr &connection) {
+        connection->respond(HttpResponseHead{200, "OK", {}, true, false}, hugeBody);
+    };
+    RawClient client(listener->port());
+    client.send(getRequest + getRequest);
+    runFor(absl::Milliseconds(100));
+    BOOST_TEST(requestCount == 1);
+    BOOST_TEST((lastUse.phase == ConnectionPhase::Sending));
+    BOOST_TEST(lastUse.bytes > hugeBody.size());
+    runUntil([&] { return client.responseCount() == 2; });
+}
+
+/// Guards against a body that trickles in for as long as the client likes.
+BOOST_AUTO_TEST_CASE(aRequestMustArriveWithinItsTimeEvenIfItsBytesKeepArriving)
+{
+    limits.receiveTimeout = absl::Milliseconds(60);
+    RawClient client(listener->port());
+    client.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+    runUntil([&] {
+        if (client.responseCount() == 0) {
+            client.send("x");
+        }
+        return client.responseCount() > 0 || client.isEnded();
+    });
+    BOOST_TEST(client.received().starts_with("HTTP/1.1 408 "));
+}
+
+/// Guards against a connection that holds more after its owner has told it to stop, or never goes on.
+BOOST_AUTO_TEST_CASE(aPausedConnectionReadsNothingUntilItIsAllowedTo)
+{
+    bool pauses = true;
+    permission = [&](const ConnectionUse &use) {
+        return pauses && use.bytes > 10'000 ? ReadPermission::Pause : ReadPermission::Read;
+    };
+    RawClient client(listener->port());
+    client.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + std::string(10'000, 'x'));
+    runFor(absl::Milliseconds(20));
+    const std::size_t held = lastUse.bytes;
+    client.send(std::string(90'000, 'x'));
+    runFor(absl::Milliseconds(20));
+    lastConnection->reviewUse();
+    BOOST_TEST(lastConnection->isPaused());
+    BOOST_TEST(lastUse.bytes == held);
+    pauses = false;
+    lastConnection->reviewUse();
+    runUntil([&] { return client.responseCount() == 1; });
+    BOOST_TEST(requestCount == 1);
+}
+
+/// Guards against a request that is refused for lack of memory and reaches the owner all the same.
+BOOST_AUTO_TEST_CASE(aRequestForWhichThereIsNoMemoryIsRefused)
+{
+    permission = [&](const ConnectionUse &use) {
+        return use.isNewRequest ? ReadPermission::Refuse : ReadPermission::Read;
+    };
+    RawClient client(listener->port());
+    client.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n12345");
+    runUntil([&] { return client.isEnded(); });
+    BOOST_TEST(client.received().starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(requestCount == 0);
+}
+
+/// Guards against buffers that idle connections keep, which thousands of silent callers would add up.
+BOOST_AUTO_TEST_CASE(anIdleConnectionHoldsNoBuffer)
+{
+    RawClient client(listener->port());
+    client.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n" + std::string(30'000, 'x'));
+    runUntil([&] { return client.responseCount() == 1; });
+    runFor(absl::Milliseconds(5));
+    lastConnection->reviewUse();
+    BOOST_TEST((lastUse.phase == ConnectionPhase::Idle));
+    BOOST_TEST(lastUse.bytes < 5000U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/callerlimits/testcallerlimits.cpp
+++ b/tests/callerlimits/testcallerlimits.cpp
@@ -215,4 +215,18 @@
     check(700, CrowdScript{});
 }
 
+/// Guards against limits that refuse the largest body which the desired state allows, while bodies that stopped hold memory.
+BOOST_AUTO_TEST_CASE(aBodyOfTheLargestSizeIsServedBesideBodiesThatStopped)
+{
+    constexpr int largestBodyBytes = 4 << 20;
+    Json desired = desiredState(4);
+    desired["limits"]["max-body-bytes"] = largestBodyBytes;
+    platform.store.put("config", "main", desired);
+    Crowd crowd(callerAddress, 60, CrowdScript{chunkedHead, chunkOf(65536), maxBodyBytes / 65536});
+    crowd.send(sendSilence);
+    const std::string body(largestBodyBytes, 'b');
+    BOOST_TEST(eventually([&] { return HttpClient::call(makeCall("http://" + callerAddress + "/read/x", body)).status == 200; }));
+    checkNode();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
