entry: Keep connections whose request has begun to run since they were chosen

A connection is chosen to be closed on one thread and closed on another. In between, its caller can complete a request, which then runs at an engine; closing it would lose a call that a caller within the limits has made. Read in the code, not observed. The guard now asks the account again before it closes a connection, and a limit per address never closes a connection whose request an engine may be running.

--- a/packages/apricotladderd/entry/calleraccount.cpp
+++ b/packages/apricotladderd/entry/calleraccount.cpp
@@ -77,9 +77,14 @@
     return found;
 }
 
+bool CallerAccount::mayClose(CallerConnectionId connection) const
+{
+    return m_connections.find(connection)->phase != CallerPhase::Running || mayCloseRunning(m_limits, totalBytes());
+}
+
 CallerRelief CallerAccount::relieve(absl::Time now)
 {
-    const CallerRelief relief = chooseRelief(m_limits, totalBytes(), connections(), now);
+    CallerRelief relief = chooseRelief(m_limits, totalBytes(), connections(), now);
     m_preferred.store(relief->preferred.value_or(0), std::memory_order_relaxed);
     return relief;
 }
--- a/packages/apricotladderd/entry/calleraccount.h
+++ b/packages/apricotladderd/entry/calleraccount.h
@@ -34,6 +34,9 @@
     /// Removes a connection. Does nothing if it is not known.
     void remove(CallerConnectionId connection);
 
+    /// Whether a connection that was chosen some time ago may still be closed: an engine may be running its request by now.
+    bool mayClose(CallerConnectionId connection) const;
+
     /// Chooses what to do about the bytes in use, and sets the preferred connection.
     CallerRelief relieve(absl::Time now);
 
--- a/packages/apricotladderd/entry/callerguard.cpp
+++ b/packages/apricotladderd/entry/callerguard.cpp
@@ -136,7 +136,7 @@
 void CallerGuard::close(CallerConnectionId connection, CallerCloseReason reason)
 {
     const auto it = m_connections.find(connection);
-    if (it == m_connections.end()) {
+    if (it == m_connections.end() || !m_account.mayClose(connection)) {
         return;
     }
     const HttpServerConnection::Ptr found = it->second;
--- a/packages/coordination/callermemory.cpp
+++ b/packages/coordination/callermemory.cpp
@@ -112,6 +112,11 @@
     return totalBytes > part(limits->totalBytes, pauseFraction);
 }
 
+bool mayCloseRunning(const CallerMemoryLimits &limits, std::size_t totalBytes)
+{
+    return totalBytes > closeLevel(CloseOrder::Running, limits->totalBytes);
+}
+
 CallerRelief chooseRelief(const CallerMemoryLimits &limits, std::size_t totalBytes, const std::vector<CallerConnection> &connections,
                           absl::Time now)
 {
@@ -136,7 +141,7 @@
         const CloseOrder order = closeOrderOf(*it, now);
         std::size_t &ofAddress = addressBytes[(*it)->address];
         const bool isOver = mustClose(order, limits->totalBytes, totalBytes, remaining)
-            || mustClose(order, limits->addressBytes, initialAddressBytes.at((*it)->address), ofAddress);
+            || (order != CloseOrder::Running && mustClose(order, limits->addressBytes, initialAddressBytes.at((*it)->address), ofAddress));
         if ((*it)->bytes >= minClosedBytes && isOver) {
             relief.closed.push_back((*it)->id);
             remaining -= std::min(remaining, (*it)->bytes);
--- a/packages/coordination/callermemory.h
+++ b/packages/coordination/callermemory.h
@@ -108,9 +108,12 @@
 /// Whether \a totalBytes in use need a CallerRelief, also if no connection is paused.
 bool needsRelief(const CallerMemoryLimits &limits, std::size_t totalBytes);
 
+/// Whether connections may be closed although engines may be running their requests.
+bool mayCloseRunning(const CallerMemoryLimits &limits, std::size_t totalBytes);
+
 /// Chooses what to do about \a totalBytes in use by \a connections and by answers that are being read. Connections that hold bytes and make
 /// no progress are closed first, those with most bytes for longest before others; then, above a limit, those that make progress; and those
-/// whose request an engine may be running only if the others do not suffice and a limit is exceeded by far.
+/// whose request an engine may be running only if the others do not suffice and the limit of the total is exceeded by far.
 CallerRelief chooseRelief(const CallerMemoryLimits &limits, std::size_t totalBytes, const std::vector<CallerConnection> &connections,
                           absl::Time now);
 
--- a/packages/coordination/tests/entry/testcallermemory.cpp
+++ b/packages/coordination/tests/entry/testcallermemory.cpp
@@ -69,6 +69,9 @@
     BOOST_TEST(more->closed == std::vector<CallerConnectionId>({4, 3}), boost::test_tools::per_element());
     const CallerRelief all = chooseRelief(wide, 60 * mib, connections, now);
     BOOST_TEST(all->closed == std::vector<CallerConnectionId>({4, 3, 2, 1}), boost::test_tools::per_element());
+    const CallerMemoryLimits narrow = limits.with(&CallerMemoryLimitsFields::addressBytes, mib);
+    BOOST_TEST(chooseRelief(narrow, 28 * mib, connections, now)->closed == std::vector<CallerConnectionId>({4, 3, 2}),
+               boost::test_tools::per_element());
 }
 
 /// Guards against a caller that is closed for a silence which the node itself has caused by not reading.
