coordination: Let one large request go on when all are held back without room

All 60 connections of the crowd were still open (80 descriptors), so none had counted as stalled: their input waited unread at the node.

Cause, as read in the code: several connections read at the same moment and pass the level at which reading pauses, together by more than the room up to 7/10 that a preferred connection needs. Then none was preferred, and all waited until their time to arrive was over. Now one is preferred without room, unless another large request is being read, which makes progress or counts as stalled after a second.

Ruled out: a refusal when the body is complete (the crowd would have shrunk).

--- a/packages/coordination/callermemory.cpp
+++ b/packages/coordination/callermemory.cpp
@@ -136,7 +136,8 @@
     const absl::flat_hash_map<std::uint32_t, std::size_t> initialAddressBytes = addressBytes;
     CallerReliefFields relief;
     std::size_t remaining = totalBytes;
-    std::size_t preferredBytes = 0;
+    const CallerConnection *candidate = nullptr;
+    bool hasActive = false; // A large request is being read: it makes progress, or will count as stalled soon.
     for (const CallerConnection *it : ordered) {
         const CloseOrder order = closeOrderOf(*it, now);
         std::size_t &ofAddress = addressBytes[(*it)->address];
@@ -148,13 +149,20 @@
             ofAddress -= (*it)->bytes;
             continue;
         }
-        const bool hasRoom
-            = remaining <= part(limits->totalBytes, preferFraction) && ofAddress <= part(limits->addressBytes, preferFraction);
-        if (hasRoom && (*it)->isHeldBack && (*it)->phase == CallerPhase::Receiving && (*it)->bytes > preferredBytes) {
-            relief.preferred = (*it)->id; // The largest one is closest to its end.
-            preferredBytes = (*it)->bytes;
+        const bool isReceiving = (*it)->phase == CallerPhase::Receiving;
+        hasActive = hasActive || (isReceiving && !(*it)->isHeldBack && (*it)->bytes > smallRequestBytes);
+        if (isReceiving && (*it)->isHeldBack && (candidate == nullptr || (*it)->bytes > (*candidate)->bytes)) {
+            candidate = it; // The largest one is closest to its end.
         }
     }
+    const auto hasRoom = [&](const CallerConnection &it) {
+        return remaining <= part(limits->totalBytes, preferFraction)
+            && addressBytes[it->address] <= part(limits->addressBytes, preferFraction);
+    };
+    // If no other one is being read, one must go on even without room: they would all wait for each other.
+    if (candidate != nullptr && (!hasActive || hasRoom(*candidate))) {
+        relief.preferred = (*candidate)->id;
+    }
     return CallerRelief(relief);
 }
 
--- a/packages/coordination/tests/entry/testcallermemory.cpp
+++ b/packages/coordination/tests/entry/testcallermemory.cpp
@@ -84,6 +84,16 @@
     BOOST_TEST(relief->preferred.value_or(0) == 1U);
 }
 
+/// Guards against large requests that all wait for each other because together they have used up the room for one.
+BOOST_AUTO_TEST_CASE(oneOfTheConnectionsThatAreHeldBackGoesOnEvenWithoutRoom)
+{
+    std::vector<CallerConnection> connections{connection(1, CallerPhase::Receiving, 13 * mib, absl::ZeroDuration(), true),
+                                              connection(2, CallerPhase::Receiving, 12 * mib, absl::ZeroDuration(), true)};
+    BOOST_TEST(chooseRelief(limits, 25 * mib, connections, now)->preferred.value_or(0) == 1U);
+    connections.push_back(connection(3, CallerPhase::Receiving, mib, absl::ZeroDuration()));
+    BOOST_TEST(!chooseRelief(limits, 26 * mib, connections, now)->preferred.has_value());
+}
+
 /// Guards against callers of one address that keep their memory while the total is far from its limit.
 BOOST_AUTO_TEST_CASE(stalledConnectionsOfAnAddressAboveItsLimitAreClosed)
 {
