--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -38,6 +38,9 @@
     void start();
 
 private:
+    /// Retry-After of a call that is refused after an engine failure. \see ReturnSchedule for calls that find no capacity
+    static constexpr absl::Duration shortRetryAfter = absl::Milliseconds(50);
+
     ModelDemand makeDemand(absl::Duration maxWait) const;
     void requestPlacement(absl::Duration maxWait);
     void handlePlacement(const ModelPlacement &placement);
