--- a/packages/apricotladderd/entry/entrymetrics.cpp
+++ b/packages/apricotladderd/entry/entrymetrics.cpp
@@ -127,7 +127,7 @@
 
 std::string EntryMetrics::recordAllowance(const std::string &workspace, double ratePerSecond)
 {
-    const std::string label = m_workspaceLabels.label(workspace);
+    std::string label = m_workspaceLabels.label(workspace);
     if (label == workspace) {
         m_allowanceRates.Add({{"workspace", label}}).Set(ratePerSecond);
     }
--- a/packages/coordination/allowancerecord.h
+++ b/packages/coordination/allowancerecord.h
@@ -8,7 +8,6 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
-#include <utility>
 
 namespace Apricot {
 
@@ -61,7 +60,7 @@
 {
 public:
     AllowanceRecord(AllowanceBucket initialBucket, absl::Time now)
-        : bucket(std::move(initialBucket))
+        : bucket(initialBucket)
         , m_lastActivity(now)
     {
     }
