coordination: Replace idle connections before new and progressing ones

With the connection table full, a caller that had just connected, or one whose upload made progress, was closed for the next new connection, while connections that nobody had used for up to 29 s were kept. An ordinary caller saw a reset, or 503 for its upload.

Cause: the order of replacement put every connection without a completed request first. Now these come first only after 1 s of silence, or if they are more than half of all: a flood of silent connections must still displace itself. Idle ones come next, by age.

The case aNewConnectionReplacesAnIdleOneBeforeNewOrProgressingOnes fails with the former choice (it closed an upload that the node held back, connection 5 instead of 1). The case for a flood passes with both.

Run: the cases of testcallermemory.

--- a/packages/apricotladderd/entry/calleraccount.cpp
+++ b/packages/apricotladderd/entry/calleraccount.cpp
@@ -89,9 +89,9 @@
     return relief;
 }
 
-std::optional<CallerConnectionId> CallerAccount::takeForNewConnection()
+std::optional<CallerConnectionId> CallerAccount::takeForNewConnection(absl::Time now)
 {
-    const std::optional<CallerConnectionId> chosen = chooseForNewConnection(connections());
+    const std::optional<CallerConnectionId> chosen = chooseForNewConnection(connections(), now);
     if (chosen) {
         remove(*chosen);
     }
--- a/packages/apricotladderd/entry/calleraccount.h
+++ b/packages/apricotladderd/entry/calleraccount.h
@@ -42,7 +42,7 @@
 
     /// Removes the connection that is to be closed for a new one and returns it; std::nullopt if none may be closed. It no longer counts
     /// even if its own thread closes it later, so that each new connection replaces another one.
-    std::optional<CallerConnectionId> takeForNewConnection();
+    std::optional<CallerConnectionId> takeForNewConnection(absl::Time now);
 
     const CallerMemoryLimits &limits() const
     {
--- a/packages/apricotladderd/entry/callerguard.cpp
+++ b/packages/apricotladderd/entry/callerguard.cpp
@@ -89,7 +89,7 @@
 {
     connection->setTag((m_index << indexShift) | ++m_lastConnection);
     if (m_account.isFull()) {
-        const std::optional<CallerConnectionId> replaced = m_account.takeForNewConnection();
+        const std::optional<CallerConnectionId> replaced = m_account.takeForNewConnection(m_loop.now());
         if (!replaced) {
             m_metrics.countCallerRefusal("connections");
             report("call.overlimit", "connections", *connection);
--- a/packages/coordination/callermemory.cpp
+++ b/packages/coordination/callermemory.cpp
@@ -48,6 +48,9 @@
 /// Order in which groups of connections are closed.
 enum class CloseOrder : std::uint8_t { Stalled, Progressing, Running };
 
+/// Order in which groups of connections give way to new ones.
+enum class ReplaceOrder : std::uint8_t { Unproven, Idle, Other };
+
 /// Time without progress. A connection that is held back could not make any, so that it does not count as stalled.
 absl::Duration stalledFor(const CallerConnection &connection, absl::Time now)
 {
@@ -166,11 +169,23 @@
     return CallerRelief(relief);
 }
 
-std::optional<CallerConnectionId> chooseForNewConnection(const std::vector<CallerConnection> &connections)
+std::optional<CallerConnectionId> chooseForNewConnection(const std::vector<CallerConnection> &connections, absl::Time now)
 {
+    const auto unproven = std::count_if(connections.begin(), connections.end(), [](const CallerConnection &it) {
+        return !it->hasCompletedRequest && it->phase != CallerPhase::Running;
+    });
+    // Silent connections that are opened faster than they count as silent must not displace everybody.
+    const bool isFlood = 2 * static_cast<std::size_t>(unproven) > connections.size();
+    const auto order = [&](const CallerConnection &it) {
+        if (!it->hasCompletedRequest) {
+            const bool isSilent = stalledFor(it, now) >= stallTime;
+            return isSilent || (isFlood && !it->isHeldBack) ? ReplaceOrder::Unproven : ReplaceOrder::Other;
+        }
+        return it->phase == CallerPhase::Idle ? ReplaceOrder::Idle : ReplaceOrder::Other;
+    };
     const CallerConnection *chosen = nullptr;
-    const auto key = [](const CallerConnection &it) {
-        return std::tuple(it->hasCompletedRequest, it->lastProgress, it->id);
+    const auto key = [&](const CallerConnection &it) {
+        return std::tuple(order(it), it->lastProgress, it->id);
     };
     for (const CallerConnection &it : connections) {
         if (it->phase != CallerPhase::Running && (chosen == nullptr || key(it) < key(*chosen))) {
--- a/packages/coordination/callermemory.h
+++ b/packages/coordination/callermemory.h
@@ -117,9 +117,10 @@
 CallerRelief chooseRelief(const CallerMemoryLimits &limits, std::size_t totalBytes, const std::vector<CallerConnection> &connections,
                           absl::Time now);
 
-/// Chooses the connection to close for a new one when the maximum number of connections is reached: the one that has been without progress
-/// for longest, those that have never completed a request first; std::nullopt if engines may be running the requests of all.
-std::optional<CallerConnectionId> chooseForNewConnection(const std::vector<CallerConnection> &connections);
+/// Chooses the connection to close for a new one when \a connections are as many as there may be: first those that have never completed a
+/// request and have been silent for a second, then idle ones, then the others, each by the time without progress. Those that have never
+/// completed a request go before all others if they are more than half. Returns std::nullopt if engines may be running all requests.
+std::optional<CallerConnectionId> chooseForNewConnection(const std::vector<CallerConnection> &connections, absl::Time now);
 
 /// Returns the maximum number of connections of callers for a process that may open \a descriptors: half of what files leave, so that each
 /// call can have a connection to an engine, peers and the store included.
--- a/packages/coordination/tests/entry/testcallermemory.cpp
+++ b/packages/coordination/tests/entry/testcallermemory.cpp
@@ -111,9 +111,36 @@
     CallerConnection silent
         = connection(2, CallerPhase::Idle, 0, absl::Seconds(5)).with(&CallerConnectionFields::hasCompletedRequest, false);
     CallerConnection running = connection(3, CallerPhase::Running, 0, absl::Seconds(90));
-    BOOST_TEST(chooseForNewConnection({served, silent, running}).value_or(0) == 2U);
-    BOOST_TEST(chooseForNewConnection({served, running}).value_or(0) == 1U);
-    BOOST_TEST(!chooseForNewConnection({running}).has_value());
+    BOOST_TEST(chooseForNewConnection({served, silent, running}, now).value_or(0) == 2U);
+    BOOST_TEST(chooseForNewConnection({served, running}, now).value_or(0) == 1U);
+    BOOST_TEST(!chooseForNewConnection({running}, now).has_value());
+}
+
+/// Guards against a new caller, or one that is uploading, that is closed while connections are kept that nobody uses.
+BOOST_AUTO_TEST_CASE(aNewConnectionReplacesAnIdleOneBeforeNewOrProgressingOnes)
+{
+    const CallerConnection idle = connection(1, CallerPhase::Idle, 0, absl::Seconds(29));
+    const CallerConnection laterIdle = connection(2, CallerPhase::Idle, 0, absl::Seconds(20));
+    const CallerConnection fresh
+        = connection(3, CallerPhase::Idle, 0, absl::Milliseconds(5)).with(&CallerConnectionFields::hasCompletedRequest, false);
+    const CallerConnection upload
+        = connection(4, CallerPhase::Receiving, mib, absl::Milliseconds(50)).with(&CallerConnectionFields::hasCompletedRequest, false);
+    const CallerConnection heldBack
+        = connection(5, CallerPhase::Receiving, mib, absl::Seconds(9), true).with(&CallerConnectionFields::hasCompletedRequest, false);
+    BOOST_TEST(chooseForNewConnection({fresh, upload, heldBack, laterIdle, idle, idle}, now).value_or(0) == 1U);
+    BOOST_TEST(chooseForNewConnection({fresh, upload}, now).value_or(0) == 4U);
+}
+
+/// Guards against a flood of connections that send nothing and are opened faster than they count as silent.
+BOOST_AUTO_TEST_CASE(connectionsWithoutARequestReplaceEachOtherWhenTheyAreMoreThanHalf)
+{
+    std::vector<CallerConnection> connections{connection(1, CallerPhase::Idle, 0, absl::Seconds(29)),
+                                              connection(2, CallerPhase::Idle, 0, absl::Seconds(20))};
+    for (CallerConnectionId id = 3; id < 6; ++id) {
+        connections.push_back(connection(id, CallerPhase::Idle, 0, absl::Milliseconds(10 * (10 - id)))
+                                  .with(&CallerConnectionFields::hasCompletedRequest, false));
+    }
+    BOOST_TEST(chooseForNewConnection(connections, now).value_or(0) == 3U);
 }
 
 BOOST_AUTO_TEST_CASE(theConnectionLimitLeavesHalfOfTheDescriptors)
