coordination: Keep the preferred body while it makes progress

Above the level at which reading pauses, one large body is read at a time.

Cause: chooseRelief did not know which connection was preferred, and considered only those that are held back. It is now told, and keeps the preferred one while it receives a request and is not stalled. Above the limit, where connections that make progress are closed, the preferred one is closed last of these, so that it can finish; it was closed first because it is the largest.

thePreferredConnectionStaysSoWhileItMakesProgress and thePreferredConnectionIsClosedAfterOthersThatMakeProgress fail with the former choice (four checks). The existing cases pass the new argument; their checks are unchanged.

Known limit: a preferred body that trickles in keeps its preference until callerReceiveS.

--- a/packages/apricotladderd/entry/calleraccount.cpp
+++ b/packages/apricotladderd/entry/calleraccount.cpp
@@ -84,7 +84,9 @@
 
 CallerRelief CallerAccount::relieve(absl::Time now)
 {
-    CallerRelief relief = chooseRelief(m_limits, totalBytes(), connections(), now);
+    const CallerConnectionId preferred = m_preferred.load(std::memory_order_relaxed);
+    CallerRelief relief
+        = chooseRelief(m_limits, totalBytes(), connections(), preferred == 0 ? std::nullopt : std::optional(preferred), now);
     m_preferred.store(relief->preferred.value_or(0), std::memory_order_relaxed);
     return relief;
 }
--- a/packages/coordination/callermemory.cpp
+++ b/packages/coordination/callermemory.cpp
@@ -121,7 +121,7 @@
 }
 
 CallerRelief chooseRelief(const CallerMemoryLimits &limits, std::size_t totalBytes, const std::vector<CallerConnection> &connections,
-                          absl::Time now)
+                          std::optional<CallerConnectionId> preferred, absl::Time now)
 {
     std::vector<const CallerConnection *> ordered;
     absl::flat_hash_map<std::uint32_t, std::size_t> addressBytes;
@@ -133,8 +133,8 @@
         return static_cast<double>(it->bytes) * absl::ToDoubleSeconds(stalledFor(it, now) + stallTime);
     };
     std::sort(ordered.begin(), ordered.end(), [&](const CallerConnection *left, const CallerConnection *right) {
-        return std::tuple(closeOrderOf(*left, now), -weight(*left), (*left)->id)
-            < std::tuple(closeOrderOf(*right, now), -weight(*right), (*right)->id);
+        return std::tuple(closeOrderOf(*left, now), (*left)->id == preferred, -weight(*left), (*left)->id)
+            < std::tuple(closeOrderOf(*right, now), (*right)->id == preferred, -weight(*right), (*right)->id);
     });
     const absl::flat_hash_map<std::uint32_t, std::size_t> initialAddressBytes = addressBytes;
     CallerReliefFields relief;
@@ -153,6 +153,9 @@
             continue;
         }
         const bool isReceiving = (*it)->phase == CallerPhase::Receiving;
+        if ((*it)->id == preferred && isReceiving && order == CloseOrder::Progressing) {
+            relief.preferred = preferred; // Bodies that took turns would all grow, until there is room for none.
+        }
         hasActive = hasActive || (isReceiving && !(*it)->isHeldBack && (*it)->bytes > smallRequestBytes);
         if (isReceiving && (*it)->isHeldBack && (candidate == nullptr || (*it)->bytes > (*candidate)->bytes)) {
             candidate = it; // The largest one is closest to its end.
@@ -163,7 +166,7 @@
             && addressBytes[it->address] <= part(limits->addressBytes, preferFraction);
     };
     // If no other one is being read, one must go on even without room: they would all wait for each other.
-    if (candidate != nullptr && (!hasActive || hasRoom(*candidate))) {
+    if (!relief.preferred && candidate != nullptr && (!hasActive || hasRoom(*candidate))) {
         relief.preferred = (*candidate)->id;
     }
     return CallerRelief(relief);
--- a/packages/coordination/callermemory.h
+++ b/packages/coordination/callermemory.h
@@ -113,9 +113,11 @@
 
 /// Chooses what to do about \a totalBytes in use by \a connections and by answers that are being read. Connections that hold bytes and make
 /// no progress are closed first, those with most bytes for longest before others; then, above a limit, those that make progress; and those
-/// whose request an engine may be running only if the others do not suffice and the limit of the total is exceeded by far.
+/// whose request an engine may be running only if the others do not suffice and the limit of the total is exceeded by far. \a preferred is
+/// the connection that has been preferred so far: it stays so while it receives a request and makes progress, and is closed after the
+/// others that do.
 CallerRelief chooseRelief(const CallerMemoryLimits &limits, std::size_t totalBytes, const std::vector<CallerConnection> &connections,
-                          absl::Time now);
+                          std::optional<CallerConnectionId> preferred, absl::Time now);
 
 /// Chooses the connection to close for a new one when \a connections are as many as there may be: first those that have never completed a
 /// request and have been silent for a second, then idle ones, then the others, each by the time without progress. Those that have never
--- a/packages/coordination/tests/entry/testcallermemory.cpp
+++ b/packages/coordination/tests/entry/testcallermemory.cpp
@@ -62,15 +62,15 @@
         connection(4, CallerPhase::Answering, 8 * mib, absl::Seconds(9)),
     };
     const CallerMemoryLimits wide = limits.with(&CallerMemoryLimitsFields::addressBytes, 64 * mib);
-    const CallerRelief relief = chooseRelief(wide, 24 * mib, connections, now);
+    const CallerRelief relief = chooseRelief(wide, 24 * mib, connections, std::nullopt, now);
     BOOST_TEST(relief->closed == std::vector<CallerConnectionId>({4}), boost::test_tools::per_element());
     BOOST_TEST(relief->preferred.value_or(0) == 2U);
-    const CallerRelief more = chooseRelief(wide, 34 * mib, connections, now);
+    const CallerRelief more = chooseRelief(wide, 34 * mib, connections, std::nullopt, now);
     BOOST_TEST(more->closed == std::vector<CallerConnectionId>({4, 3}), boost::test_tools::per_element());
-    const CallerRelief all = chooseRelief(wide, 60 * mib, connections, now);
+    const CallerRelief all = chooseRelief(wide, 60 * mib, connections, std::nullopt, now);
     BOOST_TEST(all->closed == std::vector<CallerConnectionId>({4, 3, 2, 1}), boost::test_tools::per_element());
     const CallerMemoryLimits narrow = limits.with(&CallerMemoryLimitsFields::addressBytes, mib);
-    BOOST_TEST(chooseRelief(narrow, 28 * mib, connections, now)->closed == std::vector<CallerConnectionId>({4, 3, 2}),
+    BOOST_TEST(chooseRelief(narrow, 28 * mib, connections, std::nullopt, now)->closed == std::vector<CallerConnectionId>({4, 3, 2}),
                boost::test_tools::per_element());
 }
 
@@ -79,7 +79,7 @@
 {
     const std::vector<CallerConnection> connections{connection(1, CallerPhase::Receiving, 9 * mib, absl::Seconds(20), true),
                                                     connection(2, CallerPhase::Receiving, 8 * mib, absl::Seconds(20), true)};
-    const CallerRelief relief = chooseRelief(limits, 21 * mib, connections, now);
+    const CallerRelief relief = chooseRelief(limits, 21 * mib, connections, std::nullopt, now);
     BOOST_TEST(relief->closed.empty());
     BOOST_TEST(relief->preferred.value_or(0) == 1U);
 }
@@ -89,9 +89,34 @@
 {
     std::vector<CallerConnection> connections{connection(1, CallerPhase::Receiving, 13 * mib, absl::ZeroDuration(), true),
                                               connection(2, CallerPhase::Receiving, 12 * mib, absl::ZeroDuration(), true)};
-    BOOST_TEST(chooseRelief(limits, 25 * mib, connections, now)->preferred.value_or(0) == 1U);
+    BOOST_TEST(chooseRelief(limits, 25 * mib, connections, std::nullopt, now)->preferred.value_or(0) == 1U);
     connections.push_back(connection(3, CallerPhase::Receiving, mib, absl::ZeroDuration()));
-    BOOST_TEST(!chooseRelief(limits, 26 * mib, connections, now)->preferred.has_value());
+    BOOST_TEST(!chooseRelief(limits, 26 * mib, connections, std::nullopt, now)->preferred.has_value());
+}
+
+/// Guards against large bodies that take turns: all grow, and none is complete before the memory is used up.
+BOOST_AUTO_TEST_CASE(thePreferredConnectionStaysSoWhileItMakesProgress)
+{
+    const CallerConnection reading = connection(1, CallerPhase::Receiving, 2 * mib, absl::Milliseconds(20));
+    const CallerConnection waiting = connection(2, CallerPhase::Receiving, 3 * mib, absl::Seconds(2), true);
+    BOOST_TEST(chooseRelief(limits, 21 * mib, {reading, waiting}, 1, now)->preferred.value_or(0) == 1U);
+    BOOST_TEST(
+        chooseRelief(limits, 21 * mib, {reading.with(&CallerConnectionFields::isHeldBack, true), waiting}, 1, now)->preferred.value_or(0)
+        == 1U);
+    const CallerConnection stalled = reading.with(&CallerConnectionFields::lastProgress, now - absl::Seconds(2));
+    BOOST_TEST(chooseRelief(limits, 21 * mib, {stalled, waiting}, 1, now)->preferred.value_or(0) == 2U);
+    const CallerConnection running = reading.with(&CallerConnectionFields::phase, CallerPhase::Running);
+    BOOST_TEST(chooseRelief(limits, 21 * mib, {running, waiting}, 1, now)->preferred.value_or(0) == 2U);
+}
+
+/// Guards against closing the body that is closest to its end in favour of those that wait for it.
+BOOST_AUTO_TEST_CASE(thePreferredConnectionIsClosedAfterOthersThatMakeProgress)
+{
+    const std::vector<CallerConnection> connections{connection(1, CallerPhase::Receiving, 8 * mib, absl::ZeroDuration(), true),
+                                                    connection(2, CallerPhase::Receiving, 3 * mib, absl::ZeroDuration(), true)};
+    const CallerRelief relief = chooseRelief(limits, 33 * mib, connections, 1, now);
+    BOOST_TEST(relief->closed == std::vector<CallerConnectionId>({2}), boost::test_tools::per_element());
+    BOOST_TEST(relief->preferred.value_or(0) == 1U);
 }
 
 /// Guards against callers of one address that keep their memory while the total is far from its limit.
@@ -100,7 +125,7 @@
     const CallerMemoryLimits narrow = limits.with(&CallerMemoryLimitsFields::addressBytes, 2 * mib);
     const std::vector<CallerConnection> connections{connection(1, CallerPhase::Receiving, mib, absl::Seconds(2)),
                                                     connection(2, CallerPhase::Receiving, mib, absl::Seconds(3))};
-    BOOST_TEST(chooseRelief(narrow, 2 * mib, connections, now)->closed == std::vector<CallerConnectionId>({2}),
+    BOOST_TEST(chooseRelief(narrow, 2 * mib, connections, std::nullopt, now)->closed == std::vector<CallerConnectionId>({2}),
                boost::test_tools::per_element());
 }
 
