coordination: Test ten uploads that together exceed the memory

The new case lets them run in virtual time: within 20 s each is served or refused with 503, and at least one is served.

Run: the cases of testcallermemory.

--- a/packages/coordination/tests/entry/testcallermemory.cpp
+++ b/packages/coordination/tests/entry/testcallermemory.cpp
@@ -20,6 +20,103 @@
     return CallerMemoryUse(CallerMemoryUseFields{total, address, isPreferred});
 }
 
+/// Uploads of 4 MiB that start at the same time, in virtual time.
+struct Uploads
+{
+    static constexpr std::size_t bodyBytes = 4 * mib;
+    static constexpr std::size_t readBytes = 32 * 1024;
+    static constexpr absl::Duration readInterval = absl::Milliseconds(10);
+    static constexpr absl::Duration reliefInterval = absl::Milliseconds(100);
+    static constexpr absl::Duration callTime = absl::Milliseconds(500);
+
+    struct Upload
+    {
+        CallerConnection state;
+        std::size_t received = 0;
+        absl::Time end = absl::InfiniteFuture(); ///< of the call, once the body is complete
+    };
+
+    explicit Uploads(std::size_t n)
+    {
+        for (CallerConnectionId id = 1; id <= n; ++id) {
+            uploads.push_back(Upload{connection(id, CallerPhase::Receiving, 0, absl::ZeroDuration())});
+        }
+    }
+
+    std::size_t total() const
+    {
+        std::size_t bytes = 0;
+        for (const Upload &it : uploads) {
+            bytes += it.state->bytes;
+        }
+        return bytes;
+    }
+
+    ReadDecision decide(const Upload &it, bool isNewRequest) const
+    {
+        return decideRead(limits, use(total(), total(), it.state->id == preferred), it.state, isNewRequest);
+    }
+
+    /// One read of an upload; returns whether it is over.
+    bool read(Upload &it)
+    {
+        if (it.state->phase == CallerPhase::Running) {
+            served += it.end <= time ? 1 : 0;
+            return it.end <= time;
+        }
+        if (std::holds_alternative<PauseReading>(decide(it, false))) {
+            it.state = it.state.with(&CallerConnectionFields::isHeldBack, true);
+            return false;
+        }
+        it.received += readBytes;
+        it.state = it.state.with(&CallerConnectionFields::isHeldBack, false)
+                       .with(&CallerConnectionFields::lastProgress, time)
+                       .with(&CallerConnectionFields::bytes, it.received);
+        if (it.received < bodyBytes) {
+            return false;
+        }
+        it.state = it.state.with(&CallerConnectionFields::bytes, 2 * bodyBytes);
+        if (std::holds_alternative<RefuseRequest>(decide(it, true))) {
+            ++refused;
+            return true;
+        }
+        it.state = it.state.with(&CallerConnectionFields::phase, CallerPhase::Running);
+        it.end = time + callTime;
+        return false;
+    }
+
+    void relieve()
+    {
+        std::vector<CallerConnection> connections;
+        for (const Upload &it : uploads) {
+            connections.push_back(it.state);
+        }
+        const CallerRelief relief = chooseRelief(limits, total(), connections, preferred, time);
+        preferred = relief->preferred;
+        for (const CallerConnectionId id : relief->closed) {
+            refused += static_cast<std::size_t>(std::erase_if(uploads, [id](const Upload &it) { return it.state->id == id; }));
+        }
+    }
+
+    void runFor(absl::Duration duration)
+    {
+        for (const absl::Time end = time + duration; time < end && !uploads.empty(); time += readInterval) {
+            for (auto it = uploads.begin(); it != uploads.end();) {
+                it = read(*it) ? uploads.erase(it) : it + 1;
+            }
+            if ((time - now) % reliefInterval == absl::ZeroDuration()) {
+                relieve();
+            }
+        }
+    }
+
+    absl::Time time = now;
+    std::vector<Upload> uploads;
+    std::optional<CallerConnectionId> preferred;
+    std::size_t served = 0;
+    std::size_t refused = 0;
+};
+
 }
 
 BOOST_AUTO_TEST_SUITE(CallerMemories)
@@ -119,6 +216,16 @@
     BOOST_TEST(relief->preferred.value_or(0) == 1U);
 }
 
+/// Guards against uploads that together exceed the memory and stand still until their time to arrive is over, although all make progress.
+BOOST_AUTO_TEST_CASE(uploadsThatTogetherExceedTheMemoryAreServedOrRefusedSoon)
+{
+    Uploads ten(10);
+    ten.runFor(absl::Seconds(20));
+    BOOST_TEST(ten.uploads.size() == 0U);
+    BOOST_TEST(ten.served >= 1U);
+    BOOST_TEST(ten.served + ten.refused == 10U);
+}
+
 /// Guards against callers of one address that keep their memory while the total is far from its limit.
 BOOST_AUTO_TEST_CASE(stalledConnectionsOfAnAddressAboveItsLimitAreClosed)
 {
