entry: Remove a connection and its bytes from the account in one step

Bytes of closed connections stayed in the account, or were subtracted twice, when a connection reported its use on its own thread while another thread removed it to make room for a new one. The total drifted: callers were refused with 503 although memory was free, or the limits no longer held.

Cause: remove() looked the connection up, erased it and charged the value of the lookup, each under a lock of its own. The value is now read where it is erased, under the lock of its shard.

--- a/packages/apricotladderd/entry/calleraccount.cpp
+++ b/packages/apricotladderd/entry/calleraccount.cpp
@@ -54,9 +54,14 @@
 
 void CallerAccount::remove(CallerConnectionId connection)
 {
-    const CallerConnection found = m_connections.find(connection);
-    if (m_connections.erase(connection)) {
-        charge(found->address, found->bytes, 0);
+    // The value must be the one that is erased: another thread may update the connection between a lookup and the removal.
+    CallerConnection removed;
+    const bool isRemoved = m_connections.eraseOneIf(connection, [&](const CallerConnection &it) {
+        removed = it;
+        return true;
+    });
+    if (isRemoved) {
+        charge(removed->address, removed->bytes, 0);
     }
 }
 
