--- a/packages/apricotladderd/entry/calleraccount.cpp
+++ b/packages/apricotladderd/entry/calleraccount.cpp
@@ -54,9 +54,14 @@
 
 void CallerAccount::remove(CallerConnectionId connection)
 {
-    const CallerConnection found = m_connections.find(connection);
-    if (m_connections.erase(connection)) {
-        charge(found->address, found->bytes, 0);
+    // The value must be the one that is erased: another thread may update the connection between a lookup and the removal.
+    CallerConnection removed;
+    const bool isRemoved = m_connections.eraseOneIf(connection, [&](const CallerConnection &it) {
+        removed = it;
+        return true;
+    });
+    if (isRemoved) {
+        charge(removed->address, removed->bytes, 0);
     }
 }
 
@@ -84,14 +89,16 @@
 
 CallerRelief CallerAccount::relieve(absl::Time now)
 {
-    CallerRelief relief = chooseRelief(m_limits, totalBytes(), connections(), now);
+    const CallerConnectionId preferred = m_preferred.load(std::memory_order_relaxed);
+    CallerRelief relief
+        = chooseRelief(m_limits, totalBytes(), connections(), preferred == 0 ? std::nullopt : std::optional(preferred), now);
     m_preferred.store(relief->preferred.value_or(0), std::memory_order_relaxed);
     return relief;
 }
 
-std::optional<CallerConnectionId> CallerAccount::takeForNewConnection()
+std::optional<CallerConnectionId> CallerAccount::takeForNewConnection(absl::Time now)
 {
-    const std::optional<CallerConnectionId> chosen = chooseForNewConnection(connections());
+    const std::optional<CallerConnectionId> chosen = chooseForNewConnection(connections(), now);
     if (chosen) {
         remove(*chosen);
     }
--- a/packages/coordination/callermemory.cpp
+++ b/packages/coordination/callermemory.cpp
@@ -48,6 +48,9 @@
 /// Order in which groups of connections are closed.
 enum class CloseOrder : std::uint8_t { Stalled, Progressing, Running };
 
+/// Order in which groups of connections give way to new ones.
+enum class ReplaceOrder : std::uint8_t { Unproven, Idle, Other };
+
 /// Time without progress. A connection that is held back could not make any, so that it does not count as stalled.
 absl::Duration stalledFor(const CallerConnection &connection, absl::Time now)
 {
@@ -118,7 +121,7 @@
 }
 
 CallerRelief chooseRelief(const CallerMemoryLimits &limits, std::size_t totalBytes, const std::vector<CallerConnection> &connections,
-                          absl::Time now)
+                          std::optional<CallerConnectionId> preferred, absl::Time now)
 {
     std::vector<const CallerConnection *> ordered;
     absl::flat_hash_map<std::uint32_t, std::size_t> addressBytes;
@@ -130,8 +133,8 @@
         return static_cast<double>(it->bytes) * absl::ToDoubleSeconds(stalledFor(it, now) + stallTime);
     };
     std::sort(ordered.begin(), ordered.end(), [&](const CallerConnection *left, const CallerConnection *right) {
-        return std::tuple(closeOrderOf(*left, now), -weight(*left), (*left)->id)
-            < std::tuple(closeOrderOf(*right, now), -weight(*right), (*right)->id);
+        return std::tuple(closeOrderOf(*left, now), (*left)->id == preferred, -weight(*left), (*left)->id)
+            < std::tuple(closeOrderOf(*right, now), (*right)->id == preferred, -weight(*right), (*right)->id);
     });
     const absl::flat_hash_map<std::uint32_t, std::size_t> initialAddressBytes = addressBytes;
     CallerReliefFields relief;
@@ -150,6 +153,9 @@
             continue;
         }
         const bool isReceiving = (*it)->phase == CallerPhase::Receiving;
+        if ((*it)->id == preferred && isReceiving && order == CloseOrder::Progressing) {
+            relief.preferred = preferred; // Bodies that took turns would all grow, until there is room for none.
+        }
         hasActive = hasActive || (isReceiving && !(*it)->isHeldBack && (*it)->bytes > smallRequestBytes);
         if (isReceiving && (*it)->isHeldBack && (candidate == nullptr || (*it)->bytes > (*candidate)->bytes)) {
             candidate = it; // The largest one is closest to its end.
@@ -160,17 +166,29 @@
             && addressBytes[it->address] <= part(limits->addressBytes, preferFraction);
     };
     // If no other one is being read, one must go on even without room: they would all wait for each other.
-    if (candidate != nullptr && (!hasActive || hasRoom(*candidate))) {
+    if (!relief.preferred && candidate != nullptr && (!hasActive || hasRoom(*candidate))) {
         relief.preferred = (*candidate)->id;
     }
     return CallerRelief(relief);
 }
 
-std::optional<CallerConnectionId> chooseForNewConnection(const std::vector<CallerConnection> &connections)
+std::optional<CallerConnectionId> chooseForNewConnection(const std::vector<CallerConnection> &connections, absl::Time now)
 {
+    const auto unproven = std::count_if(connections.begin(), connections.end(), [](const CallerConnection &it) {
+        return !it->hasCompletedRequest && it->phase != CallerPhase::Running;
+    });
+    // Silent connections that are opened faster than they count as silent must not displace everybody.
+    const bool isFlood = 2 * static_cast<std::size_t>(unproven) > connections.size();
+    const auto order = [&](const CallerConnection &it) {
+        if (!it->hasCompletedRequest) {
+            const bool isSilent = stalledFor(it, now) >= stallTime;
+            return isSilent || (isFlood && !it->isHeldBack) ? ReplaceOrder::Unproven : ReplaceOrder::Other;
+        }
+        return it->phase == CallerPhase::Idle ? ReplaceOrder::Idle : ReplaceOrder::Other;
+    };
     const CallerConnection *chosen = nullptr;
-    const auto key = [](const CallerConnection &it) {
-        return std::tuple(it->hasCompletedRequest, it->lastProgress, it->id);
+    const auto key = [&](const CallerConnection &it) {
+        return std::tuple(order(it), it->lastProgress, it->id);
     };
     for (const CallerConnection &it : connections) {
         if (it->phase != CallerPhase::Running && (chosen == nullptr || key(it) < key(*chosen))) {
