entry: Keep a connection whose request began after it was chosen

A caller's running request could be cut off when the connection table was full: its connection had been chosen while it was idle, and was then erased from the account although it had begun to run a request, so that its own thread found nothing against closing it.

Cause: takeForNewConnection erased the chosen record whatever its phase. It is now erased only if it is not Running, under the shard's lock, and another connection is chosen otherwise, up to three times. A record that is erased before is created again as Running by the report of its own thread, which then keeps it.

Not verified: a run of caller_limits_test on this code was stopped after 80 s without a result.

--- a/packages/apricotladderd/entry/calleraccount.cpp
+++ b/packages/apricotladderd/entry/calleraccount.cpp
@@ -1,5 +1,6 @@
 #include "apricotladderd/entry/calleraccount.h"
 
+#include <optional>
 #include <sys/resource.h>
 
 namespace Apricot {
@@ -13,6 +14,25 @@
 /// These ports get a quarter as many connections as that of calls.
 constexpr std::size_t controlConnectionsDivisor = 4;
 
+/// How often a connection is chosen anew for a new one that arrives; then the new one is refused.
+constexpr int maxTakeAttempts = 3;
+
+/// Removes a connection if \a predicate(connection) is true, and returns it as it was then: another thread may update it between a lookup
+/// and the removal.
+template<class Predicate>
+std::optional<CallerConnection> take(ShardedMap<CallerConnectionId, CallerConnection> &connections, CallerConnectionId id,
+                                     const Predicate &predicate)
+{
+    std::optional<CallerConnection> taken;
+    connections.eraseOneIf(id, [&](const CallerConnection &it) {
+        if (predicate(it)) {
+            taken = it;
+        }
+        return taken.has_value();
+    });
+    return taken;
+}
+
 }
 
 CallerMemoryLimits callerMemoryLimits(const EntrySettings &settings)
@@ -54,14 +74,8 @@
 
 void CallerAccount::remove(CallerConnectionId connection)
 {
-    // The value must be the one that is erased: another thread may update the connection between a lookup and the removal.
-    CallerConnection removed;
-    const bool isRemoved = m_connections.eraseOneIf(connection, [&](const CallerConnection &it) {
-        removed = it;
-        return true;
-    });
-    if (isRemoved) {
-        charge(removed->address, removed->bytes, 0);
+    if (const std::optional<CallerConnection> removed = take(m_connections, connection, [](const CallerConnection &) { return true; })) {
+        charge((*removed)->address, (*removed)->bytes, 0);
     }
 }
 
@@ -98,11 +112,21 @@
 
 std::optional<CallerConnectionId> CallerAccount::takeForNewConnection(absl::Time now)
 {
-    const std::optional<CallerConnectionId> chosen = chooseForNewConnection(connections(), now);
-    if (chosen) {
-        remove(*chosen);
+    // Other threads go on meanwhile, so that the chosen connection may have been removed or have begun to run its request since.
+    for (int attempt = 0; attempt < maxTakeAttempts; ++attempt) {
+        const std::optional<CallerConnectionId> chosen = chooseForNewConnection(connections(), now);
+        if (!chosen) {
+            return std::nullopt;
+        }
+        const auto isNotRunning = [](const CallerConnection &it) {
+            return it->phase != CallerPhase::Running;
+        };
+        if (const std::optional<CallerConnection> removed = take(m_connections, *chosen, isNotRunning)) {
+            charge((*removed)->address, (*removed)->bytes, 0);
+            return chosen;
+        }
     }
-    return chosen;
+    return std::nullopt;
 }
 
 }
--- a/tests/platform/testcalleraccount.cpp
+++ b/tests/platform/testcalleraccount.cpp
@@ -31,4 +31,31 @@
     BOOST_TEST(account.connectionCount() == 0U);
 }
 
+/// Guards against a request that is cut off while an engine runs it, because it had not yet begun when its connection was chosen.
+BOOST_AUTO_TEST_CASE(aConnectionThatHasBegunToRunIsNotTakenForANewOne)
+{
+    constexpr std::size_t mib = 1 << 20;
+    constexpr int requests = 100'000;
+    const std::atomic<std::size_t> answerBytes{0};
+    CallerAccount account(CallerMemoryLimits(CallerMemoryLimitsFields{32 * mib, 28 * mib, 16 * mib, 100}), answerBytes);
+    const CallerConnection idle(CallerConnectionFields{1, 1, CallerPhase::Idle, 4096, absl::UnixEpoch()});
+    std::atomic<bool> isOver{false};
+    std::thread taker([&] {
+        while (!isOver) {
+            account.takeForNewConnection(absl::UnixEpoch());
+        }
+    });
+    int taken = 0;
+    for (int i = 0; i < requests; ++i) {
+        account.update(idle, false);
+        account.update(idle.with(&CallerConnectionFields::phase, CallerPhase::Running), false);
+        for (int check = 0; check < 10; ++check) {
+            taken += account.mayClose(1) ? 1 : 0;
+        }
+    }
+    isOver = true;
+    taker.join();
+    BOOST_TEST(taken == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
