transport: Send the body of a refusal after a HEAD request

After a HEAD on a kept connection, a refused or rejected POST got a Content-Length without a body, so that its client waited for it.

Cause: whether a response has a body was set only where a request is passed on. It is now set for refused and rejected requests too.

aRefusalAfterAHeadRequestHasItsBody failed before the change and passed with it (transport_test). caller_limits_test was not completed.

--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -246,6 +246,7 @@
 HttpRequestHead HttpServerConnection::endReading()
 {
     HttpRequestHead head = m_parser->head();
+    m_responseHasNoBody = head.method == "HEAD";
     m_parser.reset();
     std::string().swap(m_input);
     m_requestInProgress = true;
--- a/packages/transport/tests/exchange/testserverconnection.cpp
+++ b/packages/transport/tests/exchange/testserverconnection.cpp
@@ -222,6 +222,22 @@
     BOOST_TEST(client.received().find("413") == std::string::npos);
 }
 
+/// Guards against a client that waits for the body of a refusal, which was left out because the request before was a HEAD.
+BOOST_AUTO_TEST_CASE(aRefusalAfterAHeadRequestHasItsBody)
+{
+    RawClient client(listener->port());
+    client.send("HEAD /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil([&] { return client.responseCount() == 1; });
+    BOOST_TEST(client.received().ends_with("\r\n\r\n"));
+    permission = [](const ConnectionUse &use) {
+        return use.isNewRequest ? ReadPermission::Refuse : ReadPermission::Read;
+    };
+    client.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n");
+    runUntil([&] { return client.isEnded(); });
+    BOOST_TEST(client.responseCount() == 2);
+    BOOST_TEST(!client.received().ends_with("\r\n\r\n"));
+}
+
 /// Guards against a process that ends before the rest of an answer was sent: its connection must count until then.
 BOOST_AUTO_TEST_CASE(aConnectionCountsUntilItsAnswerIsSent)
 {
