coordination: Let a preferred body that has stopped lose its preference soon

aBodyOfTheLargestSizeIsServedBesideBodiesThatStopped of caller_limits_test failed on, also on a quiet machine (load 0.8): the ordinary body was not served within 30 s. Cause: since a preferred connection kept its preference until it counted as stalled, after a second, so that of 60 bodies that stopped one a second got through, and the body behind them waited. It now loses it after 200 ms without progress. Three of three runs of the case passed then.

--- a/packages/coordination/callermemory.cpp
+++ b/packages/coordination/callermemory.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// A preferred connection without progress for this time loses the preference: it may have sent all that it will send, and others wait.
+constexpr absl::Duration preferenceTime = absl::Milliseconds(200);
+
 /// Fraction of a limit above which reading pauses. The rest is for small requests and for one large request at a time: 3/8 of the default
 /// limits hold a body of 4 MiB twice, as received and as it is sent to an engine.
 constexpr double pauseFraction = 0.625;
@@ -153,7 +156,7 @@
             continue;
         }
         const bool isReceiving = (*it)->phase == CallerPhase::Receiving;
-        if ((*it)->id == preferred && isReceiving && order == CloseOrder::Progressing) {
+        if ((*it)->id == preferred && isReceiving && now - (*it)->lastProgress < preferenceTime) {
             relief.preferred = preferred; // Bodies that took turns would all grow, until there is room for none.
         }
         hasActive = hasActive || (isReceiving && !(*it)->isHeldBack && (*it)->bytes > smallRequestBytes);
