--- a/packages/coordination/allowancebucket.h
+++ b/packages/coordination/allowancebucket.h
@@ -32,6 +32,7 @@
     friend bool operator==(const AllowanceLimit &, const AllowanceLimit &) = default;
 };
 
+/// Returns the limit and its tolerance. A burst below the smallest one is raised to it.
 AllowanceLimit makeAllowanceLimit(const Allowance &allowance, const AllowanceTolerance &tolerance);
 
 /// The request is within the allowance and was charged.
@@ -50,6 +51,7 @@
     friend bool operator==(const OverAllowance &, const OverAllowance &) = default;
 };
 
+/// Whether a cost is within the allowance.
 using AllowanceDecision = std::variant<Admitted, OverAllowance>;
 
 /**
--- a/packages/coordination/allowancerecord.cpp
+++ b/packages/coordination/allowancerecord.cpp
@@ -29,7 +29,7 @@
 /// Time after which a small change, or the repetition of a change, is reported: with the next periodic load report.
 constexpr absl::Duration reportWait = absl::Milliseconds(160);
 
-/// A change is urgent if it is above this part of what the node may spend before its peers know it.
+/// A change is urgent if it is above this part of the node's equal share of the burst.
 constexpr double urgentPart = 0.1;
 
 }
--- a/packages/coordination/callermemory.cpp
+++ b/packages/coordination/callermemory.cpp
@@ -35,7 +35,7 @@
 /// A connection that could send or receive and has not for this long makes no progress. A retransmission after a loss takes 0.2 to 0.6 s.
 constexpr absl::Duration stallTime = absl::Seconds(1);
 
-/// Connections that hold less than this are not worth closing: closing them all would free little.
+/// Connections that hold less than this are not closed: closing them all would free little.
 constexpr std::size_t minClosedBytes = 6 * 1024;
 
 /// Descriptors that the platform reserves for files.
--- a/packages/coordination/callermemory.h
+++ b/packages/coordination/callermemory.h
@@ -87,6 +87,7 @@
     friend bool operator==(const RefuseRequest &, const RefuseRequest &) = default;
 };
 
+/// What a connection may do with the bytes that its peer sends.
 using ReadDecision = std::variant<ReadOn, PauseReading, RefuseRequest>;
 
 /// Decides whether to read on from \a connection, whose bytes are included in \a use. \a isNewRequest: the head of its request has just
--- a/packages/coordination/endpointchoice.h
+++ b/packages/coordination/endpointchoice.h
@@ -26,14 +26,14 @@
     friend bool operator==(const EndpointFacts &, const EndpointFacts &) = default;
 };
 
-/// Always the endpoint with the lowest expected time, from the loads as last reported. The policy before release 0.7.
+/// Always the endpoint with the lowest expected time, from the loads as last reported. A baseline to compare the others with.
 struct CheapestEndpoint
 {
     friend bool operator==(const CheapestEndpoint &, const CheapestEndpoint &) = default;
 };
 
-/// The cheapest endpoint while it is at most half full. Above that, a random one of those that are good enough, in proportion to its
-/// free capacity, so that nodes with the same old data do not all choose the same endpoint.
+/// The cheapest endpoint while its requests are below half of its slots. Otherwise a random one of those that are good enough, in
+/// proportion to its free capacity, so that nodes with the same old data do not all choose the same endpoint.
 struct FreeCapacityShare
 {
     friend bool operator==(const FreeCapacityShare &, const FreeCapacityShare &) = default;
--- a/packages/coordination/endpointestimate.cpp
+++ b/packages/coordination/endpointestimate.cpp
@@ -24,7 +24,7 @@
 /// Factor to the estimate beyond which a sample is cut off.
 constexpr double maxSampleFactor = 4;
 
-/// Time without an answer after which an endpoint gets a call for a trial.
+/// Time without an attempt or an answer after which an endpoint gets a call for a trial.
 constexpr absl::Duration trialInterval = absl::Seconds(5);
 
 /// Weight of a refusal below the limit: the load is known only approximately. An acceptance above it proves that there was room.
--- a/packages/coordination/peercontact.h
+++ b/packages/coordination/peercontact.h
@@ -65,6 +65,7 @@
     /// Returns the time after \a now at which the next active peer becomes silent.
     absl::Time nextSilence(absl::Time now) const;
 
+    /// Returns how the allowances are shared at \a now.
     AllowanceSharing sharing(absl::Time now) const;
 
     /// Time since the active peer that has been silent the longest was heard.
--- a/packages/coordination/returnschedule.cpp
+++ b/packages/coordination/returnschedule.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-/// Period of the returns where no backlog is known. Earlier returns were studied: they meet the same burst, and fewer calls are served.
+/// Shortest return where no backlog is known, and the range of its random part. Earlier returns meet the same burst.
 constexpr absl::Duration overloadRetryAfter = absl::Milliseconds(2500);
 constexpr absl::Duration overloadRetryAfterJitter = absl::Milliseconds(1800);
 
-/// Latest return. Callers honour a Retry-After up to a third of their remaining time, which is 4.5 s for most of them.
+/// Latest return. Callers honour a Retry-After up to a third of their remaining time.
 constexpr absl::Duration maxRetryAfter = absl::Milliseconds(4400);
 constexpr double honouredFraction = 1.0 / 3;
 
--- a/packages/coordination/servicepool.h
+++ b/packages/coordination/servicepool.h
@@ -121,7 +121,7 @@
     /// Returns the expected wait for capacity of a new call of \a demand, from the recent rate of placements.
     absl::Duration expectedWait(const ModelDemand &demand, absl::Time now) const;
 
-    /// Returns the number of calls that wait at this node.
+    /// Returns the number of model calls that wait at this node.
     std::size_t waiterCount() const
     {
         return m_waiting.size();
--- a/packages/coordination/waitingcalls.cpp
+++ b/packages/coordination/waitingcalls.cpp
@@ -23,8 +23,8 @@
 constexpr std::size_t maxReportedWaitingCalls = 4;
 
 /// Usage is compared in levels of this fraction of the highest usage of a workspace that waits. Within a level the call whose wait ends
-/// first is next. With exact comparison, random differences between workspaces of equal load put calls that can wait for long before
-/// others, and more calls were refused in a burst.
+/// first is next. With exact comparison, small random differences would put calls that can wait for long before
+/// others.
 constexpr double usageLevelFraction = 0.5;
 
 /// Returns the call of \a demand that has waited since \a since, as other nodes see it.
--- a/packages/coordination/waitingcalls.h
+++ b/packages/coordination/waitingcalls.h
@@ -45,7 +45,9 @@
 class WaitingCalls
 {
 public:
+    /// Adds a call that waits for capacity.
     void add(WaiterId waiter, ModelDemand demand, absl::Time now);
+    /// Removes a call; does nothing if it does not wait.
     void remove(WaiterId waiter);
 
     std::size_t size() const
--- a/packages/coordination/workspaceallowance.h
+++ b/packages/coordination/workspaceallowance.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <variant>
 #include <vector>
 
 namespace Apricot {
@@ -31,6 +32,7 @@
     friend bool operator==(const LimitedWorkspace &, const LimitedWorkspace &) = default;
 };
 
+/// Whether a request is admitted.
 using ChargeResult = std::variant<ChargedCost, OverAllowance>;
 
 /**
@@ -49,6 +51,7 @@
     /// Replaces the limits. The spending of a workspace that is removed is kept while it is recent.
     void setLimits(const std::vector<LimitedWorkspace> &workspaces, absl::Time now);
 
+    /// Sets the nodes that share the allowances.
     void setPeers(const AllowancePeers &peers, absl::Time now);
 
     /// Charges a request of \a workspace, or refuses it. A workspace without a limit is charged nothing.
--- a/packages/state/engineentry.h
+++ b/packages/state/engineentry.h
@@ -56,7 +56,7 @@
     friend auto operator<=>(const EngineLoad &, const EngineLoad &) = default;
 };
 
-/// Stands for a workspace in messages between nodes; 0: none.
+/// Identifies the workspace of a waiting call in load reports: a 32 bit hash of its name; 0: none.
 using WorkspaceTag = std::uint32_t;
 
 /// A model call that is queued on its node until an engine has capacity.
--- a/packages/state/routedworkspace.h
+++ b/packages/state/routedworkspace.h
@@ -76,7 +76,7 @@
     friend auto operator<=>(const RoutedWorkspaceFields &, const RoutedWorkspaceFields &) = default;
 };
 
-/// A tenant of the services, which its API keys identify.
+/// A workspace as the desired state defines it. A request belongs to it if it has one of its API keys.
 using RoutedWorkspace = Immutable<RoutedWorkspaceFields>;
 
 }
--- a/packages/state/workspacespending.h
+++ b/packages/state/workspacespending.h
@@ -5,7 +5,7 @@
 
 namespace Apricot {
 
-/// Identifies a workspace in messages that name many workspaces: a hash of its name.
+/// Identifies a workspace in spending reports: a 40 bit hash of its name, not an API key. Waiting calls use the shorter WorkspaceTag.
 using WorkspaceKey = std::uint64_t;
 
 /// What one node has spent of the allowance of one workspace.
