--- a/review/standins-2/bed.h
+++ b/review/standins-2/bed.h
@@ -3,8 +3,8 @@
 // What the cases share: a store and engines that follow the users' pages, the node processes, callers, and the record of a run.
 
 #include "platform/enginestandin.h"
-#include "store.h"
 #include "protocol/jsonreader.h"
+#include "store.h"
 #include "transport/httpclient.h"
 
 #include <algorithm>
@@ -19,6 +19,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -130,15 +131,42 @@
         return "127." + std::to_string(100 + id / 250 % 80) + "." + std::to_string(1 + id % 250) + "." + std::to_string(number);
     }
 
-    const std::string &name() const { return m_name; }
-    const std::string &zone() const { return m_zone; }
-    const std::string &logPath() const { return m_logPath; }
-    pid_t process() const { return m_process; }
-    std::string callers() const { return m_ip + ":8144"; }
-    std::string ready() const { return m_ip + ":8140"; }
-    std::string discovery() const { return m_ip + ":8143"; }
-    std::string seed() const { return m_ip + ":8146"; }
-    std::string metrics() const { return m_ip + ":7675"; }
+    const std::string &name() const
+    {
+        return m_name;
+    }
+    const std::string &zone() const
+    {
+        return m_zone;
+    }
+    const std::string &logPath() const
+    {
+        return m_logPath;
+    }
+    pid_t process() const
+    {
+        return m_process;
+    }
+    std::string callers() const
+    {
+        return m_ip + ":8144";
+    }
+    std::string ready() const
+    {
+        return m_ip + ":8140";
+    }
+    std::string discovery() const
+    {
+        return m_ip + ":8143";
+    }
+    std::string seed() const
+    {
+        return m_ip + ":8146";
+    }
+    std::string metrics() const
+    {
+        return m_ip + ":7675";
+    }
 
     void writeSettings(const std::string &store, const std::vector<std::string> &seeds, const NodeSettings &settings) const
     {
@@ -256,6 +284,82 @@
     return true;
 }
 
+/// The platform's guard of the memory of its machines: kills a process that exceeds it, and starts it again a second later.
+class MemoryGuard
+{
+public:
+    MemoryGuard(std::int64_t limit, Record &record)
+        : m_limit(limit)
+        , m_record(record)
+    {
+    }
+
+    /// Checks \a node, which also answers for \a unreadBytes that its machine has received. Returns whether it has been killed just now.
+    bool check(Node &node, std::int64_t unreadBytes)
+    {
+        State &state = m_states[node.name()];
+        if (state.startsAt > 0) {
+            if (nowMs() >= state.startsAt) {
+                state.startsAt = 0;
+                node.start();
+            }
+            return false;
+        }
+        if (node.hasEnded()) {
+            m_record.line("the process of %s has ended by itself", node.name().c_str());
+            ++state.ends;
+            state.startsAt = nowMs() + restartMs;
+            return true;
+        }
+        const std::int64_t resident = node.memory("VmRSS");
+        state.highest = std::max(state.highest, resident + unreadBytes);
+        if (resident + unreadBytes <= m_limit) {
+            return false;
+        }
+        node.stop();
+        ++state.ends;
+        state.startsAt = nowMs() + restartMs;
+        m_record.line("the platform kills the process of %s for the %d. time: it holds %lld KB, with %lld KB that are not read, of %lld KB",
+                      node.name().c_str(), state.ends, static_cast<long long>(resident / 1000), static_cast<long long>(unreadBytes / 1000),
+                      static_cast<long long>(m_limit / 1000));
+        return true;
+    }
+
+    /// Whether the processes of two machines have ended three times, which is a fault in the rules.
+    bool isFault(const std::vector<std::unique_ptr<Node>> &nodes)
+    {
+        constexpr int faultEnds = 3;
+        constexpr int faultMachines = 2;
+        return std::count_if(nodes.begin(), nodes.end(), [&](const auto &node) { return m_states[node->name()].ends >= faultEnds; })
+            >= faultMachines;
+    }
+
+    std::string summary(const std::vector<std::unique_ptr<Node>> &nodes)
+    {
+        std::string text;
+        for (const auto &node : nodes) {
+            const State &state = m_states[node->name()];
+            text += (text.empty() ? "" : ", ") + node->name() + " takes at most " + std::to_string(state.highest / 1000) + " KB of "
+                + std::to_string(m_limit / 1000) + " and is killed " + std::to_string(state.ends) + " times";
+        }
+        return text;
+    }
+
+private:
+    static constexpr double restartMs = 1000;
+
+    struct State
+    {
+        int ends = 0;
+        double startsAt = 0;
+        std::int64_t highest = 0;
+    };
+
+    std::int64_t m_limit;
+    Record &m_record;
+    std::map<std::string, State> m_states;
+};
+
 /// A folder for the settings and logs of a run, removed afterwards unless KEEP is set.
 class TemporaryFolder
 {
@@ -276,7 +380,10 @@
         }
     }
 
-    const std::string &path() const { return m_path; }
+    const std::string &path() const
+    {
+        return m_path;
+    }
 
 private:
     std::string m_path;
@@ -285,16 +392,9 @@
 inline Json routeJson(const std::string &prefix, const std::string &type, const std::string &service, int attempts, int timeoutMs,
                       int targetMs)
 {
-    return Json{{"name", "r" + prefix},
-                {"host", "h.example"},
-                {"path-prefix", prefix},
-                {"type", type},
-                {"timeout-ms", timeoutMs},
-                {"target-latency-ms", targetMs},
-                {"priority", 0},
-                {"service", service},
-                {"max-attempts", attempts},
-                {"itl-target-ms", 300}};
+    return Json{{"name", "r" + prefix},     {"host", "h.example"},           {"path-prefix", prefix}, {"type", type},
+                {"timeout-ms", timeoutMs},  {"target-latency-ms", targetMs}, {"priority", 0},         {"service", service},
+                {"max-attempts", attempts}, {"itl-target-ms", 300}};
 }
 
 inline Json limitsJson()
@@ -302,12 +402,11 @@
     return Json{{"max-header-bytes", 16384}, {"max-body-bytes", 4194304}, {"header-timeout-ms", 5000}, {"idle-timeout-ms", 20000}};
 }
 
-inline Json engineJson(const std::string &address, const std::string &service, const std::string &zone, const std::string &phase,
-                       int slots, const std::string &state, std::int64_t born)
+inline Json engineJson(const std::string &address, const std::string &service, const std::string &zone, const std::string &phase, int slots,
+                       const std::string &state, std::int64_t born)
 {
-    Json json{{"service", service}, {"address", address}, {"zone", zone},      {"version", 1},
-              {"slots", slots},     {"state", state},     {"cold-remaining-ms", 0}, {"sequence", 1},
-              {"born", born}};
+    Json json{{"service", service}, {"address", address},     {"zone", zone},  {"version", 1}, {"slots", slots},
+              {"state", state},     {"cold-remaining-ms", 0}, {"sequence", 1}, {"born", born}};
     if (!phase.empty()) {
         json["phase"] = phase;
     }
--- a/review/standins-2/early.cpp
+++ b/review/standins-2/early.cpp
@@ -16,9 +16,10 @@
 constexpr std::int64_t memoryBytes = 110'000'000;
 constexpr std::size_t bodyBytes = 4'000'000;
 
-constexpr int clientCount = 2;
-constexpr double pauseMs = 700; ///< between an answer and the next request of a client
-constexpr double loadMs = 45000;
+constexpr int nodeCount = 2;
+constexpr int clientsPerNode = 1;
+constexpr double pauseMs = 350; ///< between an answer and the next request of a client
+constexpr double loadMs = 75000;
 
 /// How fast an engine reads on after its answer, on each channel.
 constexpr std::size_t readBytes = 64 * 1024;
@@ -56,8 +57,14 @@
         close(m_listener);
     }
 
-    const std::string &address() const { return m_address; }
-    int answered() const { return m_answered; }
+    const std::string &address() const
+    {
+        return m_address;
+    }
+    int answered() const
+    {
+        return m_answered;
+    }
 
 private:
     void accept()
@@ -117,7 +124,8 @@
                 left = discard(channel, buf, left, 0);
             }
             const std::string body = "done";
-            const std::string answer = std::string("HTTP/1.1 ") + (m_isEarly && left > 0 ? "422 Unprocessable Entity" : "200 OK") + "\r\nContent-Type: text/plain\r\nApricotladder-Attempt-Id: " + headerOf(head, "Apricotladder-Attempt-Id")
+            const std::string answer = std::string("HTTP/1.1 ") + (m_isEarly && left > 0 ? "422 Unprocessable Entity" : "200 OK")
+                + "\r\nContent-Type: text/plain\r\nApricotladder-Attempt-Id: " + headerOf(head, "Apricotladder-Attempt-Id")
                 + "\r\nApricotladder-Response-Signature: signed\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
             send(channel, answer.data(), answer.size(), MSG_NOSIGNAL);
             ++m_answered;
@@ -169,21 +177,29 @@
                    {"limits", limitsJson()}});
     EarlyEngine engine(hasTrouble());
     store.put("servers", "i-1", engineJson(engine.address(), "desk", "z1", "", 32, "ready", 1000));
-    Node node("edge-1", "z1", 1, folder.path());
-    node.writeSettings(store.address(), {node.seed()}, NodeSettings());
-    node.start();
-    if (!waitUntil(15000, [&] { return fetch(node.ready(), "/readyz").status == 200; })) {
-        record.result("could not run: the node is not ready");
+    std::vector<std::unique_ptr<Node>> nodes;
+    for (int i = 0; i < nodeCount; ++i) {
+        nodes.push_back(std::make_unique<Node>("edge-" + std::to_string(i + 1), "z1", i + 1, folder.path()));
+    }
+    for (const auto &node : nodes) {
+        node->writeSettings(store.address(), {nodes[0]->seed(), nodes[1]->seed()}, NodeSettings());
+        node->start();
+    }
+    const auto isReady = [](const auto &node) {
+        return fetch(node->ready(), "/readyz").status == 200;
+    };
+    if (!waitUntil(15000, [&] { return std::all_of(nodes.begin(), nodes.end(), isReady); })) {
+        record.result("could not run: the nodes are not ready");
         return exitCouldNotRun;
     }
     sleepMs(2000);
-    record.line("the node is ready and holds %lld KB", static_cast<long long>(node.memory("VmRSS") / 1024));
     std::atomic<bool> isOver{false};
-    std::atomic<int> served{0};
+    std::atomic<int> answered{0};
     std::vector<std::thread> clients;
     const std::string body(bodyBytes, 'x');
-    for (int i = 0; i < clientCount; ++i) {
+    for (int i = 0; i < nodeCount * clientsPerNode; ++i) {
         clients.emplace_back([&, i] {
+            const Node &node = *nodes[static_cast<std::size_t>(i % nodeCount)];
             for (int n = 0; !isOver; ++n) {
                 Apricot::HttpCall call;
                 call.method = "POST";
@@ -194,31 +210,26 @@
                 call.timeout = absl::Seconds(10);
                 call.dedicatedConnection = true;
                 const int status = Apricot::HttpClient::call(call).status;
-                served += status == 200 || status == 422 ? 1 : 0;
-                record.line("sent %s with %zu bytes, answered %d", id.c_str(), body.size(), status);
+                answered += status == 200 || status == 422 ? 1 : 0;
+                record.line("sent %s with %zu bytes to %s, answered %d", id.c_str(), body.size(), node.name().c_str(), status);
                 sleepMs(pauseMs);
             }
         });
     }
-    // The platform kills a process that exceeds its memory.
-    std::int64_t highest = 0;
-    bool isKilled = false;
-    int status = 0;
+    // The platform kills a process that exceeds its memory, and starts it again after a short delay.
+    MemoryGuard guard(memoryBytes, record);
     const double begin = nowMs();
     double nextLine = begin;
-    while (nowMs() < begin + loadMs && !isKilled && !node.hasEnded(&status)) {
-        highest = std::max(highest, node.memory("VmRSS"));
+    while (nowMs() < begin + loadMs && !guard.isFault(nodes)) {
+        for (const auto &node : nodes) {
+            guard.check(*node, 0);
+        }
         if (nowMs() > nextLine) {
             nextLine += 1000;
-            record.line("the node holds %lld KB, the engine has answered %d requests", static_cast<long long>(node.memory("VmRSS") / 1024),
+            record.line("the processes hold %lld and %lld KB, the engine has answered %d requests",
+                        static_cast<long long>(nodes[0]->memory("VmRSS") / 1000), static_cast<long long>(nodes[1]->memory("VmRSS") / 1000),
                         engine.answered());
         }
-        if (highest > memoryBytes) {
-            isKilled = true;
-            record.line("the platform kills the process: it holds %lld bytes of %lld", static_cast<long long>(highest),
-                        static_cast<long long>(memoryBytes));
-            node.stop();
-        }
         sleepMs(20);
     }
     const double ended = nowMs() - begin;
@@ -226,10 +237,10 @@
     for (std::thread &it : clients) {
         it.join();
     }
-    record.result("after " + std::to_string(static_cast<int>(ended)) + " ms and " + std::to_string(served) + " answered requests the process held at most "
-                  + std::to_string(highest / 1000) + " KB of " + std::to_string(memoryBytes / 1000) + (isKilled ? " and is killed" : ""));
-    if (served < 5) {
+    record.result("within " + std::to_string(static_cast<int>(ended)) + " ms and " + std::to_string(answered) + " answered requests "
+                  + guard.summary(nodes));
+    if (answered < 10) {
         return exitCouldNotRun;
     }
-    return isKilled ? exitBroken : exitHeld;
+    return guard.isFault(nodes) ? exitBroken : exitHeld;
 }
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -49,7 +49,10 @@
     Store(const Store &) = delete;
     Store &operator=(const Store &) = delete;
 
-    const std::string &address() const { return m_address; }
+    const std::string &address() const
+    {
+        return m_address;
+    }
 
     /// Writes an object; returns the revision of the change, which has been acknowledged by then.
     std::uint64_t put(const std::string &kind, const std::string &name, const Json &spec)
@@ -82,7 +85,10 @@
     /// Loses the answers to the watches of \a kind from now on; a channel on which an answer is lost returns nothing further. Empty: none.
     void setLosesWatchAnswers(const std::string &kind)
     {
-        run([&] { m_lostKind = kind; return 0; });
+        run([&] {
+            m_lostKind = kind;
+            return 0;
+        });
     }
 
     /// Number of answers to watches that were sent, and that were lost.
@@ -122,7 +128,10 @@
         bool isDone = false;
     };
 
-    static absl::Duration answerTime() { return absl::Milliseconds(answerMs); }
+    static absl::Duration answerTime()
+    {
+        return absl::Milliseconds(answerMs);
+    }
 
     template<class Function>
     auto run(Function &&function) -> decltype(function())
@@ -141,7 +150,8 @@
 
     static Json objectJson(const std::string &name, const Json &spec, std::uint64_t revision)
     {
-        return Json{{"metadata", {{"name", name}, {"revision", revision}, {"created", 1}, {"finalizers", Json::array()}, {"deletion-pending", false}}},
+        return Json{{"metadata",
+                     {{"name", name}, {"revision", revision}, {"created", 1}, {"finalizers", Json::array()}, {"deletion-pending", false}}},
                     {"spec", spec},
                     {"status", nullptr}};
     }
