--- a/review/standins-2/gone.cpp
+++ b/review/standins-2/gone.cpp
@@ -65,7 +65,9 @@
     std::atomic<bool> isLeaving{false}; // An engine that leaves says so in all its answers.
     for (const std::string id : {"i-1", "i-2", "i-3"}) {
         engines.push_back(std::make_unique<Apricot::PlatformEngineStandIn>(
-            id, [&, id](Apricot::EventLoop &loop, const Apricot::HttpServerConnection::Ptr &connection, const Apricot::ReceivedRequest &request) {
+            id,
+            [&, id](Apricot::EventLoop &loop, const Apricot::HttpServerConnection::Ptr &connection,
+                    const Apricot::ReceivedRequest &request) {
                 if (id == leaver) {
                     const std::lock_guard lock(mutex);
                     arrivals.emplace_back(request.header("Apricotladder-Attempt-Id"), nowMs());
@@ -255,8 +257,9 @@
             latest = std::max(latest, at - goneAt);
         }
     }
-    record.result(std::to_string(late) + " requests reach the engine later than " + std::to_string(drainMs) + " ms after it is gone, the last "
-                  + std::to_string(static_cast<int>(latest)) + " ms after; " + std::to_string(served) + " calls served since, " + std::to_string(lost) + " bookings lost");
+    record.result(std::to_string(late) + " requests reach the engine later than " + std::to_string(drainMs)
+                  + " ms after it is gone, the last " + std::to_string(static_cast<int>(latest)) + " ms after; " + std::to_string(served)
+                  + " calls served since, " + std::to_string(lost) + " bookings lost");
     if (served < 20) {
         return exitCouldNotRun;
     }
