--- a/review/standins-2/unread.cpp
+++ b/review/standins-2/unread.cpp
@@ -18,7 +18,11 @@
 
 constexpr std::size_t crowdSize = 600;
 constexpr std::size_t calmSize = 3;
-constexpr double loadMs = 20000;
+constexpr std::size_t heldBackBytes = 1024;
+constexpr int nodeCount = 2;
+constexpr int crowdsPerNode = 3;
+constexpr double crowdMs = 6000;
+constexpr double loadMs = 70000;
 
 /// A client that sends a long body, as fast as the node reads, up to \a stopsShort bytes before its end.
 struct Client
@@ -95,65 +99,29 @@
     return {bytes, channels};
 }
 
-}
-
-int main(int argc, char **argv)
+/// Lets \a count clients send to \a node until it is killed or some seconds have passed; returns the bytes sent, or -1 if a client could
+/// not be opened.
+std::int64_t sendCrowd(Node &node, std::size_t count, MemoryGuard &guard, Record &record)
 {
-    if (argc != 2) {
-        return exitCouldNotRun;
-    }
-    Record record(std::string(argv[1]) + "/record.txt");
-    const TemporaryFolder folder;
-    Store store;
-    store.put("config", "main",
-              Json{{"version", 3},
-                   {"routes", Json::array({routeJson("/book/", "non_idempotent", "desk", 1, 10000, 1000)})},
-                   {"services", Json::array({Json{{"name", "desk"}}})},
-                   {"limits", limitsJson()}});
-    Apricot::PlatformEngineStandIn engine(
-        "i-1", [](Apricot::EventLoop &, const Apricot::HttpServerConnection::Ptr &connection, const Apricot::ReceivedRequest &request) {
-            Apricot::PlatformEngineStandIn::respondSigned(connection, request, 200, "done");
-        });
-    store.put("servers", "i-1", engineJson(engine.address(), "desk", "z1", "", 32, "ready", 1000));
-    Node node("edge-1", "z1", 1, folder.path());
-    NodeSettings settings;
-    node.writeSettings(store.address(), {node.seed()}, settings);
-    rlimit own{};
-    getrlimit(RLIMIT_NOFILE, &own);
-    const rlimit lowered{descriptors, own.rlim_max};
-    setrlimit(RLIMIT_NOFILE, &lowered);
-    node.start();
-    setrlimit(RLIMIT_NOFILE, &own);
-    if (!waitUntil(15000, [&] { return fetch(node.ready(), "/readyz").status == 200; })) {
-        record.result("could not run: the node is not ready");
-        return exitCouldNotRun;
-    }
-    sleepMs(2000);
-    const std::size_t count = hasTrouble() ? crowdSize : calmSize;
     std::vector<Client> clients(count);
     for (std::size_t i = 0; i < count; ++i) {
-        clients[i].open(node, static_cast<int>(i), hasTrouble() ? 1024 : 0);
+        clients[i].open(node, static_cast<int>(i), hasTrouble() ? heldBackBytes : 0);
         if (clients[i].channel < 0) {
-            record.result("could not run: no descriptor for a client");
-            return exitCouldNotRun;
+            return -1;
         }
     }
-    record.line("%zu clients open a channel each and send bodies of %zu bytes", count, bodyBytes);
-    std::int64_t highest = 0;
-    bool isKilled = false;
+    record.line("%zu clients open a channel each to %s and send bodies of %zu bytes", count, node.name().c_str(), bodyBytes);
     const double begin = nowMs();
-    double sent = 0;
-    std::size_t first = 0; // The clients take turns at the link.
     double nextCheck = begin;
     double nextLine = begin;
-    while (nowMs() < begin + loadMs && !isKilled && !node.hasEnded()) {
+    double sent = 0;
+    std::size_t first = 0; // The clients take turns at the link.
+    bool isKilled = false;
+    while (nowMs() < begin + crowdMs && !isKilled) {
         bool hasSent = false;
         ++first;
-        for (std::size_t i = 0; i < clients.size(); ++i) {
+        for (std::size_t i = 0; i < clients.size() && sent <= (nowMs() - begin) * linkBytesPerMs; ++i) {
             Client &it = clients[(first + i) % clients.size()];
-            if (sent > (nowMs() - begin) * linkBytesPerMs) {
-                break; // The link of the machine is full.
-            }
             const std::size_t before = it.sent;
             hasSent = it.sendSome() || hasSent;
             sent += static_cast<double>(it.sent - before);
@@ -165,27 +133,82 @@
             continue;
         }
         nextCheck = nowMs() + 50;
-        const std::int64_t resident = node.memory("VmRSS");
         const auto [unread, channels] = unreadBytes(node.callers());
-        highest = std::max(highest, resident + unread);
-        isKilled = resident + unread > memoryBytes;
-        if (nowMs() > nextLine || isKilled) {
+        if (nowMs() > nextLine) {
             nextLine = nowMs() + 500;
-            record.line("the process holds %lld KB; %lld KB on %d channels are received and not read", static_cast<long long>(resident / 1000),
-                        static_cast<long long>(unread / 1000), channels);
+            record.line("%s holds %lld KB; %lld KB on %d channels are received and not read", node.name().c_str(),
+                        static_cast<long long>(node.memory("VmRSS") / 1000), static_cast<long long>(unread / 1000), channels);
         }
-    }
-    if (isKilled) {
-        node.stop();
-        record.line("the platform kills the process: its machine has %lld KB", static_cast<long long>(memoryBytes / 1000));
+        isKilled = guard.check(node, unread);
     }
     for (Client &it : clients) {
         if (it.channel >= 0) {
             close(it.channel);
         }
     }
-    record.result("the process and what it has received and not read take " + std::to_string(highest / 1000) + " KB at most, of "
-                  + std::to_string(memoryBytes / 1000) + " KB; the clients have sent " + std::to_string(static_cast<long long>(sent / 1000)) + " KB"
-                  + (isKilled ? "; it is killed" : ""));
-    return isKilled ? exitBroken : exitHeld;
+    return static_cast<std::int64_t>(sent);
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    if (argc != 2) {
+        return exitCouldNotRun;
+    }
+    Record record(std::string(argv[1]) + "/record.txt");
+    const TemporaryFolder folder;
+    Store store;
+    store.put("config", "main",
+              Json{{"version", 3},
+                   {"routes", Json::array({routeJson("/book/", "non_idempotent", "desk", 1, 10000, 1000)})},
+                   {"services", Json::array({Json{{"name", "desk"}}})},
+                   {"limits", limitsJson()}});
+    Apricot::PlatformEngineStandIn engine(
+        "i-1", [](Apricot::EventLoop &, const Apricot::HttpServerConnection::Ptr &connection, const Apricot::ReceivedRequest &request) {
+            Apricot::PlatformEngineStandIn::respondSigned(connection, request, 200, "done");
+        });
+    store.put("servers", "i-1", engineJson(engine.address(), "desk", "z1", "", 32, "ready", 1000));
+    std::vector<std::unique_ptr<Node>> nodes;
+    for (int i = 0; i < nodeCount; ++i) {
+        nodes.push_back(std::make_unique<Node>("edge-" + std::to_string(i + 1), "z1", i + 1, folder.path()));
+    }
+    rlimit own{};
+    getrlimit(RLIMIT_NOFILE, &own);
+    const rlimit lowered{descriptors, own.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &lowered); // The processes inherit it, later ones too.
+    for (const auto &node : nodes) {
+        node->writeSettings(store.address(), {nodes[0]->seed(), nodes[1]->seed()}, NodeSettings());
+        node->start();
+    }
+    const auto isReady = [](const auto &node) {
+        return fetch(node->ready(), "/readyz").status == 200;
+    };
+    if (!waitUntil(15000, [&] { return std::all_of(nodes.begin(), nodes.end(), isReady); })) {
+        record.result("could not run: the nodes are not ready");
+        return exitCouldNotRun;
+    }
+    sleepMs(2000);
+    const std::size_t count = hasTrouble() ? crowdSize : calmSize;
+    MemoryGuard guard(memoryBytes, record);
+    const double end = nowMs() + loadMs;
+    std::int64_t total = 0;
+    for (const auto &node : nodes) {
+        // One machine after the other, with a new crowd whenever its process has started.
+        int crowds = 0;
+        while (nowMs() < end && crowds < crowdsPerNode && waitUntil(end - nowMs(), [&] {
+                   guard.check(*node, 0);
+                   return isReady(node);
+               })) {
+            ++crowds;
+            const std::int64_t sent = sendCrowd(*node, count, guard, record);
+            if (sent < 0) {
+                record.result("could not run: no descriptor for a client");
+                return exitCouldNotRun;
+            }
+            total += sent;
+        }
+    }
+    record.result("the clients have sent " + std::to_string(total / 1000) + " KB; " + guard.summary(nodes));
+    return guard.isFault(nodes) ? exitBroken : exitHeld;
 }
