--- a/review/standins-2/blind.cpp
+++ b/review/standins-2/blind.cpp
@@ -48,7 +48,8 @@
         const std::string service = i < 2 ? "desk-old" : "desk-new";
         engines.push_back(std::make_unique<Apricot::PlatformEngineStandIn>(
             "i-" + std::to_string(i),
-            [&, service](Apricot::EventLoop &loop, const Apricot::HttpServerConnection::Ptr &connection, const Apricot::ReceivedRequest &request) {
+            [&, service](Apricot::EventLoop &loop, const Apricot::HttpServerConnection::Ptr &connection,
+                         const Apricot::ReceivedRequest &request) {
                 {
                     const std::lock_guard lock(mutex);
                     runs.emplace_back(request.header("Apricotladder-Attempt-Id"), service, nowMs());
@@ -137,8 +138,8 @@
         }
     }
     record.result(std::to_string(stale) + " requests sent later than 2000 ms after version 12 are run by the old service, the last sent "
-                  + std::to_string(static_cast<int>(last)) + " ms after it; " + std::to_string(served) + " of " + std::to_string(sent.size())
-                  + " served");
+                  + std::to_string(static_cast<int>(last)) + " ms after it; " + std::to_string(served) + " of "
+                  + std::to_string(sent.size()) + " served");
     if (served < 50) {
         return exitCouldNotRun;
     }
