--- a/review/standins-2/bed.h
+++ b/review/standins-2/bed.h
@@ -131,6 +131,33 @@
         return "127." + std::to_string(100 + id / 250 % 80) + "." + std::to_string(1 + id % 250) + "." + std::to_string(number);
     }
 
+    /// Returns ":port" of one of the services, whose ports are the same on all nodes: the first ones in a row that are free.
+    static std::string port(int service)
+    {
+        constexpr int serviceCount = 6;
+        constexpr int firstBase = 20000;
+        constexpr int lastBase = 30000;
+        static const int base = [] {
+            for (int candidate = firstBase + getpid() % 900 * 10; candidate < lastBase; candidate += 10) {
+                bool isFree = true;
+                for (int i = 0; i < serviceCount && isFree; ++i) {
+                    const int channel = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+                    sockaddr_in address{};
+                    address.sin_family = AF_INET;
+                    address.sin_port = htons(static_cast<std::uint16_t>(candidate + i));
+                    inet_pton(AF_INET, ipOf(1).c_str(), &address.sin_addr);
+                    isFree = bind(channel, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
+                    close(channel);
+                }
+                if (isFree) {
+                    return candidate;
+                }
+            }
+            return firstBase;
+        }();
+        return ":" + std::to_string(base + service);
+    }
+
     const std::string &name() const
     {
         return m_name;
@@ -149,23 +176,23 @@
     }
     std::string callers() const
     {
-        return m_ip + ":8144";
+        return m_ip + port(0);
     }
     std::string ready() const
     {
-        return m_ip + ":8140";
+        return m_ip + port(1);
     }
     std::string discovery() const
     {
-        return m_ip + ":8143";
+        return m_ip + port(2);
     }
     std::string seed() const
     {
-        return m_ip + ":8146";
+        return m_ip + port(3);
     }
     std::string metrics() const
     {
-        return m_ip + ":7675";
+        return m_ip + port(4);
     }
 
     void writeSettings(const std::string &store, const std::vector<std::string> &seeds, const NodeSettings &settings) const
@@ -176,7 +203,7 @@
                         {"callerAddress", callers()},
                         {"readyAddress", ready()},
                         {"discoveryAddress", discovery()},
-                        {"peerAddress", m_ip + ":7660"},
+                        {"peerAddress", m_ip + port(5)},
                         {"metricsAddress", metrics()},
                         {"seeds", seeds},
                         {"storeAddress", store},
--- a/review/standins-2/early.cpp
+++ b/review/standins-2/early.cpp
@@ -17,7 +17,9 @@
 constexpr std::size_t bodyBytes = 4'000'000;
 
 constexpr int nodeCount = 2;
-constexpr int clientsPerNode = 1;
+constexpr int clientsPerNode = 2;
+constexpr int engineCount = 5;
+constexpr int earlyCount = 3; ///< a share of 0.6
 constexpr double pauseMs = 350; ///< between an answer and the next request of a client
 constexpr double loadMs = 75000;
 
@@ -29,8 +31,10 @@
 class EarlyEngine
 {
 public:
-    explicit EarlyEngine(bool isEarly)
-        : m_isEarly(isEarly)
+    EarlyEngine(std::string id, bool isEarly, Record &record)
+        : m_id(std::move(id))
+        , m_isEarly(isEarly)
+        , m_record(record)
     {
         m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int buffer = 64 * 1024; // "Small windows": a peer that does not read blocks the writer.
@@ -128,6 +132,7 @@
                 + "\r\nContent-Type: text/plain\r\nApricotladder-Attempt-Id: " + headerOf(head, "Apricotladder-Attempt-Id")
                 + "\r\nApricotladder-Response-Signature: signed\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
             send(channel, answer.data(), answer.size(), MSG_NOSIGNAL);
+            m_record.line("%s %s %s", m_id.c_str(), m_isEarly ? "rejects" : "has run", headerOf(head, "Apricotladder-Attempt-Id").c_str());
             ++m_answered;
             if (discard(channel, buf, left, readIntervalMs) > 0) {
                 close(channel);
@@ -151,7 +156,9 @@
         return left;
     }
 
+    std::string m_id;
     bool m_isEarly;
+    Record &m_record;
     int m_listener = -1;
     std::string m_address;
     std::atomic<bool> m_isOver{false};
@@ -175,8 +182,19 @@
                    {"routes", Json::array({routeJson("/book/", "non_idempotent", "desk", 1, 10000, 1000)})},
                    {"services", Json::array({Json{{"name", "desk"}}})},
                    {"limits", limitsJson()}});
-    EarlyEngine engine(hasTrouble());
-    store.put("servers", "i-1", engineJson(engine.address(), "desk", "z1", "", 32, "ready", 1000));
+    std::vector<std::unique_ptr<EarlyEngine>> engines;
+    for (int i = 0; i < engineCount; ++i) {
+        const std::string id = "i-" + std::to_string(i + 1);
+        engines.push_back(std::make_unique<EarlyEngine>(id, hasTrouble() && i < earlyCount, record));
+        store.put("servers", id, engineJson(engines.back()->address(), "desk", "z1", "", 32, "ready", 1000));
+    }
+    const auto answeredByEngines = [&] {
+        int n = 0;
+        for (const auto &engine : engines) {
+            n += engine->answered();
+        }
+        return n;
+    };
     std::vector<std::unique_ptr<Node>> nodes;
     for (int i = 0; i < nodeCount; ++i) {
         nodes.push_back(std::make_unique<Node>("edge-" + std::to_string(i + 1), "z1", i + 1, folder.path()));
@@ -226,9 +244,9 @@
         }
         if (nowMs() > nextLine) {
             nextLine += 1000;
-            record.line("the processes hold %lld and %lld KB, the engine has answered %d requests",
+            record.line("the processes hold %lld and %lld KB, the engines have answered %d requests",
                         static_cast<long long>(nodes[0]->memory("VmRSS") / 1000), static_cast<long long>(nodes[1]->memory("VmRSS") / 1000),
-                        engine.answered());
+                        answeredByEngines());
         }
         sleepMs(20);
     }
