--- a/review/standins-2/gone.cpp
+++ b/review/standins-2/gone.cpp
@@ -63,11 +63,12 @@
     std::vector<std::unique_ptr<Apricot::PlatformEngineStandIn>> engines;
     const std::string leaver = "i-2";
     std::atomic<bool> isLeaving{false}; // An engine that leaves says so in all its answers.
-    for (const std::string id : {"i-1", "i-2", "i-3"}) {
+    for (const std::string id : {"i-1", "i-2", "i-3", "i-4"}) {
         engines.push_back(std::make_unique<Apricot::PlatformEngineStandIn>(
             id,
             [&, id](Apricot::EventLoop &loop, const Apricot::HttpServerConnection::Ptr &connection,
                     const Apricot::ReceivedRequest &request) {
+                record.line("%s runs at %s", request.header("Apricotladder-Attempt-Id").c_str(), id.c_str());
                 if (id == leaver) {
                     const std::lock_guard lock(mutex);
                     arrivals.emplace_back(request.header("Apricotladder-Attempt-Id"), nowMs());
