--- a/review/standins-2/unread.cpp
+++ b/review/standins-2/unread.cpp
@@ -165,7 +165,8 @@
                    {"services", Json::array({Json{{"name", "desk"}}})},
                    {"limits", limitsJson()}});
     Apricot::PlatformEngineStandIn engine(
-        "i-1", [](Apricot::EventLoop &, const Apricot::HttpServerConnection::Ptr &connection, const Apricot::ReceivedRequest &request) {
+        "i-1", [&](Apricot::EventLoop &, const Apricot::HttpServerConnection::Ptr &connection, const Apricot::ReceivedRequest &request) {
+            record.line("%s runs", request.header("Apricotladder-Attempt-Id").c_str());
             Apricot::PlatformEngineStandIn::respondSigned(connection, request, 200, "done");
         });
     store.put("servers", "i-1", engineJson(engine.address(), "desk", "z1", "", 32, "ready", 1000));
