--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for program in badanswer badentries crowd slowreaders deadlyprompt; do
+for program in badanswer badentries slowreaders replaced deadlyprompt; do
   g++ -std=c++17 -O2 -Wall -Wextra -pthread "review/standins-3/$program.cpp" -o "target/review-3/$program" &
 done
 for job in $(jobs -p); do
