--- a/review/standins-3/deadlyprompt.cpp
+++ b/review/standins-3/deadlyprompt.cpp
@@ -47,40 +47,41 @@
         decodes.push_back(std::make_unique<std::atomic<Engine *>>(nullptr));
         std::atomic<Engine *> &self = *decodes.back();
         const std::string zone = zones[i % 3];
-        self = &scene.addEngine("i-decode-" + std::to_string(i), "summarizer", "decode", slots, zone, [&, zone](Channel &channel, const Message &request) {
-            Engine &engine = *self;
-            scene.passedOn(request, engine.id());
-            std::string head = "HTTP/1.1 200 OK\r\n";
-            for (const auto &it : engine.answerHeaders(request)) {
-                head += it.first + ": " + it.second + "\r\n";
-            }
-            if (!channel.write(head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
-                return false;
-            }
-            if (request.header("Apricotladder-Prefix-Hash").find(deadlyPart) != std::string::npos) {
-                {
-                    const std::lock_guard<std::mutex> lock(mutex);
-                    ++deadlyArrivals;
-                    crashes.push_back(now());
+        self = &scene.addEngine(
+            "i-decode-" + std::to_string(i), "summarizer", "decode", slots, zone, [&, zone](Channel &channel, const Message &request) {
+                Engine &engine = *self;
+                scene.passedOn(request, engine.id());
+                std::string head = "HTTP/1.1 200 OK\r\n";
+                for (const auto &it : engine.answerHeaders(request)) {
+                    head += it.first + ": " + it.second + "\r\n";
                 }
-                scene.record.line("%s begins to write an answer to %s and crashes", engine.id().c_str(),
-                                  request.header("Apricotladder-Attempt-Id").c_str());
-                engine.crash();
-                std::thread([&scene, &engine, zone] {
-                    sleepFor(engineDownTime);
-                    engine.restart();
-                    scene.store.put("servers", engine.id(), engine.spec(zone));
-                }).detach();
-                return false;
-            }
-            for (int event = 1; event <= 70; ++event) {
-                if (!channel.write(chunk("id: " + std::to_string(event) + "\ndata: " + std::string(304, 'd') + "\n\n"))) {
+                if (!channel.write(head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
                     return false;
                 }
-                sleepFor(0.02);
-            }
-            return channel.write("0\r\n\r\n");
-        });
+                if (request.header("Apricotladder-Prefix-Hash").find(deadlyPart) != std::string::npos) {
+                    {
+                        const std::lock_guard<std::mutex> lock(mutex);
+                        ++deadlyArrivals;
+                        crashes.push_back(now());
+                    }
+                    scene.record.line("%s begins to write an answer to %s and crashes", engine.id().c_str(),
+                                      request.header("Apricotladder-Attempt-Id").c_str());
+                    engine.crash();
+                    std::thread([&scene, &engine, zone] {
+                        sleepFor(engineDownTime);
+                        engine.restart();
+                        scene.store.put("servers", engine.id(), engine.spec(zone));
+                    }).detach();
+                    return false;
+                }
+                for (int event = 1; event <= 70; ++event) {
+                    if (!channel.write(chunk("id: " + std::to_string(event) + "\ndata: " + std::string(304, 'd') + "\n\n"))) {
+                        return false;
+                    }
+                    sleepFor(0.02);
+                }
+                return channel.write("0\r\n\r\n");
+            });
     }
     scene.configure();
     if (!scene.startNodes(2)) {
@@ -131,7 +132,9 @@
     scene.record.line("trouble: %s", isTrouble() ? "yes" : "no");
     double lastDeadly = 0;
     for (int n = 0; isTrouble() && now() < end; ++n) {
-        std::thread([&, n] { send(*scene.nodes[n % 2], "deadly stream", firstPart + "," + deadlyPart + "," + subjectPart, nullptr); }).detach();
+        std::thread([&, n] {
+            send(*scene.nodes[n % 2], "deadly stream", firstPart + "," + deadlyPart + "," + subjectPart, nullptr);
+        }).detach();
         lastDeadly = now();
         sleepFor(n < 15 ? deadlyInterval : laterDeadlyInterval);
     }
@@ -159,7 +162,9 @@
                       begun[1], sent[1]);
     scene.record.line("LOST %s", !isJudged ? "cannot be judged" : isBroken ? "is broken" : "holds");
     printf("crashes %zu; before %d/%d, during %d/%d: LOST %s\n", crashes.size(), begun[0], sent[0], begun[1], sent[1],
-           !isJudged ? "cannot be judged" : isBroken ? "is broken" : "holds");
+           !isJudged      ? "cannot be judged"
+               : isBroken ? "is broken"
+                          : "holds");
     fflush(stdout);
     _exit(!isJudged ? 2 : isBroken ? 1 : 0);
 }
--- a/review/standins-3/kit.h
+++ b/review/standins-3/kit.h
@@ -544,7 +544,8 @@
             kind = kind.substr(0, slash);
         }
         if (request.method() == "GET" && !query(target, "watch").empty()) {
-            return handleWatch(channel, kind, strtoull(query(target, "watch").c_str(), nullptr, 10), atof(query(target, "wait-ms").c_str()));
+            return handleWatch(channel, kind, strtoull(query(target, "watch").c_str(), nullptr, 10),
+                               atof(query(target, "wait-ms").c_str()));
         }
         sleepFor(0.004);
         std::unique_lock<std::mutex> lock(m_mutex);
@@ -583,7 +584,9 @@
         const bool exists = m_objects[kind].count(name) > 0;
         const std::string wanted = query(target, "revision");
         int status = 200;
-        if (request.method() == "POST" ? exists : (exists && !wanted.empty() && strtoull(wanted.c_str(), nullptr, 10) != m_objects[kind][name].revision)) {
+        if (request.method() == "POST"
+                ? exists
+                : (exists && !wanted.empty() && strtoull(wanted.c_str(), nullptr, 10) != m_objects[kind][name].revision)) {
             status = 409;
         } else if (request.method() != "POST" && !exists) {
             status = 404;
@@ -676,8 +679,11 @@
 
     Json spec(const std::string &zone, const std::string &state = "ready") const
     {
-        Json json{{"service", m_service}, {"address", m_server.addressText()}, {"zone", zone}, {"version", 1}, {"slots", m_slots},
-                  {"state", state}, {"cold-remaining-ms", 0}, {"sequence", 1}, {"born", m_born.load()}};
+        Json json{{"service", m_service},   {"address", m_server.addressText()},
+                  {"zone", zone},           {"version", 1},
+                  {"slots", m_slots},       {"state", state},
+                  {"cold-remaining-ms", 0}, {"sequence", 1},
+                  {"born", m_born.load()}};
         if (!m_phase.empty()) {
             json["phase"] = m_phase;
         }
@@ -708,9 +714,9 @@
 inline Json route(const std::string &prefix, const std::string &type, const std::string &service, int attempts, int timeoutMs, int targetMs,
                   int priority, bool resumable = false)
 {
-    return Json{{"name", "r" + prefix}, {"host", "h.example"}, {"path-prefix", prefix}, {"type", type}, {"timeout-ms", timeoutMs},
-                {"target-latency-ms", targetMs}, {"priority", priority}, {"service", service}, {"max-attempts", attempts},
-                {"resumable", resumable}, {"itl-target-ms", 300}, {"sticky", type == "streaming"}};
+    return Json{{"name", "r" + prefix},     {"host", "h.example"},           {"path-prefix", prefix}, {"type", type},
+                {"timeout-ms", timeoutMs},  {"target-latency-ms", targetMs}, {"priority", priority},  {"service", service},
+                {"max-attempts", attempts}, {"resumable", resumable},        {"itl-target-ms", 300},  {"sticky", type == "streaming"}};
 }
 
 struct NodeLimits
@@ -778,12 +784,25 @@
     /// Starts the process; \a root is the root of the repository.
     void start(const std::string &root, const std::vector<std::string> &seeds)
     {
-        const auto at = [&](int i) { return m_ip + ":" + std::to_string(m_ports[i]); };
+        const auto at = [&](int i) {
+            return m_ip + ":" + std::to_string(m_ports[i]);
+        };
         // What the platform makes of deploy/node.json.tmpl.
-        const Json settings{{"node", m_name}, {"dataCentre", m_zone}, {"callerAddress", at(0)}, {"readyAddress", at(1)},
-                            {"discoveryAddress", at(2)}, {"peerAddress", at(4)}, {"metricsAddress", at(3)}, {"seeds", seeds},
-                            {"storeAddress", m_store}, {"drainMs", 2000}, {"graceS", 8}, {"repeatWindowS", 10}, {"repeatRatio", 0.2},
-                            {"repeatHeadroom", 56}, {"processorShare", 0.25}};
+        const Json settings{{"node", m_name},
+                            {"dataCentre", m_zone},
+                            {"callerAddress", at(0)},
+                            {"readyAddress", at(1)},
+                            {"discoveryAddress", at(2)},
+                            {"peerAddress", at(4)},
+                            {"metricsAddress", at(3)},
+                            {"seeds", seeds},
+                            {"storeAddress", m_store},
+                            {"drainMs", 2000},
+                            {"graceS", 8},
+                            {"repeatWindowS", 10},
+                            {"repeatRatio", 0.2},
+                            {"repeatHeadroom", 56},
+                            {"processorShare", 0.25}};
         const std::string file = m_folder + "/" + m_name + ".json";
         std::ofstream(file) << settings.dump(2);
         const std::string log = m_folder + "/" + m_name + ".log";
@@ -872,7 +891,8 @@
         if (DIR *dir = opendir(folder.c_str())) {
             while (const dirent *entry = readdir(dir)) {
                 char target[64] = {};
-                if (readlink((folder + "/" + entry->d_name).c_str(), target, sizeof(target) - 1) > 0 && strncmp(target, "socket:[", 8) == 0) {
+                if (readlink((folder + "/" + entry->d_name).c_str(), target, sizeof(target) - 1) > 0
+                    && strncmp(target, "socket:[", 8) == 0) {
                     inodes.insert(std::string(target + 8, strcspn(target + 8, "]")));
                 }
             }
--- a/review/standins-3/scene.h
+++ b/review/standins-3/scene.h
@@ -49,7 +49,8 @@
     Engine &addEngine(const std::string &id, const std::string &service, const std::string &phase, int slots, const std::string &zone,
                       Server::Handler handler)
     {
-        engines.push_back(std::make_unique<Engine>(m_net + std::to_string(100 + engines.size()), id, service, phase, slots, std::move(handler)));
+        engines.push_back(
+            std::make_unique<Engine>(m_net + std::to_string(100 + engines.size()), id, service, phase, slots, std::move(handler)));
         store.put("servers", id, engines.back()->spec(zone));
         return *engines.back();
     }
@@ -69,23 +70,24 @@
     void addDecode(const std::string &id, const std::string &zone, int events, double gapMs, std::size_t eventBytes = 320)
     {
         const auto self = std::make_shared<Engine *>(nullptr);
-        *self = &addEngine(id, "summarizer", "decode", 32, zone, [this, self, events, gapMs, eventBytes](Channel &channel, const Message &request) {
-            passedOn(request, (*self)->id());
-            std::string head = "HTTP/1.1 200 OK\r\n";
-            for (const auto &it : (*self)->answerHeaders(request)) {
-                head += it.first + ": " + it.second + "\r\n";
-            }
-            if (!channel.write(head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
-                return false;
-            }
-            for (int i = 1; i <= events; ++i) {
-                if (!channel.write(chunk("id: " + std::to_string(i) + "\ndata: " + std::string(eventBytes - 16, 'd') + "\n\n"))) {
+        *self = &addEngine(
+            id, "summarizer", "decode", 32, zone, [this, self, events, gapMs, eventBytes](Channel &channel, const Message &request) {
+                passedOn(request, (*self)->id());
+                std::string head = "HTTP/1.1 200 OK\r\n";
+                for (const auto &it : (*self)->answerHeaders(request)) {
+                    head += it.first + ": " + it.second + "\r\n";
+                }
+                if (!channel.write(head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
                     return false;
                 }
-                sleepFor(gapMs / 1000);
-            }
-            return channel.write("0\r\n\r\n");
-        });
+                for (int i = 1; i <= events; ++i) {
+                    if (!channel.write(chunk("id: " + std::to_string(i) + "\ndata: " + std::string(eventBytes - 16, 'd') + "\n\n"))) {
+                        return false;
+                    }
+                    sleepFor(gapMs / 1000);
+                }
+                return channel.write("0\r\n\r\n");
+            });
     }
 
     /// The answer of a sound engine to a request that only has the prompt read; also frees handles.
@@ -108,12 +110,15 @@
     void configure()
     {
         const Json model{{"slots", 32}, {"kv-capacity", 105738}, {"stride", 1}, {"kv-hold-s", 0.5}};
-        store.put("config", "main",
-                  Json{{"version", 3},
-                       {"routes", Json::array({route("/book/", "non_idempotent", "crewdesk", 1, 1000, 100, 2),
-                                               route("/paid/", "streaming", "summarizer", 1, 14000, 800, 0)})},
-                       {"services", Json::array({Json{{"name", "crewdesk"}}, Json{{"name", "summarizer"}, {"engine", model}}})},
-                       {"limits", {{"max-header-bytes", 16384}, {"max-body-bytes", 4194304}, {"header-timeout-ms", 5000}, {"idle-timeout-ms", 20000}}}});
+        store.put(
+            "config", "main",
+            Json{{"version", 3},
+                 {"routes",
+                  Json::array({route("/book/", "non_idempotent", "crewdesk", 1, 1000, 100, 2),
+                               route("/paid/", "streaming", "summarizer", 1, 14000, 800, 0)})},
+                 {"services", Json::array({Json{{"name", "crewdesk"}}, Json{{"name", "summarizer"}, {"engine", model}}})},
+                 {"limits",
+                  {{"max-header-bytes", 16384}, {"max-body-bytes", 4194304}, {"header-timeout-ms", 5000}, {"idle-timeout-ms", 20000}}}});
     }
 
     /// Starts \a count nodes; returns whether all are ready.
@@ -124,8 +129,8 @@
         int peerPort = 0;
         for (int i = 0; i < count; ++i) {
             const std::string zone = zones[static_cast<std::size_t>(i) % zones.size()];
-            nodes.push_back(std::make_unique<Node>(m_folder, "edge-" + zone + "-" + std::to_string(1 + i / 3), zone, m_net + std::to_string(10 + i),
-                                                   store.addressText(), m_limits));
+            nodes.push_back(std::make_unique<Node>(m_folder, "edge-" + zone + "-" + std::to_string(1 + i / 3), zone,
+                                                   m_net + std::to_string(10 + i), store.addressText(), m_limits));
             peerPort = i == 0 ? freePort(nodes[0]->ip()) : peerPort;
             nodes.back()->setPeerPort(peerPort);
             seeds.push_back(nodes.back()->seed());
@@ -269,9 +274,10 @@
         call->ended = now();
         call->isCut = end == ReadEnd::Closed || end == ReadEnd::Reset;
         call->end = end == ReadEnd::Good ? std::to_string(status) : readEndName(end);
-        record.line("%s %s: sent %.3f to %s on a %s channel; %s; %s at %.3f", call->kind.c_str(), call->id.c_str(), call->sent, call->node.c_str(),
-                    call->isKept ? "kept" : "new",
-                    call->engine.empty() ? "not passed on" : ("passed on to " + call->engine + " at " + std::to_string(call->arrived)).c_str(),
+        record.line("%s %s: sent %.3f to %s on a %s channel; %s; %s at %.3f", call->kind.c_str(), call->id.c_str(), call->sent,
+                    call->node.c_str(), call->isKept ? "kept" : "new",
+                    call->engine.empty() ? "not passed on"
+                                         : ("passed on to " + call->engine + " at " + std::to_string(call->arrived)).c_str(),
                     end == ReadEnd::Good ? ("answered " + call->end).c_str() : ("no complete answer, the channel was " + call->end).c_str(),
                     call->ended);
     }
