Limit the length of a fetched response by its call

Cause: HttpFetch read up to 8 MiB of every answer, and readPrefillHandle() parsed all of it into a document of 10 to 30 times its size, although an answer to a prefill takes some hundred bytes. Ruled out: the answers of decode engines and plain endpoints, which AnswerBuffer bounds.

HttpFetch::start() takes the longest body as an argument without a default and ends with FetchError::TooLong at a head that announces more, or at the first byte over the limit, and resets the connection. The product's own engine protocol had the same fault: HttpCall has the limit as a member, and the messages of engines are read up to 256 KiB.

--- a/packages/apricotladderd/completionflow.cpp
+++ b/packages/apricotladderd/completionflow.cpp
@@ -153,6 +153,7 @@
     call.body = encodePrefillRequest(PrefillRequest{m_request->id, action.attempt, m_request->prompt, m_buffer->tokens(), 0});
     call.connectTimeout = engineConnectTimeout;
     call.timeout = prefillTimeout;
+    call.maxBodyBytes = maxEngineMessageBytes;
     const HttpReply reply = HttpClient::call(call);
     const auto decoded = toVariant<PrefillResult>([&] { return decodePrefillResult(reply.body); });
     const auto *result = std::get_if<PrefillResult>(&decoded);
@@ -287,6 +288,7 @@
         call.url = absl::StrCat("http://", addressOf(engine), "/v1/cancel");
         call.body = encodeCancelRequest(CancelRequest{m_request->id, action.attempt});
         call.timeout = cancelTimeout;
+        call.maxBodyBytes = maxEngineMessageBytes;
         HttpClient::call(call);
     }
 }
--- a/packages/apricotladderd/enginepoller.cpp
+++ b/packages/apricotladderd/enginepoller.cpp
@@ -61,6 +61,7 @@
     call.url = absl::StrCat("http://", endpoint->address, "/v1/report");
     call.timeout = pollTimeout;
     call.connectTimeout = pollTimeout;
+    call.maxBodyBytes = maxEngineMessageBytes;
     const HttpReply reply = HttpClient::call(call);
     EngineState &state = m_engineStates[endpoint->name];
     if (reply.outcome != CallOutcome::Answered || reply.status != 200) {
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -25,6 +25,9 @@
 
 constexpr absl::Duration peerResponseTimeout = absl::Milliseconds(1500);
 
+/// Longest state of a peer, bytes: the desired state takes 1 MiB at most, an engine some hundred bytes.
+constexpr std::size_t maxPeerStateBytes = 4U << 20;
+
 /// Minimum interval between requests for a peer's state. A node that takes no calls may know changes of engines later.
 constexpr absl::Duration peerSyncInterval = absl::Milliseconds(300);
 constexpr absl::Duration standbySyncInterval = absl::Seconds(1);
@@ -288,7 +291,7 @@
     request.address = peer.peerAddress;
     request.poolKey = peer.peerAddress;
     request.encodedRequest = encodeHttpRequest(head, {});
-    HttpFetch::start(m_controlLoop, m_controlPool, std::move(request), peerResponseTimeout,
+    HttpFetch::start(m_controlLoop, m_controlPool, std::move(request), peerResponseTimeout, maxPeerStateBytes,
                      [this, from = peer.node](const FetchResult &result) {
                          const auto *response = std::get_if<FullResponse>(&result);
                          if (response != nullptr && response->head.status == statusOk) {
--- a/packages/apricotladderd/entry/nodedirectory.cpp
+++ b/packages/apricotladderd/entry/nodedirectory.cpp
@@ -81,7 +81,7 @@
     request.address = m_context.settings->storeAddress;
     request.poolKey = "store/" + std::string(Wire::nodesKind);
     request.encodedRequest = encodeHttpRequest(head, body);
-    HttpFetch::start(m_loop, m_pool, std::move(request), callTimeout, std::move(onResult));
+    HttpFetch::start(m_loop, m_pool, std::move(request), callTimeout, maxStoreResponseBytes, std::move(onResult));
 }
 
 void NodeDirectory::registerSelf()
--- a/packages/apricotladderd/entry/ownedkvhandle.cpp
+++ b/packages/apricotladderd/entry/ownedkvhandle.cpp
@@ -13,6 +13,9 @@
 /// Timeout of the release request. If the request fails, the engine releases the handle itself when its lifetime ends.
 constexpr absl::Duration releaseTimeout = absl::Milliseconds(500);
 
+/// Longest answer to a release, bytes; its body is not used.
+constexpr std::size_t maxReleaseAnswerBytes = 16 * 1024;
+
 }
 
 OwnedKvHandle::OwnedKvHandle(EntryLoop &loop, std::int64_t promptTokens)
@@ -70,10 +73,11 @@
     request.poolKey = connectionKey(handle->engine);
     request.encodedRequest = encodeHttpRequest(releaseHandleRequest(handle->name), {});
     observeEngineNotices(m_loop, handle->engine, RequestId(), request);
-    HttpFetch::start(m_loop.events(), m_loop.engines(), std::move(request), releaseTimeout, [&metrics](const FetchResult &result) {
-        const bool isReleased = std::holds_alternative<FullResponse>(result);
-        metrics.countHandle(isReleased ? "freed" : "not freed");
-    });
+    HttpFetch::start(m_loop.events(), m_loop.engines(), std::move(request), releaseTimeout, maxReleaseAnswerBytes,
+                     [&metrics](const FetchResult &result) {
+                         const bool isReleased = std::holds_alternative<FullResponse>(result);
+                         metrics.countHandle(isReleased ? "freed" : "not freed");
+                     });
 }
 
 }
--- a/packages/apricotladderd/entry/storewatch.cpp
+++ b/packages/apricotladderd/entry/storewatch.cpp
@@ -94,7 +94,7 @@
     request.connectTimeout = connectTimeout;
     request.maxIdleTime = mayReuseConnection ? absl::Seconds(2) : absl::ZeroDuration();
     request.keepAliveTime = absl::Seconds(5);
-    m_fetch = HttpFetch::start(m_loop, m_pool, std::move(request), timeout,
+    m_fetch = HttpFetch::start(m_loop, m_pool, std::move(request), timeout, maxStoreResponseBytes,
                                [this, callName, onResponse = std::move(onResponse)](const FetchResult &result) {
                                    std::visit(
                                        Overloaded{
--- a/packages/apricotladderd/entry/streamcallprefill.cpp
+++ b/packages/apricotladderd/entry/streamcallprefill.cpp
@@ -12,6 +12,9 @@
 /// its other streams tolerate that, or another prefill engine is tried.
 constexpr double prefillTimeoutFraction = 0.75;
 
+/// Longest answer to a prefill request, bytes. It names a handle, which takes some hundred bytes.
+constexpr std::size_t maxPrefillAnswerBytes = 16 * 1024;
+
 }
 
 void StreamCall::startPrefill()
@@ -30,7 +33,7 @@
     EngineRequestOptions options = makeRequestOptions(engine);
     options.prefillOnly = true;
     m_prefillFetch = HttpFetch::start(m_loop.events(), m_loop.engines(), makeEngineRequest(engine, options),
-                                      m_facts.route->targetLatency * prefillTimeoutFraction,
+                                      m_facts.route->targetLatency * prefillTimeoutFraction, maxPrefillAnswerBytes,
                                       [self = shared_from_this()](const FetchResult &result) { self->handlePrefillResult(result); });
 }
 
@@ -62,6 +65,7 @@
     if (why == FetchError::TimedOut) {
         m_loop.context().metrics.countWastedPrefillTokens(static_cast<double>(m_facts.call->promptTokens));
     }
+    m_prefillFailureCounts = why == FetchError::TooLong;
     continueAfterFailedPrefill(EngineResult::Failed, fetchErrorText(why));
 }
 
--- a/packages/apricotladderd/fleetservice.cpp
+++ b/packages/apricotladderd/fleetservice.cpp
@@ -134,6 +134,7 @@
     HttpCall call;
     call.url = absl::StrCat("http://", endpoint->address, "/v1/orders");
     call.timeout = engineTimeout;
+    call.maxBodyBytes = maxEngineMessageBytes;
     const HttpReply reply = HttpClient::call(call);
     const auto decoded = toVariant<RoleOrder>([&] { return decodeRoleOrder(reply.body); });
     const auto *order = std::get_if<RoleOrder>(&decoded);
@@ -150,6 +151,7 @@
     call.url = absl::StrCat("http://", endpoint->address, "/v1/orders");
     call.body = encodeRoleOrder(RoleOrder{roleName(desired->role), desired->model, desired->modelVersion, desired->fence});
     call.timeout = RoleOrderReconciler::sendTimeout;
+    call.maxBodyBytes = maxEngineMessageBytes;
     call.dedicatedConnection = true;
     const HttpReply reply = HttpClient::call(call);
     m_journal.info(
@@ -258,6 +260,7 @@
     HttpCall call;
     call.url = absl::StrCat("http://", endpoint->address, "/v1/report");
     call.timeout = engineTimeout;
+    call.maxBodyBytes = maxEngineMessageBytes;
     const HttpReply reply = HttpClient::call(call);
     const auto decoded = toVariant<EngineReported>([&] { return decodeEngineReport(reply.body, EngineId(endpoint->name)); });
     const auto *report = std::get_if<EngineReported>(&decoded);
--- a/packages/apricotladderd/slicehost.cpp
+++ b/packages/apricotladderd/slicehost.cpp
@@ -294,6 +294,7 @@
         call.url = absl::StrCat("http://", it->second->address, "/v1/cancel");
         call.body = encodeCancelRequest(CancelRequest{cancel.id, cancel.attempt});
         call.timeout = cancelTimeout;
+        call.maxBodyBytes = maxEngineMessageBytes;
         HttpClient::call(call);
         m_journal.record(cancel.id, "engine.cancelled", cancel.engine.text());
     }
--- a/packages/protocol/enginejson.h
+++ b/packages/protocol/enginejson.h
@@ -10,6 +10,10 @@
 
 namespace Apricot {
 
+/// Longest message of an engine that is read, bytes: a report names the prefixes that the engine holds. A parsed document takes many times
+/// the memory of its text.
+inline constexpr std::size_t maxEngineMessageBytes = 256 * 1024;
+
 /// Body of POST /v1/prefill at an engine.
 struct PrefillRequest
 {
--- a/packages/transport/httpclient.cpp
+++ b/packages/transport/httpclient.cpp
@@ -17,9 +17,6 @@
 /// Interval at which a streamed call asks its receiver whether to continue.
 constexpr absl::Duration receiverPollInterval = absl::Milliseconds(50);
 
-/// Maximum body size of a response that is not streamed, in bytes. A larger response fails the call.
-constexpr std::size_t maxBodyBytes = 8 * 1024 * 1024;
-
 /// How long an idle connection is kept for the next call of the thread.
 constexpr absl::Duration keepAliveTime = absl::Seconds(5);
 
@@ -134,7 +131,7 @@
         const bool isStreamed = m_receiver != nullptr && m_reply.status == statusOk;
         if (isStreamed && !(*m_receiver)(part)) {
             finish(CallOutcome::StoppedByReceiver, "the receiver stopped the stream");
-        } else if (!isStreamed && m_reply.body.size() + part.size() > maxBodyBytes) {
+        } else if (!isStreamed && m_reply.body.size() + part.size() > m_call.maxBodyBytes) {
             finish(CallOutcome::SentWithoutResponse, "the response body exceeds the size limit");
         } else if (!isStreamed) {
             m_reply.body += part;
--- a/packages/transport/httpclient.h
+++ b/packages/transport/httpclient.h
@@ -2,6 +2,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -19,6 +20,7 @@
     absl::Duration connectTimeout = absl::Milliseconds(500);
     absl::Duration timeout = absl::Seconds(5);
     absl::Duration idleTimeout = absl::InfiniteDuration(); ///< streamed calls: maximum time without any data
+    std::size_t maxBodyBytes = 8U << 20; ///< longest body of a response that is not streamed; a longer one fails the call
     bool dedicatedConnection = false; ///< use a new connection and do not keep it, for calls that must not be sent twice
 };
 
--- a/packages/transport/httpfetch.cpp
+++ b/packages/transport/httpfetch.cpp
@@ -1,13 +1,20 @@
 #include "transport/httpfetch.h"
 
+#include <absl/strings/numbers.h>
+
+#include <cstdint>
 #include <utility>
 
 namespace Apricot {
 
 namespace {
 
-/// Longest response: several times the largest page of a list.
-constexpr std::size_t maxBodyBytes = 8U << 20;
+/// Whether the head announces a body of more than \a maxBytes.
+bool announcesMoreThan(std::size_t maxBytes, const HttpResponseHead &head)
+{
+    std::uint64_t length = 0;
+    return absl::SimpleAtoi(std::string(headerValue(head.headers, "Content-Length")), &length) && length > maxBytes;
+}
 
 }
 
@@ -20,6 +27,8 @@
         return "no valid response was received";
     case FetchError::TimedOut:
         return "the response timed out";
+    case FetchError::TooLong:
+        return "the response is too long";
     }
     return "no valid response was received";
 }
@@ -31,18 +40,22 @@
 }
 
 std::shared_ptr<HttpFetch> HttpFetch::start(EventLoop &loop, ConnectionPool &pool, ExchangeRequest request, absl::Duration timeout,
-                                            ResultHandler onResult)
+                                            std::size_t maxBodyBytes, ResultHandler onResult)
 {
     std::shared_ptr<HttpFetch> fetch(new HttpFetch(loop, std::move(onResult)));
     HttpExchange::Callbacks callbacks;
-    callbacks.onHead = [fetch](const HttpResponseHead &head) {
+    callbacks.onHead = [fetch, maxBodyBytes](const HttpResponseHead &head) {
         fetch->m_response.head = head;
+        if (announcesMoreThan(maxBodyBytes, head)) {
+            fetch->finish(FetchError::TooLong);
+        }
     };
-    callbacks.onBody = [fetch](const std::string &part) {
-        fetch->m_response.body += part;
-        if (fetch->m_response.body.size() > maxBodyBytes) {
-            fetch->finish(FetchError::NoResponse);
+    callbacks.onBody = [fetch, maxBodyBytes](const std::string &part) {
+        if (part.size() > maxBodyBytes - fetch->m_response.body.size()) {
+            fetch->finish(FetchError::TooLong);
+            return;
         }
+        fetch->m_response.body += part;
     };
     callbacks.onEnded = [fetch](ExchangeOutcome outcome) {
         if (outcome == ExchangeOutcome::Complete) {
--- a/packages/transport/httpfetch.h
+++ b/packages/transport/httpfetch.h
@@ -4,6 +4,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -25,6 +26,7 @@
     NoConnection, ///< no connection was established, so the server has not received the request
     NoResponse, ///< the request was sent, and the response is missing, cut off or malformed
     TimedOut, ///< the response was not complete within the timeout
+    TooLong, ///< the body of the response is longer than the caller of HttpFetch accepts
 };
 
 /// Returns a description of \a error.
@@ -42,9 +44,10 @@
 public:
     using ResultHandler = std::function<void(const FetchResult &)>;
 
-    /// Sends the request. \a onResult runs once on the loop's thread, unless cancel() is called before.
+    /// Sends the request. \a onResult runs once on the loop's thread, unless cancel() is called before. A body of more than
+    /// \a maxBodyBytes is not read further, and its connection is reset.
     static std::shared_ptr<HttpFetch> start(EventLoop &loop, ConnectionPool &pool, ExchangeRequest request, absl::Duration timeout,
-                                            ResultHandler onResult);
+                                            std::size_t maxBodyBytes, ResultHandler onResult);
 
     /// Cancels the request and resets its connection. The handler does not run.
     void cancel();
--- a/packages/transport/tests/exchange/testexchange.cpp
+++ b/packages/transport/tests/exchange/testexchange.cpp
@@ -10,6 +10,7 @@
 #include <arpa/inet.h>
 #include <functional>
 #include <netinet/in.h>
+#include <optional>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -159,6 +160,9 @@
     return owner == "me" ? ResponseOwner::ThisRequest : ResponseOwner::OtherRequest;
 }
 
+/// Longer than any response of these tests.
+constexpr std::size_t ampleBytes = 1U << 20;
+
 const std::string goodResponse = "HTTP/1.1 200 OK\r\nX-For: me\r\nContent-Length: 4\r\n\r\ngood";
 
 }
@@ -472,7 +476,8 @@
 {
     const auto fetch = [this](const std::string &address, absl::Duration timeout) {
         std::vector<FetchResult> results;
-        HttpFetch::start(events, pool, request(address), timeout, [&](const FetchResult &result) { results.push_back(result); });
+        HttpFetch::start(events, pool, request(address), timeout, ampleBytes,
+                         [&](const FetchResult &result) { results.push_back(result); });
         runUntil([&] { return !results.empty(); });
         BOOST_TEST(results.size() == 1U);
         return results.front();
@@ -492,12 +497,42 @@
     BOOST_TEST(silent.requests == 1);
 }
 
+/// A complete answer of 8 MB where some hundred bytes were expected took a node's memory: it was read to its end.
+BOOST_AUTO_TEST_CASE(aResponseOverTheLimitOfItsFetchIsNotReadOn)
+{
+    constexpr std::size_t limit = 100;
+    constexpr std::size_t longLength = 1U << 20;
+    const auto fetch = [&](const RawServer &server) {
+        std::optional<FetchResult> result;
+        HttpFetch::start(events, pool, request(server.address()), absl::Seconds(20), limit, [&](const FetchResult &it) { result = it; });
+        runUntil([&] { return result.has_value(); });
+        return *result;
+    };
+    const std::string longBody(longLength, 'x');
+    const std::string chunk = "40\r\n" + std::string(0x40, 'x') + "\r\n";
+    for (const std::string &response :
+         {std::string("HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n"), "HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + longBody,
+          "HTTP/1.1 503 Full\r\nContent-Length: 101\r\n\r\n" + std::string(101, 'x'),
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk, "HTTP/1.1 200 OK\r\n\r\n" + longBody}) {
+        RawServer server(events, [&](const auto &connection, const std::string &) { connection->write(response); });
+        BOOST_TEST((fetch(server) == FetchResult(FetchError::TooLong)), response.substr(0, 60));
+        runUntil([&] { return server.closedCount == 1; });
+    }
+    const std::string fitting(limit, 'x');
+    RawServer server(events, [&](const auto &connection, const std::string &) {
+        connection->write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" + fitting);
+    });
+    const FetchResult complete = fetch(server);
+    BOOST_REQUIRE(std::holds_alternative<FullResponse>(complete));
+    BOOST_TEST(std::get<FullResponse>(complete).body == fitting);
+}
+
 BOOST_AUTO_TEST_CASE(aCancelledFetchReturnsNothing)
 {
     RawServer silent(events, [](const auto &, const std::string &) {});
     bool hasEnded = false;
-    const auto fetch
-        = HttpFetch::start(events, pool, request(silent.address()), absl::Seconds(20), [&](const FetchResult &) { hasEnded = true; });
+    const auto fetch = HttpFetch::start(events, pool, request(silent.address()), absl::Seconds(20), ampleBytes,
+                                        [&](const FetchResult &) { hasEnded = true; });
     runUntil([&] { return silent.requests == 1; });
     fetch->cancel();
     runUntil([&] { return silent.closedCount == 1; });
--- a/packages/transport/tests/http/testhttp.cpp
+++ b/packages/transport/tests/http/testhttp.cpp
@@ -82,6 +82,19 @@
     BOOST_TEST(HttpClient::call(call).status == 413);
 }
 
+/// An engine's answer of 8 MB where some hundred bytes were expected was read to its end.
+BOOST_AUTO_TEST_CASE(aResponseOverTheLimitOfItsCallFailsIt)
+{
+    HttpCall call = callTo("/echo?q=1234567890");
+    const std::size_t length = HttpClient::call(call).body.size();
+    call.maxBodyBytes = length;
+    BOOST_TEST((HttpClient::call(call).outcome == CallOutcome::Answered));
+    call.maxBodyBytes = length - 1;
+    const HttpReply reply = HttpClient::call(call);
+    BOOST_TEST((reply.outcome == CallOutcome::SentWithoutResponse));
+    BOOST_TEST(reply.body.empty());
+}
+
 BOOST_AUTO_TEST_CASE(unsentCallsAreDistinguishedFromSentOnes)
 {
     HttpCall refused;
--- a/tests/platform/nodefixture.cpp
+++ b/tests/platform/nodefixture.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Longer than any response of these tests.
+constexpr std::size_t maxResponseBytes = 8U << 20;
+
 /// Returns a loopback address that no other node of this or another test process uses.
 std::string nextLoopbackAddress()
 {
@@ -162,7 +165,7 @@
     request.address = m_settings->callerAddress;
     request.encodedRequest = encodeHttpRequest(head, {});
     std::optional<FetchResult> result;
-    HttpFetch::start(loop, pool, std::move(request), testTimeout, [&](const FetchResult &it) { result = it; });
+    HttpFetch::start(loop, pool, std::move(request), testTimeout, maxResponseBytes, [&](const FetchResult &it) { result = it; });
     while (!result) {
         loop.runOnce();
     }
