Parse the objects of the store one by one, within limits

Cause: a watch returns all changes in one response, and readStorePage() kept the parsed specs of all of them, 10 to 27 times their text, also of removed objects. Ruled out: the growth of the response text alone, which is 8 MiB at most.

A page now holds the text of each spec. One object at a time is parsed, only if it is used and not above 64 KiB for an engine or a node. A response is read up to 3 MiB, and a watch that has more to tell is followed by a list, without counting as an outage. Related: a page that held only unusable names ended a list and hid the rest, and a list that did not lead on repeated for ever.

--- a/packages/apricotladderd/entry/enginecatalogue.cpp
+++ b/packages/apricotladderd/entry/enginecatalogue.cpp
@@ -41,8 +41,8 @@
     , m_context(context)
 {
     StoreWatch::Callbacks callbacks;
-    callbacks.onChanged = [this](const StoreEntry &object) {
-        handleEntry(object);
+    callbacks.onChanged = [this](const StoredObject &object) {
+        return handleEntry(object);
     };
     callbacks.onRemoved = [this](const std::string &name) {
         m_malformed.remove(name);
@@ -104,8 +104,9 @@
     }
 }
 
-void EngineCatalogue::handleEntry(const StoreEntry &object)
+bool EngineCatalogue::handleEntry(const StoredObject &stored)
 {
+    const StoreEntry object = parseStoredObject(stored, maxEntrySpecBytes);
     const EngineId id(object.name);
     const auto read = toVariant<EngineEntry>([&] { return readEngineEntry(object); });
     if (const auto *error = std::get_if<Error>(&read)) {
@@ -118,7 +119,7 @@
         if (removeEngine(id, "its entry in the store is malformed")) {
             recordChange(object.revision);
         }
-        return;
+        return false;
     }
     m_malformed.remove(object.name);
     cancelRemoval(id);
@@ -135,6 +136,7 @@
                            {"stage", std::string(stageName(entry->stage))},
                            {"revision", static_cast<std::int64_t>(object.revision)}});
     }
+    return true;
 }
 
 bool EngineCatalogue::removeEngine(const EngineId &engine, const char *why)
--- a/packages/apricotladderd/entry/enginecatalogue.h
+++ b/packages/apricotladderd/entry/enginecatalogue.h
@@ -57,7 +57,8 @@
     }
 
 private:
-    void handleEntry(const StoreEntry &object);
+    /// Returns whether the entry is valid.
+    bool handleEntry(const StoredObject &stored);
     void recordChange(std::uint64_t revision);
     /// Returns whether the engine was known.
     bool removeEngine(const EngineId &engine, const char *why);
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -189,8 +189,8 @@
 void EntryNode::watchDesiredState()
 {
     StoreWatch::Callbacks callbacks;
-    callbacks.onChanged = [this](const StoreEntry &object) {
-        handleDesiredState(object);
+    callbacks.onChanged = [this](const StoredObject &object) {
+        return handleDesiredState(object);
     };
     callbacks.onRemoved = [](const std::string &) {
     };
@@ -200,17 +200,18 @@
         = std::make_unique<StoreWatch>(m_controlLoop, m_controlPool, m_context, std::string(Wire::configKind), std::move(callbacks));
 }
 
-void EntryNode::handleDesiredState(const StoreEntry &object)
+bool EntryNode::handleDesiredState(const StoredObject &object)
 {
     if (object.name != Wire::configName) {
-        return;
+        return false;
     }
     std::vector<std::string> malformedWorkspaces;
-    const auto desired = toVariant<DesiredState>([&] { return readDesiredState(object.spec, &malformedWorkspaces); });
+    const auto desired = toVariant<DesiredState>(
+        [&] { return readDesiredState(parseStoredObject(object, maxStoreResponseBytes).spec, &malformedWorkspaces); });
     if (const auto *error = std::get_if<Error>(&desired)) {
         m_context.metrics.countMalformedEntries(std::string(Wire::configKind), 1);
         m_context.log.add(LogLevel::Error, "desired.malformed", RequestId(), {{"why", error->message}});
-        return;
+        return false;
     }
     const std::uint64_t version = std::get<DesiredState>(desired)->version;
     if (!malformedWorkspaces.empty() && version > m_context.routes.current()->desired()->version) {
@@ -221,6 +222,7 @@
                            {"first", malformedWorkspaces.front()}});
     }
     applyDesiredState(std::get<DesiredState>(desired), "store");
+    return true;
 }
 
 void EntryNode::applyDesiredState(const DesiredState &desired, const char *source)
--- a/packages/apricotladderd/entry/entrynode.h
+++ b/packages/apricotladderd/entry/entrynode.h
@@ -72,7 +72,8 @@
     void watchDesiredState();
     void updateStoreUse();
     bool needsStore();
-    void handleDesiredState(const StoreEntry &object);
+    /// Returns whether \a object is the desired state, and valid.
+    bool handleDesiredState(const StoredObject &object);
     void applyDesiredState(const DesiredState &desired, const char *source);
     void handlePeerVersions(const PeerVersions &peer);
     void refreshFromStore(const PeerVersions &peer);
--- a/packages/apricotladderd/entry/nodedirectory.cpp
+++ b/packages/apricotladderd/entry/nodedirectory.cpp
@@ -129,10 +129,11 @@
     if (after.empty()) {
         m_stored.clear();
     }
-    send(listRequest(Wire::nodesKind, after, Freshness::AllowStale), {}, [this](const FetchResult &result) { handleListResponse(result); });
+    send(listRequest(Wire::nodesKind, after, Freshness::AllowStale), {},
+         [this, after](const FetchResult &result) { handleListResponse(result, after); });
 }
 
-void NodeDirectory::handleListResponse(const FetchResult &result)
+void NodeDirectory::handleListResponse(const FetchResult &result, const std::string &after)
 {
     const bool isGood = statusOf(result) == statusOk;
     m_context.metrics.countStoreCall("list", isGood ? "good" : "failed");
@@ -149,8 +150,8 @@
     }
     const StorePage &found = std::get<StorePage>(page);
     addPage(found);
-    if (found.hasMore && !found.objects.empty()) {
-        list(found.objects.back().name);
+    if (found.hasMore && !found.lastName.empty() && found.lastName != after) {
+        list(found.lastName);
         return;
     }
     handleList();
@@ -160,7 +161,8 @@
 void NodeDirectory::addPage(const StorePage &page)
 {
     m_context.metrics.countMalformedEntries(std::string(Wire::nodesKind), page.malformed);
-    for (const StoreEntry &object : page.objects) {
+    for (const StoredObject &stored : page.objects) {
+        const StoreEntry object = parseStoredObject(stored, maxEntrySpecBytes);
         const auto read = toVariant<Member>([&] { return readNode(object); });
         if (const auto *error = std::get_if<Error>(&read)) {
             if (m_malformed.add(object.name, object.revision)) {
--- a/packages/apricotladderd/entry/nodedirectory.h
+++ b/packages/apricotladderd/entry/nodedirectory.h
@@ -49,7 +49,7 @@
     void handleRegistration(const char *call, const FetchResult &result);
     void list(const std::string &after);
     void listLater();
-    void handleListResponse(const FetchResult &result);
+    void handleListResponse(const FetchResult &result, const std::string &after);
     void addPage(const StorePage &page);
     void handleList();
     void removeStaleNodes();
--- a/packages/apricotladderd/entry/storewatch.cpp
+++ b/packages/apricotladderd/entry/storewatch.cpp
@@ -31,7 +31,7 @@
 std::uint64_t lastChange(const StorePage &page)
 {
     std::uint64_t last = 0;
-    for (const StoreEntry &object : page.objects) {
+    for (const StoredObject &object : page.objects) {
         // The revision of a removed object is that of its last state; its removal came later.
         last = std::max(last, object.deleted ? page.revision : object.revision);
     }
@@ -84,8 +84,7 @@
     m_loop.cancel(std::exchange(m_nextCallTimer, 0));
 }
 
-void StoreWatch::sendCall(const char *callName, const HttpRequestHead &head, absl::Duration timeout, bool mayReuseConnection,
-                          std::function<void(const FullResponse &)> onResponse)
+void StoreWatch::sendCall(const HttpRequestHead &head, absl::Duration timeout, bool mayReuseConnection, HttpFetch::ResultHandler onResult)
 {
     ExchangeRequest request;
     request.address = m_context.settings->storeAddress;
@@ -94,15 +93,7 @@
     request.connectTimeout = connectTimeout;
     request.maxIdleTime = mayReuseConnection ? absl::Seconds(2) : absl::ZeroDuration();
     request.keepAliveTime = absl::Seconds(5);
-    m_fetch = HttpFetch::start(m_loop, m_pool, std::move(request), timeout, maxStoreResponseBytes,
-                               [this, callName, onResponse = std::move(onResponse)](const FetchResult &result) {
-                                   std::visit(
-                                       Overloaded{
-                                           onResponse,
-                                           [&](FetchError why) { handleFailure(callName, fetchErrorText(why)); },
-                                       },
-                                       result);
-                               });
+    m_fetch = HttpFetch::start(m_loop, m_pool, std::move(request), timeout, maxStoreResponseBytes, std::move(onResult));
 }
 
 void StoreWatch::list(const std::string &after)
@@ -111,18 +102,22 @@
         m_listedNames.clear();
         m_listRevision = 0;
     }
-    sendCall("list", listRequest(m_kind, after, Freshness::Latest), callTimeout, !m_failedSinceList, [this](const FullResponse &response) {
-        if (response.head.status == statusOk) {
-            handleListResponse(response.body);
-        } else {
-            handleFailure("list", "status " + std::to_string(response.head.status));
-        }
+    sendCall(listRequest(m_kind, after, Freshness::Latest), callTimeout, !m_failedSinceList, [this, after](const FetchResult &result) {
+        std::visit(Overloaded{
+                       [&](const FullResponse &response) { handleListResponse(response, after); },
+                       [&](FetchError why) { handleFailure("list", fetchErrorText(why)); },
+                   },
+                   result);
     });
 }
 
-void StoreWatch::handleListResponse(const std::string &body)
+void StoreWatch::handleListResponse(const FullResponse &response, const std::string &after)
 {
-    const auto page = toVariant<StorePage>([&] { return readStorePage(body); });
+    if (response.head.status != statusOk) {
+        handleFailure("list", "status " + std::to_string(response.head.status));
+        return;
+    }
+    const auto page = toVariant<StorePage>([&] { return readStorePage(response.body); });
     if (const auto *error = std::get_if<Error>(&page)) {
         handleFailure("list", error->message);
         return;
@@ -132,12 +127,17 @@
     m_context.metrics.countMalformedEntries(m_kind, found.malformed);
     // Watching from the lowest revision of all pages also reports what changed while the other pages were read.
     m_listRevision = m_listRevision == 0 ? found.revision : std::min(m_listRevision, found.revision);
-    for (const StoreEntry &object : found.objects) {
-        m_listedNames.insert(object.name);
-        notifyChange(object);
+    for (const StoredObject &object : found.objects) {
+        if (m_callbacks.onChanged(object)) {
+            m_listedNames.insert(object.name);
+        }
+    }
+    if (found.hasMore && (found.lastName.empty() || found.lastName == after)) {
+        handleFailure("list", "a page without a name to continue after");
+        return;
     }
-    if (found.hasMore && !found.objects.empty()) {
-        list(found.objects.back().name);
+    if (found.hasMore) {
+        list(found.lastName);
         return;
     }
     m_revision = m_listRevision;
@@ -150,8 +150,26 @@
 
 void StoreWatch::watch()
 {
-    sendCall("watch", watchRequest(m_kind, m_revision, maxWatchDuration), maxWatchDuration + callTimeout, true,
-             [this](const FullResponse &response) { handleWatchResponse(response); });
+    sendCall(watchRequest(m_kind, m_revision, maxWatchDuration), maxWatchDuration + callTimeout, true, [this](const FetchResult &result) {
+        std::visit(Overloaded{
+                       [&](const FullResponse &response) { handleWatchResponse(response); },
+                       [&](FetchError why) { handleWatchError(why); },
+                   },
+                   result);
+    });
+}
+
+void StoreWatch::handleWatchError(FetchError why)
+{
+    if (why != FetchError::TooLong) {
+        handleFailure("watch", fetchErrorText(why));
+        return;
+    }
+    // The store has answered, and would answer the same at this revision again. The pages of a list are limited.
+    m_context.metrics.countStoreCall("watch", "too long");
+    m_context.log.add(LogLevel::Warning, "store.watchtoolong", RequestId(),
+                      {{"kind", m_kind}, {"revision", static_cast<std::int64_t>(m_revision)}});
+    list({});
 }
 
 void StoreWatch::handleWatchResponse(const FullResponse &response)
@@ -175,7 +193,7 @@
     const StorePage &found = std::get<StorePage>(page);
     m_context.metrics.countStoreCall("watch", "good");
     m_context.metrics.countMalformedEntries(m_kind, found.malformed);
-    for (const StoreEntry &object : found.objects) {
+    for (const StoredObject &object : found.objects) {
         notifyChange(object);
     }
     if (!found.objects.empty()) {
@@ -193,7 +211,7 @@
     }
 }
 
-void StoreWatch::notifyChange(const StoreEntry &object)
+void StoreWatch::notifyChange(const StoredObject &object)
 {
     if (object.deleted) {
         m_callbacks.onRemoved(object.name);
--- a/packages/apricotladderd/entry/storewatch.h
+++ b/packages/apricotladderd/entry/storewatch.h
@@ -25,7 +25,8 @@
 public:
     struct Callbacks
     {
-        std::function<void(const StoreEntry &)> onChanged;
+        /// Called for each object that exists; returns whether it is valid. An object that is not is not among the names of onListed.
+        std::function<bool(const StoredObject &)> onChanged;
         std::function<void(const std::string &name)> onRemoved;
 
         /// Called after the changes of a watch: \a revision is that of the last one.
@@ -72,14 +73,14 @@
 private:
     void cancelCalls();
     void list(const std::string &after);
-    void handleListResponse(const std::string &body);
+    void handleListResponse(const FullResponse &response, const std::string &after);
     void watch();
     void handleWatchResponse(const FullResponse &response);
-    void sendCall(const char *callName, const HttpRequestHead &head, absl::Duration timeout, bool mayReuseConnection,
-                  std::function<void(const FullResponse &)> onResponse);
+    void handleWatchError(FetchError why);
+    void sendCall(const HttpRequestHead &head, absl::Duration timeout, bool mayReuseConnection, HttpFetch::ResultHandler onResult);
     void handleFailure(const char *callName, const std::string &why);
     void handleSuccess();
-    void notifyChange(const StoreEntry &object);
+    void notifyChange(const StoredObject &object);
 
     EventLoop &m_loop;
     ConnectionPool &m_pool;
--- a/packages/transport/httpfetch.cpp
+++ b/packages/transport/httpfetch.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-/// Whether the head announces a body of more than \a maxBytes.
-bool announcesMoreThan(std::size_t maxBytes, const HttpResponseHead &head)
+/// Returns the length that the head announces; 0 if it announces none.
+std::uint64_t announcedLength(const HttpResponseHead &head)
 {
     std::uint64_t length = 0;
-    return absl::SimpleAtoi(std::string(headerValue(head.headers, "Content-Length")), &length) && length > maxBytes;
+    return absl::SimpleAtoi(std::string(headerValue(head.headers, "Content-Length")), &length) ? length : 0;
 }
 
 }
@@ -46,9 +46,12 @@
     HttpExchange::Callbacks callbacks;
     callbacks.onHead = [fetch, maxBodyBytes](const HttpResponseHead &head) {
         fetch->m_response.head = head;
-        if (announcesMoreThan(maxBodyBytes, head)) {
+        const std::uint64_t length = announcedLength(head);
+        if (length > maxBodyBytes) {
             fetch->finish(FetchError::TooLong);
+            return;
         }
+        fetch->m_response.body.reserve(length);
     };
     callbacks.onBody = [fetch, maxBodyBytes](const std::string &part) {
         if (part.size() > maxBodyBytes - fetch->m_response.body.size()) {
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -20,6 +20,15 @@
     return at == std::string::npos ? 0 : std::stoull(target.substr(at + 6));
 }
 
+/// Returns the name after which a list continues; empty for its first page.
+std::string listStart(const std::string &target)
+{
+    const std::string key = "?after=";
+    const std::size_t at = target.find(key);
+    const std::size_t begin = at + key.size();
+    return at == std::string::npos ? std::string() : target.substr(begin, target.find('&', begin) - begin);
+}
+
 const std::string pathPrefix = "/objects/";
 
 std::string kindOf(const std::string &target)
@@ -221,7 +230,7 @@
     } else if (head.method != "GET") {
         handleWrite(connection, head, body);
     } else if (head.target.find("watch=") == std::string::npos) {
-        respondList(connection, kind);
+        respondList(connection, kind, listStart(head.target));
     } else if (watchRevision(head.target) < m_compactedRevision) {
         respondJson(connection, 410, Json::object());
     } else if (!tryRespondWatch(connection, kind, watchRevision(head.target))) {
@@ -263,13 +272,24 @@
     respondJson(connection, status, objectJson(name, object.spec, object.revision));
 }
 
-void PlatformStoreStandIn::respondList(const HttpServerConnection::Ptr &connection, const std::string &kind)
+std::size_t PlatformStoreStandIn::specBytes(const Json &spec) const
+{
+    const auto it = spec.is_string() ? m_specTexts.find(jsonDump(spec)) : m_specTexts.end();
+    return it == m_specTexts.end() ? 0 : it->second.size();
+}
+
+void PlatformStoreStandIn::respondList(const HttpServerConnection::Ptr &connection, const std::string &kind, const std::string &after)
 {
+    constexpr std::size_t maxPageBytes = 1'000'000;
+    const std::map<std::string, Object> &objects = m_objects[kind];
     Json items = Json::array();
-    for (const auto &[name, object] : m_objects[kind]) {
-        items.push_back(objectJson(name, object.spec, object.revision));
+    std::size_t bytes = 0;
+    auto it = objects.upper_bound(after);
+    for (; it != objects.end() && bytes < maxPageBytes; ++it) {
+        items.push_back(objectJson(it->first, it->second.spec, it->second.revision));
+        bytes += specBytes(it->second.spec);
     }
-    respondJson(connection, 200, Json{{"items", items}, {"has-more", false}, {"at", m_revision}});
+    respondJson(connection, 200, Json{{"items", items}, {"has-more", it != objects.end()}, {"at", m_revision}});
 }
 
 bool PlatformStoreStandIn::tryRespondWatch(const HttpServerConnection::Ptr &connection, const std::string &kind,
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -105,7 +105,9 @@
     void abortWatches(bool onlyRestricted);
     void handleWrite(const HttpServerConnection::Ptr &connection, const HttpRequestHead &head, const std::string &body);
     void respondObject(const HttpServerConnection::Ptr &connection, int status, const std::string &kind, const std::string &name);
-    void respondList(const HttpServerConnection::Ptr &connection, const std::string &kind);
+    /// Responds with the objects whose names follow \a after; a page has about 1 MB at most.
+    void respondList(const HttpServerConnection::Ptr &connection, const std::string &kind, const std::string &after);
+    std::size_t specBytes(const Json &spec) const;
     bool tryRespondWatch(const HttpServerConnection::Ptr &connection, const std::string &kind, std::uint64_t afterRevision);
     void respondJson(const HttpServerConnection::Ptr &connection, int status, const Json &json) const;
     void applyChange(const std::string &kind, const std::string &name, const Json *spec);
