Tell a slow reader from a dead path

Cause: TCP_USER_TIMEOUT of 3 s stands on every connection to notice a dead path, and Linux counts the time in which the peer's window is closed against it, although the peer answers each probe. Ruled out: the idle limit and the node's own buffers, which had handed everything to the system by then.

SendPathMonitor decides by the time since the last acknowledgement. A connection with data that is not acknowledged reads TCP_INFO every 500 ms; once the window is found closed, it lifts the timeout of the system and ends the connection itself when data or a probe stays unanswered. Related: connections to engines, peers and the store; data that the system holds at an orderly close; and a client that has stopped reading for good, which only the fault had ended, is disconnected at the idle timeout from its last progress. The destructor of EventLoop lets its handlers go before the timers that they cancel.

--- a/packages/transport/eventloop.cpp
+++ b/packages/transport/eventloop.cpp
@@ -7,6 +7,7 @@
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
+#include <utility>
 
 namespace Apricot {
 
@@ -38,6 +39,9 @@
 
 EventLoop::~EventLoop()
 {
+    // What the handlers and tasks own may unwatch descriptors and cancel timers when it is destroyed.
+    const auto watched = std::exchange(m_watched, {});
+    const auto timers = std::exchange(m_timers, {});
     close(m_wakeup);
     close(m_epoll);
     pthread_mutex_destroy(&m_mutex);
--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -25,6 +25,9 @@
 /// An owner learns of the unsent part of a stream when it has grown by this much.
 constexpr std::size_t minReportedBytes = 16 * 1024;
 
+/// A client that takes nothing of a response for a shorter time has not stopped reading, however low the idle timeout is.
+constexpr absl::Duration minReadTimeout = absl::Seconds(3);
+
 /// Memory of a connection without any buffer: its objects, callbacks and timer.
 constexpr std::size_t baseBytes = 4096;
 
@@ -366,14 +369,14 @@
     handlePeerClosed();
 }
 
-void HttpServerConnection::handlePeerClosed()
+void HttpServerConnection::handlePeerClosed(ServerCloseReason reason)
 {
     const std::function<void()> onPeerClosed = std::exchange(m_onPeerClosed, nullptr);
     m_closed = true;
     if (onPeerClosed) {
         onPeerClosed();
     }
-    close(ServerCloseReason::PeerClosed);
+    close(reason);
 }
 
 void HttpServerConnection::closeAfterDiscardingInput()
@@ -452,6 +455,12 @@
     }
 }
 
+bool HttpServerConnection::hasStoppedReading() const
+{
+    const absl::Duration timeout = std::max({m_limits.idleTimeout, m_hooks->limits().idleTimeout, minReadTimeout});
+    return m_connection->unsentBytes() > 0 && m_loop.now() - m_connection->lastSendProgress() > timeout;
+}
+
 void HttpServerConnection::armTimer()
 {
     const absl::Duration interval = std::min(m_limits.headerTimeout, m_limits.idleTimeout) / 2;
@@ -461,6 +470,11 @@
 void HttpServerConnection::checkTimeouts()
 {
     m_timer = 0;
+    if (hasStoppedReading()) {
+        m_connection->abort();
+        handlePeerClosed(ServerCloseReason::IdleTimeout);
+        return;
+    }
     const absl::Duration elapsed = m_loop.now() - m_phaseStart;
     if (!m_requestInProgress && m_parser && elapsed > std::max(m_limits.receiveTimeout, m_hooks->limits().receiveTimeout)) {
         rejectRequest(ParseState::Head);
--- a/packages/transport/httpserverconnection.h
+++ b/packages/transport/httpserverconnection.h
@@ -56,7 +56,7 @@
 enum class ServerCloseReason {
     PeerClosed, ///< the client disconnected
     AfterResponse, ///< closed after a response, as the client or the owner wanted
-    IdleTimeout, ///< no whole request was received within the idle timeout
+    IdleTimeout, ///< no whole request was received, or nothing of a response was read, within the idle timeout
     Stopped, ///< the listener stopped while the connection was idle
     Aborted, ///< reset to end an incomplete response
 };
@@ -188,7 +188,9 @@
     void continueReading();
     void handleDrained();
     void handleResponseSent();
-    void handlePeerClosed();
+    void handlePeerClosed(ServerCloseReason reason = ServerCloseReason::PeerClosed);
+    /// Whether the client has taken nothing of what waits for it for the idle timeout.
+    bool hasStoppedReading() const;
     void closeWhenSent();
     void closeAfterDiscardingInput();
     void close(ServerCloseReason reason);
--- a/packages/transport/tcpconnection.cpp
+++ b/packages/transport/tcpconnection.cpp
@@ -6,11 +6,18 @@
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
+#include <vector>
 
 namespace Apricot {
 
 namespace {
 
+/// Interval at which the path of outstanding data is checked; less than any user timeout.
+constexpr absl::Duration sendPathCheckInterval = absl::Milliseconds(500);
+
+/// How long the system goes on sending what was written before an orderly close, to a peer that reads slowly.
+constexpr absl::Duration closedUserTimeout = absl::Minutes(2);
+
 void setOption(int descriptor, int level, int name, int value)
 {
     setsockopt(descriptor, level, name, &value, sizeof(value));
@@ -18,9 +25,11 @@
 
 }
 
-TcpConnection::TcpConnection(EventLoop &loop, int descriptor)
+TcpConnection::TcpConnection(EventLoop &loop, int descriptor, const TcpTimeouts &timeouts)
     : m_loop(loop)
     , m_descriptor(descriptor)
+    , m_timeouts(timeouts)
+    , m_sendPath(timeouts.userTimeout)
 {
 }
 
@@ -33,13 +42,13 @@
                                                       Callbacks callbacks)
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    std::shared_ptr<TcpConnection> connection(new TcpConnection(loop, descriptor));
+    std::shared_ptr<TcpConnection> connection(new TcpConnection(loop, descriptor, timeouts));
     connection->setCallbacks(std::move(callbacks));
     if (descriptor < 0) {
         loop.post([connection] { connection->handleClosed(TcpCloseReason::NotConnected); });
         return connection;
     }
-    connection->setOptions(timeouts);
+    connection->setOptions();
     const int rc = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
     if (rc != 0 && errno != EINPROGRESS) {
         loop.post([connection] { connection->handleClosed(TcpCloseReason::NotConnected); });
@@ -51,9 +60,9 @@
 
 std::shared_ptr<TcpConnection> TcpConnection::adopt(EventLoop &loop, int descriptor, const TcpTimeouts &timeouts)
 {
-    std::shared_ptr<TcpConnection> connection(new TcpConnection(loop, descriptor));
-    connection->m_reportsCloseWhilePaused = true;
-    connection->setOptions(timeouts);
+    std::shared_ptr<TcpConnection> connection(new TcpConnection(loop, descriptor, timeouts));
+    connection->m_isAccepted = true;
+    connection->setOptions();
     connection->start(false);
     return connection;
 }
@@ -63,14 +72,19 @@
     m_callbacks = std::make_shared<Callbacks>(std::move(callbacks));
 }
 
-void TcpConnection::setOptions(const TcpTimeouts &timeouts) const
+void TcpConnection::setOptions() const
 {
     setOption(m_descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(m_descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
-    setOption(m_descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(absl::ToInt64Seconds(timeouts.keepAliveIdle)));
-    setOption(m_descriptor, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(absl::ToInt64Seconds(timeouts.keepAliveInterval)));
-    setOption(m_descriptor, IPPROTO_TCP, TCP_KEEPCNT, timeouts.keepAliveProbes);
-    setOption(m_descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(absl::ToInt64Milliseconds(timeouts.userTimeout)));
+    setOption(m_descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(absl::ToInt64Seconds(m_timeouts.keepAliveIdle)));
+    setOption(m_descriptor, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(absl::ToInt64Seconds(m_timeouts.keepAliveInterval)));
+    setOption(m_descriptor, IPPROTO_TCP, TCP_KEEPCNT, m_timeouts.keepAliveProbes);
+    setUserTimeout(m_timeouts.userTimeout);
+}
+
+void TcpConnection::setUserTimeout(absl::Duration timeout) const
+{
+    setOption(m_descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(absl::ToInt64Milliseconds(timeout)));
 }
 
 void TcpConnection::start(bool connecting)
@@ -96,7 +110,7 @@
         readOnce();
     } else if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
         handleClosed(TcpCloseReason::Reset);
-    } else if (m_reportsCloseWhilePaused && (events & EPOLLRDHUP) != 0) {
+    } else if (m_isAccepted && (events & EPOLLRDHUP) != 0) {
         handleClosed(TcpCloseReason::ClosedByPeer);
     }
 }
@@ -152,6 +166,7 @@
     if (sent < bytes.size()) {
         m_unsent.assign(bytes.substr(sent));
         m_unsentOffset = 0;
+        m_lastBufferChange = m_loop.now();
         updateEvents();
     }
 }
@@ -169,17 +184,19 @@
     if (sent < bytes.size()) {
         m_unsent = std::move(bytes);
         m_unsentOffset = sent;
+        m_lastBufferChange = m_loop.now();
         updateEvents();
     }
 }
 
-std::size_t TcpConnection::sendNow(std::string_view bytes) const
+std::size_t TcpConnection::sendNow(std::string_view bytes)
 {
     const ssize_t n = send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (n < 0 && errno != EAGAIN && errno != EINTR) {
         // An epoll event reports the reset. Handling it here would run a callback while the caller is still writing.
         return bytes.size();
     }
+    checkSendPathLater();
     return n > 0 ? static_cast<std::size_t>(n) : 0;
 }
 
@@ -194,6 +211,8 @@
             return;
         }
         m_unsentOffset += static_cast<std::size_t>(n);
+        m_lastBufferChange = m_loop.now();
+        checkSendPathLater();
     }
     if (m_descriptor < 0) {
         return;
@@ -202,6 +221,7 @@
     std::string().swap(m_unsent); // Idle connections hold no buffer.
     m_unsentOffset = 0;
     if (m_closeAfterFlush) {
+        prepareOrderlyClose();
         closeDescriptor();
         return;
     }
@@ -215,13 +235,46 @@
     }
 }
 
+void TcpConnection::checkSendPathLater()
+{
+    if (m_sendPathTimer == 0) {
+        m_sendPathTimer = m_loop.after(sendPathCheckInterval, [this] { checkSendPath(); });
+    }
+}
+
+void TcpConnection::checkSendPath()
+{
+    m_sendPathTimer = 0;
+    const std::optional<SendState> state = readSendState(m_descriptor);
+    if (!state) {
+        return; // The system's own timeout stays in force.
+    }
+    const bool isDead = m_sendPath.update(*state, m_loop.now());
+    const bool isAbandoned = m_closeAfterFlush && m_loop.now() - lastSendProgress() >= closedUserTimeout;
+    if (isDead || isAbandoned) {
+        setResetOnClose();
+        handleClosed(TcpCloseReason::Reset);
+        return;
+    }
+    // The system counts the time in which the window of the peer is closed, although the peer answers. From then on until all data is
+    // acknowledged, only this check limits the time without an answer.
+    const bool isWindowClosed = state->hasOutstandingData && !state->awaitsAcknowledgement;
+    if (m_hasUserTimeout ? isWindowClosed : !state->hasOutstandingData) {
+        m_hasUserTimeout = !m_hasUserTimeout;
+        setUserTimeout(m_hasUserTimeout ? m_timeouts.userTimeout : absl::ZeroDuration());
+    }
+    if (state->hasOutstandingData) {
+        checkSendPathLater();
+    }
+}
+
 void TcpConnection::updateEvents()
 {
     if (m_connecting || m_descriptor < 0) {
         return;
     }
     const std::uint32_t wanted
-        = (m_reading ? EPOLLIN : 0U) | (m_reading || m_reportsCloseWhilePaused ? EPOLLRDHUP : 0U) | (unsentBytes() > 0 ? EPOLLOUT : 0U);
+        = (m_reading ? EPOLLIN : 0U) | (m_reading || m_isAccepted ? EPOLLRDHUP : 0U) | (unsentBytes() > 0 ? EPOLLOUT : 0U);
     if (wanted != m_events) {
         m_events = wanted;
         m_loop.changeEvents(m_descriptor, wanted);
@@ -270,12 +323,27 @@
     }
     m_callbacks = std::make_shared<Callbacks>();
     if (unsentBytes() == 0 || m_connecting) {
+        prepareOrderlyClose();
         closeDescriptor();
         return;
     }
     m_closeAfterFlush = true;
 }
 
+void TcpConnection::prepareOrderlyClose() const
+{
+    const bool mayHaveOutstandingData = m_sendPathTimer != 0;
+    if (m_isAccepted && mayHaveOutstandingData) {
+        setUserTimeout(closedUserTimeout);
+    }
+}
+
+void TcpConnection::setResetOnClose() const
+{
+    const linger reset{1, 0};
+    setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 void TcpConnection::shutdownWrite()
 {
     m_shutdownAfterFlush = true;
@@ -290,8 +358,7 @@
         return;
     }
     m_callbacks = std::make_shared<Callbacks>();
-    const linger reset{1, 0};
-    setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    setResetOnClose();
     closeDescriptor();
 }
 
@@ -308,6 +375,7 @@
 void TcpConnection::closeDescriptor()
 {
     if (m_descriptor >= 0) {
+        m_loop.cancel(std::exchange(m_sendPathTimer, 0));
         const int descriptor = std::exchange(m_descriptor, -1);
         m_loop.unwatch(descriptor);
         ::close(descriptor);
--- a/packages/transport/tcpconnection.h
+++ b/packages/transport/tcpconnection.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "transport/eventloop.h"
+#include "transport/sendpath.h"
 
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -26,7 +28,8 @@
     absl::Duration keepAliveIdle = absl::Seconds(1); ///< idle time before the first keep-alive probe, in whole seconds
     absl::Duration keepAliveInterval = absl::Seconds(1); ///< interval between keep-alive probes, in whole seconds
     int keepAliveProbes = 2; ///< number of unanswered probes that end the connection
-    absl::Duration userTimeout = absl::Seconds(3); ///< maximum time that sent data may stay unacknowledged (TCP_USER_TIMEOUT)
+    absl::Duration userTimeout = absl::Seconds(3); ///< maximum time that sent data may stay unacknowledged; not limited while the peer
+                                                   ///< acknowledges what it gets, but reads slowly or has closed its window
 };
 
 /**
@@ -82,6 +85,13 @@
     /// Pauses or resumes reading. An accepted connection detects a close by the peer even while reading is paused.
     void setReading(bool reading);
 
+    /// When the peer last acknowledged data, as of some hundred milliseconds ago, or the system last took buffered bytes; not earlier than
+    /// the time from which bytes are buffered.
+    absl::Time lastSendProgress() const
+    {
+        return std::max(m_lastBufferChange, m_sendPath.lastProgress());
+    }
+
     /// Limits what the system buffers for this connection in each direction, in bytes.
     void setSystemBuffers(int bytes) const;
 
@@ -109,9 +119,12 @@
     bool isClosedByPeer() const;
 
 private:
-    TcpConnection(EventLoop &loop, int descriptor);
+    TcpConnection(EventLoop &loop, int descriptor, const TcpTimeouts &timeouts);
 
-    void setOptions(const TcpTimeouts &timeouts) const;
+    void setOptions() const;
+    void setUserTimeout(absl::Duration timeout) const;
+    void prepareOrderlyClose() const;
+    void setResetOnClose() const;
     void start(bool connecting);
     void handleEvents(std::uint32_t events);
     void finishConnect();
@@ -119,14 +132,17 @@
     /// while there is more.
     void readOnce();
     /// Hands bytes to the system; returns how many need not be buffered.
-    std::size_t sendNow(std::string_view bytes) const;
+    std::size_t sendNow(std::string_view bytes);
     void flush();
     void updateEvents();
+    void checkSendPathLater();
+    void checkSendPath();
     void handleClosed(TcpCloseReason reason);
     void closeDescriptor();
 
     EventLoop &m_loop;
     int m_descriptor;
+    TcpTimeouts m_timeouts;
     bool m_connecting = false;
     bool m_reading = true;
     bool m_closeAfterFlush = false;
@@ -134,7 +150,11 @@
     std::uint32_t m_events = 0;
     std::string m_unsent;
     std::size_t m_unsentOffset = 0;
-    bool m_reportsCloseWhilePaused = false; ///< whether a disconnect of the peer is detected while reading is paused
+    absl::Time m_lastBufferChange = absl::InfinitePast(); ///< when the system last took buffered bytes, or bytes were buffered after none
+    SendPathMonitor m_sendPath;
+    TimerId m_sendPathTimer = 0; ///< runs while the system may hold data that is not acknowledged
+    bool m_hasUserTimeout = true; ///< the system limits the time of unacknowledged data
+    bool m_isAccepted = false; ///< the peer opened it; its disconnect is detected while reading is paused
     std::shared_ptr<Callbacks> m_callbacks; ///< copied before a callback runs, because the callback may replace them
 };
 
--- a/packages/transport/tests/exchange/testserverconnection.cpp
+++ b/packages/transport/tests/exchange/testserverconnection.cpp
@@ -301,6 +301,38 @@
     BOOST_TEST(client.received().size() > hugeBody.size());
 }
 
+/// Guards against a connection, its memory and its engine that are held for ever for a client which has stopped reading.
+BOOST_AUTO_TEST_CASE(aClientThatHasStoppedReadingIsDisconnected)
+{
+    limits.idleTimeout = shortIdleTimeout;
+    bool isRequestCancelled = false;
+    const std::string part(64 * 1024, 'a');
+    respond = [&](const HttpServerConnection::Ptr &connection) {
+        connection->setPeerClosedHandler([&] { isRequestCancelled = true; });
+        connection->beginStream(HttpResponseHead{200, "OK", {}, true, false}, {});
+        while (connection->unsentBytes() == 0) {
+            connection->sendChunk(part);
+        }
+    };
+    RawClient streaming(listener->port());
+    streaming.send(getRequest);
+    runUntil([&] { return isRequestCancelled; });
+    BOOST_TEST(listener->connectionCount() == 0U);
+    const std::string hugeBody(16'000'000, 'a');
+    for (const bool keepsOpen : {true, false}) {
+        keepsConnectionsOpen = keepsOpen;
+        respond = [&](const HttpServerConnection::Ptr &connection) {
+            connection->respond(HttpResponseHead{200, "OK", {}, true, false}, hugeBody);
+        };
+        RawClient client(listener->port());
+        client.send(getRequest);
+        runUntil([&] { return listener->connectionCount() == 1U; });
+        runUntil([&] { return listener->connectionCount() == 0U; });
+        runUntil([&] { return client.isEnded(); });
+        BOOST_TEST(client.received().size() < hugeBody.size());
+    }
+}
+
 /// Guards against a whole request that gets no answer because the idle timeout is checked before the request is read.
 BOOST_AUTO_TEST_CASE(requestsThatWaitToBeReadAreAnswered)
 {
