Quarantine parts of prompts that cannot be told apart together

Cause: a part that is in all crashes of another one has the same evidence, and the deepest part was taken; the conviction then explained all crashes.

Such parts are now convicted together, and only prompts with all of them are refused. An outlived answer on one of them leaves the others; two crashes without one of them convict the part that is in these. Sets of parts pass between nodes, so the encoding version is 8.

--- a/packages/apricotladderd/entry/promptguard.cpp
+++ b/packages/apricotladderd/entry/promptguard.cpp
@@ -22,7 +22,7 @@
                    [&](const PromptTrial &it) { m_trial = it; },
                    [&](const PromptRefused &it) {
                        refusal = it;
-                       m_refusedPart = it.part;
+                       m_refusedParts = it.parts;
                    },
                },
                m_quarantine.check(m_call, m_trial, now));
--- a/packages/apricotladderd/entry/promptguard.h
+++ b/packages/apricotladderd/entry/promptguard.h
@@ -43,10 +43,10 @@
         return m_isOutlived;
     }
 
-    /// The quarantined part for which check() last refused the call; empty if it did not.
-    const PromptPartId &refusedPart() const
+    /// The quarantined parts for which check() last refused the call; empty if it did not.
+    const PromptPartSet &refusedParts() const
     {
-        return m_refusedPart;
+        return m_refusedParts;
     }
 
     /// Records that events of an answer have arrived that the engine began at \a begunAt.
@@ -66,7 +66,7 @@
     RoutedCall m_call;
     ServiceName m_service;
     std::optional<PromptTrial> m_trial;
-    PromptPartId m_refusedPart;
+    PromptPartSet m_refusedParts;
     bool m_hasBroken = false;
     bool m_isOutlived = false;
 };
--- a/packages/apricotladderd/entry/sharedquarantine.cpp
+++ b/packages/apricotladderd/entry/sharedquarantine.cpp
@@ -116,14 +116,14 @@
         std::visit(Overloaded{
                        [&](const QuarantineBegun &it) {
                            m_log.add(LogLevel::Warning, "quarantine.begin", RequestId(),
-                                     {{"part", it.part.text()},
+                                     {{"part", it.parts.text()},
                                       {"round", it.round},
                                       {"crashes", static_cast<std::int64_t>(it.crashes)},
                                       {"source", it.source},
                                       {"forMs", absl::ToDoubleMilliseconds(it.length)}});
                        },
                        [&](const QuarantineEnded &it) {
-                           m_log.add(LogLevel::Warning, "quarantine.end", RequestId(), {{"part", it.part.text()}, {"reason", it.reason}});
+                           m_log.add(LogLevel::Warning, "quarantine.end", RequestId(), {{"part", it.parts.text()}, {"reason", it.reason}});
                        },
                    },
                    change);
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -290,7 +290,7 @@
                      {"rank", m_facts.rank},
                      {"late", m_facts.isLate},
                      {"promptTokens", m_facts.call->promptTokens},
-                     {"quarantined", m_promptGuard.refusedPart().text()},
+                     {"quarantined", m_promptGuard.refusedParts().text()},
                      {"promptParts", joinPartIds(m_facts.call->promptParts)},
                      {"mostOutputTokens", m_facts.call->maxOutputTokens},
                      {"timeLeftMs", absl::ToDoubleMilliseconds(m_facts.call->timeLeft.value_or(absl::ZeroDuration()))},
--- a/packages/coordination/promptquarantine.cpp
+++ b/packages/coordination/promptquarantine.cpp
@@ -72,22 +72,22 @@
         return PromptAdmitted{};
     }
     std::optional<PromptTrial> granted;
-    for (const PromptPartId &part : sharedParts(parts)) {
-        const auto it = m_quarantines.find(part);
-        if (it == m_quarantines.end()) {
+    const std::vector<PromptPartId> shared = sharedParts(parts);
+    for (const auto &[quarantined, state] : m_quarantines) {
+        if (!quarantined.isIn(shared)) {
             continue;
         }
-        const PromptTrial wanted{part, it->second.round};
+        const PromptTrial wanted{quarantined, state.round};
         if (trial == wanted) {
             granted = wanted;
             continue;
         }
-        if (now < it->second.end()) {
-            return PromptRefused{part, it->second.end() - now};
+        if (now < state.end()) {
+            return PromptRefused{quarantined, state.end() - now};
         }
-        const bool isOwner = ownerOf(absl::StrCat(part.text(), "#", wanted.round), m_activeNodes) == m_self;
-        if (!isOwner || now < it->second.nextTrial || granted || trial) {
-            return PromptRefused{part, Limits::trialInterval};
+        const bool isOwner = ownerOf(absl::StrCat(quarantined.text(), "#", wanted.round), m_activeNodes) == m_self;
+        if (!isOwner || now < state.nextTrial || granted || trial) {
+            return PromptRefused{quarantined, Limits::trialInterval};
         }
         granted = wanted;
     }
@@ -95,7 +95,7 @@
         return PromptAdmitted{};
     }
     // No other call is tried until this one has ended.
-    m_quarantines[granted->part].nextTrial = absl::InfiniteFuture();
+    m_quarantines[granted->parts].nextTrial = absl::InfiniteFuture();
     return *granted;
 }
 
@@ -104,7 +104,7 @@
     const std::vector<PromptPartId> shared = sharedParts(parts);
     const std::vector<Suspicion> found = suspicions(now);
     return std::any_of(found.begin(), found.end(), [&](const Suspicion &it) {
-        return contains(shared, it.part) && countedCrashes(it).size() >= Limits::suspiciousCrashes;
+        return contains(shared, it.part) && countedCrashes(it.unexplained).size() >= Limits::suspiciousCrashes;
     });
 }
 
@@ -115,9 +115,11 @@
     if (answers.size() > Limits::minOutlivedAnswers) {
         answers.erase(answers.begin());
     }
-    for (const PromptPartId &part : sharedParts(parts)) {
+    const std::vector<PromptPartId> shared = sharedParts(parts);
+    const bool isReleased = releaseOutlived(shared, now);
+    for (const PromptPartId &part : shared) {
         setLastCleared(part, now);
-        if (release(part, now) || isSuspected(part)) {
+        if (exonerate(part, now) || isReleased || isSuspected(part)) {
             m_announced[part] = now + Limits::announceTime;
         }
     }
@@ -127,9 +129,9 @@
                                     const std::optional<PromptTrial> &trial, absl::Time now)
 {
     if (trial) {
-        const auto it = m_quarantines.find(trial->part);
+        const auto it = m_quarantines.find(trial->parts);
         if (it != m_quarantines.end() && it->second.round == trial->round) {
-            quarantine(trial->part, Quarantine{trial->round + 1, now}, 0, "trial");
+            quarantine(trial->parts, Quarantine{trial->round + 1, now}, 0, "trial");
         }
     }
     if (parts.size() > 1) {
@@ -139,7 +141,7 @@
 
 void PromptQuarantine::endTrial(const PromptTrial &trial, absl::Time now)
 {
-    const auto it = m_quarantines.find(trial.part);
+    const auto it = m_quarantines.find(trial.parts);
     if (it != m_quarantines.end() && it->second.round == trial.round) {
         it->second.nextTrial = now + Limits::trialInterval;
     }
@@ -178,65 +180,131 @@
         return;
     }
     m_lastReview = now;
-    // A convicted part explains crashes, which may no longer convict the parts that are examined after it.
-    while (convictOne(now)) { }
+    // A conviction explains crashes, which may no longer convict the parts that are examined after it. It may also displace another one,
+    // whose crashes are unexplained then.
+    std::size_t n = 0;
+    while (n < Limits::maxQuarantined && convictOne(now)) {
+        ++n;
+    }
 }
 
 bool PromptQuarantine::convictOne(absl::Time now)
 {
-    for (const Suspicion &suspicion : suspicions(now - Limits::confirmationTime)) {
-        const std::vector<const Broken *> crashes = countedCrashes(suspicion);
-        std::set<std::uint64_t> prompts;
-        for (const Broken *it : crashes) {
-            prompts.insert(it->prompt.promptKey);
-        }
-        const bool isEnough = crashes.size() >= Limits::minCrashes && prompts.size() >= Limits::minPrompts;
-        if (isEnough && answersOutlived(*crashes.front())) {
-            quarantine(suspicion.part, Quarantine{0, crashes.back()->time}, crashes.size(), "crashes");
-            acquitExplainedBy(suspicion.part, now);
+    const std::vector<Suspicion> found = suspicions(now - Limits::confirmationTime);
+    for (const Suspicion &suspicion : found) {
+        const std::vector<const Broken *> crashes = countedCrashes(suspicion.unexplained);
+        if (isEnough(suspicion, crashes) && answersOutlived(*crashes.front())) {
+            const PromptPartSet parts = inseparableParts(suspicion, found);
+            quarantine(parts, Quarantine{0, crashes.back()->time}, crashes.size(), "crashes");
+            acquitExplainedBy(parts, now);
             return true;
         }
     }
     return false;
 }
 
-/// Returns the parts that are under suspicion, the deepest first, from the prompts that broke off up to \a until.
+/// Whether \a crashes, which no conviction explains, are enough to convict the part of \a suspicion.
+bool PromptQuarantine::isEnough(const Suspicion &suspicion, const std::vector<const Broken *> &crashes)
+{
+    std::set<std::uint64_t> prompts;
+    for (const Broken *it : crashes) {
+        prompts.insert(it->prompt.promptKey);
+    }
+    const bool hasExplainedCrashes = countedCrashes(suspicion.prompts).size() > crashes.size();
+    return crashes.size() >= (hasExplainedCrashes ? Limits::minFurtherCrashes : Limits::minCrashes) && prompts.size() >= Limits::minPrompts;
+}
+
+/// Returns the parts to convict together with the part of \a suspicion, which cannot be told from it by what has been seen.
+PromptPartSet PromptQuarantine::inseparableParts(const Suspicion &suspicion, const std::vector<Suspicion> &all) const
+{
+    // The crashes with other companions tell the part from them, unless the companions of each are to blame.
+    const auto isExplainedByPart = [&](const auto &it) {
+        return it.first.contains(suspicion.part);
+    };
+    const auto n = std::count_if(m_quarantines.begin(), m_quarantines.end(), isExplainedByPart);
+    const std::vector<const Broken *> &prompts = n >= Limits::minCompanions ? suspicion.prompts : suspicion.unexplained;
+    const std::vector<Suspicion> companions = companionsOf(suspicion, prompts, all);
+    const auto wasOutlived = [](const Suspicion &it) {
+        return it.wasOutlived;
+    };
+    if (n > 0 && !suspicion.wasOutlived && std::all_of(companions.begin(), companions.end(), wasOutlived)) {
+        return PromptPartSet({suspicion.part});
+    }
+    // Most prompts of a route share their first part.
+    const bool areDeeperOutlived = suspicion.wasOutlived
+        && std::all_of(companions.begin(), companions.end(), [](const Suspicion &it) { return it.wasOutlived || it.depth == 0; });
+    std::vector<PromptPartId> parts{suspicion.part};
+    for (const Suspicion &it : companions) {
+        if (it.depth > 0 || (areDeeperOutlived && !it.wasOutlived)) {
+            parts.push_back(it.part);
+        }
+    }
+    return PromptPartSet(std::move(parts));
+}
+
+/// Returns those of \a all suspicions whose part is in each of \a prompts, but for \a suspicion itself.
+std::vector<PromptQuarantine::Suspicion>
+PromptQuarantine::companionsOf(const Suspicion &suspicion, const std::vector<const Broken *> &prompts, const std::vector<Suspicion> &all)
+{
+    std::vector<Suspicion> companions;
+    for (const Suspicion &it : all) {
+        const bool isInAll = std::all_of(prompts.begin(), prompts.end(), [&](const Broken *prompt) {
+            return std::find(it.prompts.begin(), it.prompts.end(), prompt) != it.prompts.end();
+        });
+        if (isInAll && it.part != suspicion.part) {
+            companions.push_back(it);
+        }
+    }
+    return companions;
+}
+
+/// Returns the parts that are under suspicion, in the order in which they are examined, from the prompts that broke off up to \a until.
 std::vector<PromptQuarantine::Suspicion> PromptQuarantine::suspicions(absl::Time until) const
 {
     const std::set<EngineLifetime> explained = explainedEngines();
     std::map<PromptPartId, Suspicion> byPart;
     for (const Broken &broken : m_broken) {
-        if (broken.time > until || explained.contains(broken.prompt.engine)) {
+        if (broken.time > until) {
             continue;
         }
+        const bool isExplained = explained.contains(broken.prompt.engine);
         for (std::size_t depth = 0; depth < broken.prompt.parts.size(); ++depth) {
             const PromptPartId &part = broken.prompt.parts[depth];
-            if (lastCleared(part) >= broken.time) {
+            const absl::Time cleared = lastCleared(part);
+            if (cleared >= broken.time) {
                 continue;
             }
             Suspicion &suspicion = byPart[part];
             suspicion.part = part;
             suspicion.depth = std::max(suspicion.depth, depth);
+            suspicion.wasOutlived = cleared != absl::InfinitePast();
             suspicion.prompts.push_back(&broken);
+            if (!isExplained) {
+                suspicion.unexplained.push_back(&broken);
+            }
         }
     }
     std::vector<Suspicion> found;
+    const auto isEarlier = [](const Broken *left, const Broken *right) {
+        return left->time < right->time;
+    };
     for (auto &[part, suspicion] : byPart) {
-        std::stable_sort(suspicion.prompts.begin(), suspicion.prompts.end(),
-                         [](const Broken *left, const Broken *right) { return left->time < right->time; });
+        std::stable_sort(suspicion.prompts.begin(), suspicion.prompts.end(), isEarlier);
+        std::stable_sort(suspicion.unexplained.begin(), suspicion.unexplained.end(), isEarlier);
         found.push_back(std::move(suspicion));
     }
     std::stable_sort(found.begin(), found.end(), [](const Suspicion &left, const Suspicion &right) {
-        return std::tuple(left.depth, left.prompts.size()) > std::tuple(right.depth, right.prompts.size());
+        return std::tuple(!left.wasOutlived, left.depth, left.unexplained.size())
+            > std::tuple(!right.wasOutlived, right.depth, right.unexplained.size());
     });
     return found;
 }
 
-std::vector<const PromptQuarantine::Broken *> PromptQuarantine::countedCrashes(const Suspicion &suspicion) const
+std::vector<const PromptQuarantine::Broken *> PromptQuarantine::countedCrashes(const std::vector<const Broken *> &prompts)
 {
     std::vector<const Broken *> counted;
     std::set<EngineLifetime> engines;
-    for (const Broken *it : suspicion.prompts) {
+    for (const Broken *it : prompts) {
         const bool isLater = counted.empty() || it->time - counted.back()->time >= Limits::minCrashInterval;
         if (isLater && engines.insert(it->prompt.engine).second) {
             counted.push_back(it);
@@ -251,11 +319,11 @@
     return it != m_outlivedAnswers.end() && it->second.size() >= Limits::minOutlivedAnswers && it->second.front() > firstCrash.time;
 }
 
-std::set<EngineLifetime> PromptQuarantine::enginesBrokenBy(const PromptPartId &part) const
+std::set<EngineLifetime> PromptQuarantine::enginesBrokenBy(const PromptPartSet &parts) const
 {
     std::set<EngineLifetime> engines;
     for (const Broken &broken : m_broken) {
-        if (contains(broken.prompt.parts, part)) {
+        if (parts.isIn(broken.prompt.parts)) {
             engines.insert(broken.prompt.engine);
         }
     }
@@ -265,52 +333,100 @@
 std::set<EngineLifetime> PromptQuarantine::explainedEngines() const
 {
     std::set<EngineLifetime> engines;
-    for (const auto &[part, state] : m_quarantines) {
-        engines.merge(enginesBrokenBy(part));
+    for (const auto &[parts, state] : m_quarantines) {
+        engines.merge(enginesBrokenBy(parts));
     }
     return engines;
 }
 
 /// Clears the parts whose quarantine rests on crashes that \a culprit has caused: reports on it may arrive late.
-void PromptQuarantine::acquitExplainedBy(const PromptPartId &culprit, absl::Time now)
+void PromptQuarantine::acquitExplainedBy(const PromptPartSet &culprit, absl::Time now)
 {
     const std::set<EngineLifetime> explained = enginesBrokenBy(culprit);
-    std::vector<PromptPartId> acquitted;
-    for (const auto &[part, state] : m_quarantines) {
-        const std::set<EngineLifetime> engines = enginesBrokenBy(part);
+    std::vector<PromptPartSet> acquitted;
+    for (const auto &[parts, state] : m_quarantines) {
+        const std::set<EngineLifetime> engines = enginesBrokenBy(parts);
         const bool isExplained = std::includes(explained.begin(), explained.end(), engines.begin(), engines.end());
-        if (part != culprit && state.round == 0 && !engines.empty() && isExplained) {
-            acquitted.push_back(part);
+        if (parts != culprit && state.round == 0 && !engines.empty() && isExplained) {
+            acquitted.push_back(parts);
         }
     }
-    for (const PromptPartId &part : acquitted) {
-        setLastCleared(part, now);
-        release(part, now);
-        m_announced[part] = now + Limits::announceTime;
+    for (const PromptPartSet &parts : acquitted) {
+        end(parts, "cleared");
+        for (const PromptPartId &part : parts.parts()) {
+            if (!culprit.contains(part)) {
+                setLastCleared(part, now);
+                m_announced[part] = now + Limits::announceTime;
+            }
+        }
     }
 }
 
-void PromptQuarantine::quarantine(const PromptPartId &part, Quarantine state, std::size_t crashes, const char *source)
+void PromptQuarantine::quarantine(const PromptPartSet &parts, Quarantine state, std::size_t crashes, const char *source)
 {
-    if (!m_quarantines.contains(part) && m_quarantines.size() == Limits::maxQuarantined) {
+    std::vector<PromptPartSet> narrower;
+    for (const auto &[other, otherState] : m_quarantines) {
+        if (other != parts && parts.contains(other)) {
+            return; // All its calls are refused already.
+        }
+        if (other != parts && other.contains(parts)) {
+            narrower.push_back(other);
+        }
+    }
+    for (const PromptPartSet &it : narrower) {
+        end(it, "replaced");
+    }
+    if (!m_quarantines.contains(parts) && m_quarantines.size() == Limits::maxQuarantined) {
         const auto oldest = std::min_element(m_quarantines.begin(), m_quarantines.end(),
                                              [](const auto &left, const auto &right) { return left.second.since < right.second.since; });
-        m_changes.emplace_back(QuarantineEnded{oldest->first, "displaced"});
-        m_quarantines.erase(oldest);
+        end(PromptPartSet(oldest->first), "displaced");
+    }
+    m_changes.emplace_back(QuarantineBegun{parts, state.round, crashes, source, roundLength(state.round)});
+    m_quarantines[parts] = state;
+}
+
+void PromptQuarantine::end(const PromptPartSet &parts, const char *reason)
+{
+    m_changes.emplace_back(QuarantineEnded{parts, reason});
+    m_quarantines.erase(parts);
+}
+
+/// Ends the quarantine of parts that are all in \a prompt, on which an engine has outlived an answer; returns whether there was any.
+bool PromptQuarantine::releaseOutlived(const std::vector<PromptPartId> &prompt, absl::Time now)
+{
+    std::vector<PromptPartSet> released;
+    for (const auto &[parts, state] : m_quarantines) {
+        if (state.since < now && parts.isIn(prompt)) {
+            released.push_back(parts);
+        }
+    }
+    for (const PromptPartSet &parts : released) {
+        end(parts, "cleared");
     }
-    m_changes.emplace_back(QuarantineBegun{part, state.round, crashes, source, roundLength(state.round)});
-    m_quarantines[part] = state;
+    return !released.empty();
 }
 
-bool PromptQuarantine::release(const PromptPartId &part, absl::Time cleared)
+/// Takes a part that was \a cleared out of the quarantines that had begun before: one of the other parts is to blame, unless answers on
+/// those have been outlived too, or the crashes may have ended meanwhile. Returns whether there was any.
+bool PromptQuarantine::exonerate(const PromptPartId &part, absl::Time cleared)
 {
-    const auto it = m_quarantines.find(part);
-    if (it == m_quarantines.end() || it->second.since >= cleared) {
-        return false;
+    std::vector<std::pair<PromptPartSet, Quarantine>> affected;
+    for (const auto &[parts, state] : m_quarantines) {
+        if (state.since < cleared && parts.contains(part)) {
+            affected.emplace_back(parts, state);
+        }
     }
-    m_quarantines.erase(it);
-    m_changes.emplace_back(QuarantineEnded{part, "cleared"});
-    return true;
+    for (const auto &[parts, state] : affected) {
+        const PromptPartSet rest = parts.without(part);
+        const bool areOthersSuspect = std::any_of(rest.parts().begin(), rest.parts().end(),
+                                                  [&](const PromptPartId &it) { return lastCleared(it) == absl::InfinitePast(); });
+        const bool isNarrowed = areOthersSuspect && cleared < state.end();
+        end(parts, isNarrowed ? "replaced" : "cleared");
+        if (isNarrowed) {
+            quarantine(rest, state, 0, "narrowed");
+        }
+    }
+    return !affected.empty();
 }
 
 absl::Time PromptQuarantine::lastCleared(const PromptPartId &part) const
@@ -354,8 +470,8 @@
             report.cleared.push_back(ClearedPart{part, now - cleared});
         }
     }
-    for (const auto &[part, state] : m_quarantines) {
-        report.quarantined.push_back(QuarantinedPart{part, state.round, now - state.since});
+    for (const auto &[parts, state] : m_quarantines) {
+        report.quarantined.push_back(QuarantinedParts{parts, state.round, now - state.since});
     }
     return report;
 }
@@ -380,7 +496,7 @@
         return;
     }
     setLastCleared(cleared.part, time);
-    if (release(cleared.part, time)) {
+    if (exonerate(cleared.part, time)) {
         // Messages that pass from node to node reach all of them only if each one repeats what is new to it.
         m_announced[cleared.part] = now + Limits::announceTime;
     }
@@ -400,19 +516,25 @@
     addBroken(Broken{prompt, time, false});
 }
 
-void PromptQuarantine::mergeQuarantined(const QuarantinedPart &quarantined, absl::Time now)
+void PromptQuarantine::mergeQuarantined(const QuarantinedParts &quarantined, absl::Time now)
 {
     const Quarantine state{std::max<std::int64_t>(0, quarantined.round), timeOf(quarantined.age, now)};
     if (now - state.end() > Limits::forgetAfter) {
         return;
     }
-    if (lastCleared(quarantined.part) > state.since) {
-        m_announced[quarantined.part] = now + Limits::announceTime;
+    PromptPartSet parts = quarantined.parts;
+    for (const PromptPartId &part : quarantined.parts.parts()) {
+        if (lastCleared(part) > state.since) {
+            m_announced[part] = now + Limits::announceTime;
+            parts = parts.without(part);
+        }
+    }
+    if (parts.isEmpty() || parts.parts().size() > Limits::maxParts) {
         return;
     }
-    const auto it = m_quarantines.find(quarantined.part);
+    const auto it = m_quarantines.find(parts);
     if (it == m_quarantines.end() || it->second.round < state.round) {
-        quarantine(quarantined.part, state, 0, "peer");
+        quarantine(parts, state, 0, "peer");
     } else if (it->second.round == state.round) {
         it->second.since = std::min(it->second.since, state.since);
     }
--- a/packages/coordination/promptquarantine.h
+++ b/packages/coordination/promptquarantine.h
@@ -23,6 +23,12 @@
     static constexpr std::size_t minCrashes = 3;
     static constexpr std::size_t minPrompts = 2;
 
+    /// Crashes that are enough for a part which is also in crashes that another conviction explains: that one was wrong.
+    static constexpr std::size_t minFurtherCrashes = 2;
+
+    /// A part that has been convicted together with this many others in turn is to blame for their crashes.
+    static constexpr std::ptrdiff_t minCompanions = 2;
+
     /// A prompt that has broken off is not sent again by its node if one of its parts is in this many crashes.
     static constexpr std::size_t suspiciousCrashes = 2;
 
@@ -72,10 +78,10 @@
     friend bool operator==(const PromptAdmitted &, const PromptAdmitted &) = default;
 };
 
-/// The permission to send one call with a quarantined part, to find out whether the part still crashes engines.
+/// The permission to send one call with quarantined parts, to find out whether one of them still crashes engines.
 struct PromptTrial
 {
-    PromptPartId part;
+    PromptPartSet parts;
     std::int64_t round = 0;
 
     friend bool operator==(const PromptTrial &, const PromptTrial &) = default;
@@ -84,7 +90,7 @@
 /// A call must not be sent to any engine.
 struct PromptRefused
 {
-    PromptPartId part; ///< the quarantined part
+    PromptPartSet parts; ///< the quarantined parts
     absl::Duration retryAfter;
 
     friend bool operator==(const PromptRefused &, const PromptRefused &) = default;
@@ -93,23 +99,23 @@
 /// Whether a call may be sent to engines.
 using PromptVerdict = std::variant<PromptAdmitted, PromptTrial, PromptRefused>;
 
-/// A part was quarantined, or its quarantine was renewed after a trial.
+/// Parts were quarantined, or their quarantine was renewed after a trial.
 struct QuarantineBegun
 {
-    PromptPartId part;
+    PromptPartSet parts;
     std::int64_t round = 0;
-    std::size_t crashes = 0; ///< that convicted the part at this node; 0 if a trial or a peer did
-    std::string source; ///< "crashes", "trial" or "peer"
+    std::size_t crashes = 0; ///< that convicted the parts at this node; 0 if a trial or a peer did
+    std::string source; ///< "crashes", "trial", "peer" or "narrowed"
     absl::Duration length; ///< time until the next trial
 
     friend bool operator==(const QuarantineBegun &, const QuarantineBegun &) = default;
 };
 
-/// A part is not quarantined any more.
+/// Parts are not quarantined any more.
 struct QuarantineEnded
 {
-    PromptPartId part;
-    std::string reason; ///< "cleared", "forgotten" or "displaced"
+    PromptPartSet parts;
+    std::string reason; ///< "cleared", "forgotten", "displaced", or "replaced" by a conviction that refuses more or fewer calls
 
     friend bool operator==(const QuarantineEnded &, const QuarantineEnded &) = default;
 };
@@ -122,10 +128,16 @@
  *
  * One crash says little, as an engine runs many prompts when it ends. A part is convicted by several crashes at different engines
  * and times with different prompts, if no engine outlived an answer on the part meanwhile, while others did. An
- * engine has outlived an answer that is complete, or that goes on for some time after it has begun. The deepest part is examined first:
- * the first parts of prompts are in many more prompts than the part that is to blame. Crashes that a convicted part explains
- * count against no other part, and a part that was convicted before is acquitted if a later conviction explains all its crashes. The
- * last part of a prompt belongs to that prompt alone and is never blamed.
+ * engine has outlived an answer that is complete, or that goes on for some time after it has begun.
+ *
+ * Parts that are in all crashes of a convicted one cannot be told from it. They are convicted together, and only prompts with all of them
+ * are refused, so that a sound part goes on without the deadly one. As soon as an engine outlives an answer on one of them, the others
+ * remain; if crashes go on without one of them, the part that is in those is convicted by fewer crashes, at first together with its new
+ * companions. Parts on which no answer was ever outlived are examined first, the deepest before others: the first parts of prompts are in
+ * many more prompts than the part that is to blame, and are not convicted together with deeper ones.
+ *
+ * Crashes that a conviction explains count against no other part, and parts that were convicted before are acquitted if a later conviction
+ * explains all their crashes. The last part of a prompt belongs to that prompt alone and is never blamed.
  *
  * All state is soft and bounded. Each node repeats its own observations to its peers for some seconds, and its quarantined parts
  * for as long as they are quarantined, so that a node that starts or was cut off learns them from the first message of any peer.
@@ -188,32 +200,42 @@
         absl::Time end() const;
     };
 
-    /// The broken prompts that contain one part.
+    /// The broken prompts that contain one part, since an engine last outlived an answer on it.
     struct Suspicion
     {
         PromptPartId part;
         std::size_t depth = 0; ///< greatest position in a prompt
+        bool wasOutlived = false; ///< before these prompts broke
         std::vector<const Broken *> prompts; ///< by time
+        std::vector<const Broken *> unexplained; ///< those at engines that no conviction explains
     };
 
+    using Quarantines = std::map<PromptPartSet, Quarantine>;
+
     void expire(absl::Time now);
     void convict(absl::Time now);
     bool convictOne(absl::Time now);
     std::vector<Suspicion> suspicions(absl::Time until) const;
-    std::vector<const Broken *> countedCrashes(const Suspicion &suspicion) const;
+    static std::vector<const Broken *> countedCrashes(const std::vector<const Broken *> &prompts);
+    static bool isEnough(const Suspicion &suspicion, const std::vector<const Broken *> &crashes);
+    PromptPartSet inseparableParts(const Suspicion &suspicion, const std::vector<Suspicion> &all) const;
+    static std::vector<Suspicion> companionsOf(const Suspicion &suspicion, const std::vector<const Broken *> &prompts,
+                                               const std::vector<Suspicion> &all);
     bool answersOutlived(const Broken &firstCrash) const;
     std::set<EngineLifetime> explainedEngines() const;
     void addBroken(Broken broken);
-    void quarantine(const PromptPartId &part, Quarantine state, std::size_t crashes, const char *source);
-    void acquitExplainedBy(const PromptPartId &culprit, absl::Time now);
-    std::set<EngineLifetime> enginesBrokenBy(const PromptPartId &part) const;
-    bool release(const PromptPartId &part, absl::Time cleared);
+    void quarantine(const PromptPartSet &parts, Quarantine state, std::size_t crashes, const char *source);
+    void end(const PromptPartSet &parts, const char *reason);
+    void acquitExplainedBy(const PromptPartSet &culprit, absl::Time now);
+    std::set<EngineLifetime> enginesBrokenBy(const PromptPartSet &parts) const;
+    bool exonerate(const PromptPartId &part, absl::Time cleared);
+    bool releaseOutlived(const std::vector<PromptPartId> &prompt, absl::Time now);
     absl::Time lastCleared(const PromptPartId &part) const;
     void setLastCleared(const PromptPartId &part, absl::Time time);
     bool isSuspected(const PromptPartId &part) const;
     void mergeBroken(const BrokenPrompt &prompt, absl::Time now);
     void mergeCleared(const ClearedPart &cleared, absl::Time now);
-    void mergeQuarantined(const QuarantinedPart &quarantined, absl::Time now);
+    void mergeQuarantined(const QuarantinedParts &quarantined, absl::Time now);
 
     NodeId m_self;
     std::vector<NodeId> m_activeNodes;
@@ -222,7 +244,7 @@
     std::map<PromptPartId, absl::Time> m_olderCleared; ///< the generation before: it is dropped when m_cleared is full
     std::map<ServiceName, std::vector<absl::Time>> m_outlivedAnswers; ///< the last few at each service
     std::map<PromptPartId, absl::Time> m_announced; ///< cleared parts that peers have to know, with the end of the announcement
-    std::map<PromptPartId, Quarantine> m_quarantines;
+    Quarantines m_quarantines; ///< no set of parts contains another one
     absl::Time m_lastReview = absl::InfinitePast();
     std::vector<QuarantineChange> m_changes;
 };
--- a/packages/coordination/tests/entry/testpromptquarantine.cpp
+++ b/packages/coordination/tests/entry/testpromptquarantine.cpp
@@ -215,6 +215,100 @@
     BOOST_TEST(nodes.countRefusing({"rare"}) == 0U);
 }
 
+// Guards against LOST: a sound part that always comes with the deadly one is convicted in its place, with or without answers on it before,
+// and in any position.
+BOOST_AUTO_TEST_CASE(aSoundPartThatAlwaysComesWithTheDeadlyOneIsNotRefusedWithoutIt)
+{
+    for (const bool isKnown : {true, false}) {
+        for (const std::vector<std::string> &parts : std::vector<std::vector<std::string>>{
+                 {"first", "deadly", "subject"}, {"first", "subject", "deadly"}, {"first", "system", "deadly", "subject"}}) {
+            Nodes nodes(3);
+            for (int i = 0; isKnown && i < 20; ++i) {
+                nodes.outlive(nodes[static_cast<std::size_t>(i) % 3], {"first", "subject", "own"});
+                nodes.wait(absl::Seconds(2));
+            }
+            nodes.crashEngines(3, parts);
+            BOOST_TEST(nodes.allRefuse(parts));
+            BOOST_TEST(nodes.countRefusing({"first", "subject"}) == 0U);
+            BOOST_TEST(nodes.countRefusing({"first", "system", "subject"}) == 0U);
+            nodes.outlive(nodes[1], {"first", "system", "subject", "own"});
+            nodes.exchange();
+            nodes.exchange();
+            BOOST_TEST(nodes.allRefuse({"first", "deadly", "another"}));
+            BOOST_TEST(nodes.countRefusing({"first", "subject"}) == 0U);
+            BOOST_TEST(nodes[2].quarantinedCount() == 1U);
+        }
+    }
+}
+
+// Guards against BUDGET: the deadly part comes with another sound one from some time on, and its crashes count anew.
+BOOST_AUTO_TEST_CASE(crashesThatGoOnWithoutOneOfThePartsConvictTheOther)
+{
+    for (const bool isKnown : {true, false}) {
+        Nodes nodes(3);
+        for (int i = 0; isKnown && i < 3; ++i) {
+            nodes.outlive(nodes[static_cast<std::size_t>(i)], {"first", "subject", "own"});
+            nodes.outlive(nodes[static_cast<std::size_t>(i)], {"first", "another", "own"});
+        }
+        nodes.wait(absl::Seconds(30));
+        nodes.crashEngines(3, {"first", "deadly", "subject"});
+        nodes.crashEngines(2, {"first", "deadly", "another"});
+        BOOST_TEST(nodes.allRefuse({"first", "deadly", "another"}));
+        if (!isKnown) { // Until now, the sound parts could be the deadly ones.
+            nodes.crashEngines(2, {"first", "deadly", "third"});
+        }
+        BOOST_TEST(nodes.allRefuse({"second", "deadly"}));
+        BOOST_TEST(nodes.countRefusing({"first", "subject"}) == 0U);
+        BOOST_TEST(nodes.countRefusing({"first", "another"}) == 0U);
+        BOOST_TEST(nodes[0].quarantinedCount() == 1U);
+    }
+}
+
+// Guards against LOST: a sound part is in the crashes of two deadly ones, and so in more than either of them.
+BOOST_AUTO_TEST_CASE(aSoundPartThatComesWithTwoDeadlyOnesIsNotRefused)
+{
+    Nodes nodes(3);
+    for (const char *deadly : {"deadly1", "deadly2"}) {
+        nodes.crashEngines(3, {"first", "subject", deadly});
+        BOOST_TEST(nodes.allRefuse({"first", "subject", deadly}));
+        BOOST_TEST(nodes.countRefusing({"first", "subject"}) == 0U);
+    }
+    nodes.outlive(nodes[0], {"first", "subject", "own"});
+    nodes.exchange();
+    nodes.exchange();
+    BOOST_TEST(nodes.allRefuse({"another", "deadly1"}));
+    BOOST_TEST(nodes.allRefuse({"another", "deadly2"}));
+}
+
+// Guards against a trial that no call can pass, because its prompt is refused for another set of the same parts.
+BOOST_AUTO_TEST_CASE(aTrialOfPartsThatWereConvictedTogetherReleasesThem)
+{
+    Nodes nodes(2);
+    nodes.crashEngines(3, {"first", "deadly", "subject"});
+    nodes.crashEngines(2, {"first", "deadly", "another"});
+    nodes.wait(Limits::firstRound);
+    for (std::size_t i = 0; i < 2; ++i) {
+        if (!isRefused(nodes.check(nodes[i], {"first", "deadly", "subject"}))) {
+            nodes.outlive(nodes[i], {"first", "deadly", "subject", "own"});
+        }
+    }
+    nodes.exchange();
+    nodes.exchange();
+    BOOST_TEST(nodes.countRefusing({"first", "deadly", "subject"}) == 0U);
+    BOOST_TEST(nodes.countRefusing({"first", "deadly", "another"}) == 0U);
+}
+
+// Guards against a message of a peer that would refuse all calls.
+BOOST_AUTO_TEST_CASE(anEmptySetOfPartsIsNoQuarantine)
+{
+    Nodes nodes(1);
+    PromptReport report;
+    report.quarantined = {QuarantinedParts{PromptPartSet(), 0, absl::ZeroDuration()}};
+    nodes[0].merge(report, nodes.now());
+    BOOST_TEST(nodes.countRefusing({"first"}) == 0U);
+    BOOST_TEST(nodes[0].quarantinedCount() == 0U);
+}
+
 // Guards against refusing a sound part for good that stood behind a deadly first part in the first prompts.
 BOOST_AUTO_TEST_CASE(aDeadlyFirstPartIsFoundBehindADeeperOne)
 {
@@ -355,7 +449,7 @@
     late.merge(nodes[1].report(nodes.now()), nodes.now());
     const PromptVerdict verdict = nodes.check(late, {"first", "deadly"});
     BOOST_REQUIRE(isRefused(verdict));
-    BOOST_TEST(std::get<PromptRefused>(verdict).part.text() == "deadly");
+    BOOST_TEST(std::get<PromptRefused>(verdict).parts.text() == "deadly");
     BOOST_TEST(std::get<PromptRefused>(verdict).retryAfter < Limits::firstRound - absl::Seconds(10));
 }
 
@@ -397,7 +491,7 @@
     absl::Duration length = Limits::firstRound;
     for (std::int64_t round = 0; round < 8; ++round) {
         nodes.wait(length);
-        const PromptTrial trial{PromptPartId("deadly"), round};
+        const PromptTrial trial{PromptPartSet(prompt({"deadly"})), round};
         for (std::size_t i = 0; i < 3; ++i) {
             const PromptVerdict verdict = nodes.check(nodes[i], {"first", "deadly"});
             if (verdict == PromptVerdict(trial)) {
@@ -443,7 +537,7 @@
         PromptReport report;
         report.cleared = {ClearedPart{PromptPartId("d" + part), absl::ZeroDuration()}};
         report.broken = {BrokenPrompt{service, engine(i), static_cast<std::uint64_t>(i), prompt({"e" + part}), absl::ZeroDuration()}};
-        report.quarantined = {QuarantinedPart{PromptPartId("f" + part), i, absl::ZeroDuration()}};
+        report.quarantined = {QuarantinedParts{PromptPartSet(prompt({"f" + part})), i, absl::ZeroDuration()}};
         nodes[0].merge(report, nodes.now());
         nodes.wait(absl::Milliseconds(1));
     }
--- a/packages/protocol/cellmessage.cpp
+++ b/packages/protocol/cellmessage.cpp
@@ -144,9 +144,23 @@
 }
 
 template<class Archive>
-void serialize(Archive &archive, QuarantinedPart &it)
+void save(Archive &archive, const PromptPartSet &it)
 {
-    archive(it.part, it.round);
+    archive(it.parts());
+}
+
+template<class Archive>
+void load(Archive &archive, PromptPartSet &it)
+{
+    std::vector<PromptPartId> parts;
+    archive(parts);
+    it = PromptPartSet(std::move(parts));
+}
+
+template<class Archive>
+void serialize(Archive &archive, QuarantinedParts &it)
+{
+    archive(it.parts, it.round);
     archiveDuration(archive, it.age);
 }
 
--- a/packages/protocol/messagecodec.h
+++ b/packages/protocol/messagecodec.h
@@ -11,7 +11,7 @@
 namespace Apricot {
 
 /// First byte of every message between nodes. Increment it whenever the encoding changes.
-inline constexpr std::uint8_t messageEncodingVersion = 7;
+inline constexpr std::uint8_t messageEncodingVersion = 8;
 
 /// Encodes a message between nodes, preceded by the encoding version.
 template<class Message>
--- a/packages/protocol/tests/entry/testcellmessage.cpp
+++ b/packages/protocol/tests/entry/testcellmessage.cpp
@@ -17,7 +17,7 @@
                               {PromptPartId("5c"), PromptPartId("91")},
                               absl::Milliseconds(70)}};
     it.cleared = {ClearedPart{PromptPartId("5c"), absl::Milliseconds(20)}};
-    it.quarantined = {QuarantinedPart{PromptPartId("91"), 2, absl::Seconds(40)}};
+    it.quarantined = {QuarantinedParts{PromptPartSet({PromptPartId("91"), PromptPartId("92")}), 2, absl::Seconds(40)}};
     return it;
 }
 
--- a/packages/state/promptreport.h
+++ b/packages/state/promptreport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/name.h"
+#include "state/promptpartset.h"
 
 #include <absl/time/time.h>
 
@@ -40,14 +41,14 @@
     friend auto operator<=>(const ClearedPart &, const ClearedPart &) = default;
 };
 
-/// A part of prompts that crashes engines, so that calls with it are refused.
-struct QuarantinedPart
+/// Parts of which one crashes engines, so that calls with all of them are refused.
+struct QuarantinedParts
 {
-    PromptPartId part;
+    PromptPartSet parts;
     std::int64_t round = 0; ///< number of trials that have crashed an engine since the first conviction
     absl::Duration age; ///< time since the round began
 
-    friend auto operator<=>(const QuarantinedPart &, const QuarantinedPart &) = default;
+    friend auto operator<=>(const QuarantinedParts &, const QuarantinedParts &) = default;
 };
 
 /// What a node tells its peers about parts of prompts that may crash engines.
@@ -55,7 +56,7 @@
 {
     std::vector<BrokenPrompt> broken; ///< those that the sender has seen itself, lately
     std::vector<ClearedPart> cleared; ///< parts that the sender has lately cleared of a suspicion
-    std::vector<QuarantinedPart> quarantined;
+    std::vector<QuarantinedParts> quarantined;
 
     bool isEmpty() const
     {
--- a/tests/platform/testentrynode.cpp
+++ b/tests/platform/testentrynode.cpp
@@ -519,8 +519,9 @@
     report.prompts.broken = {BrokenPrompt{ServiceName("unknown"), EngineLifetime{EngineId("unknown"), -1}, 0, {}, -absl::Hours(1)},
                              BrokenPrompt{ServiceName(), EngineLifetime(), 1, std::vector<PromptPartId>(100), absl::InfiniteDuration()}};
     report.prompts.cleared = {ClearedPart{PromptPartId("a"), -absl::Hours(1)}, ClearedPart{PromptPartId("b"), absl::InfiniteDuration()}};
-    report.prompts.quarantined = {QuarantinedPart{PromptPartId("c"), -1, -absl::Hours(1)},
-                                  QuarantinedPart{PromptPartId("d"), std::numeric_limits<std::int64_t>::max(), absl::InfiniteDuration()}};
+    report.prompts.quarantined
+        = {QuarantinedParts{PromptPartSet({PromptPartId("c")}), -1, -absl::Hours(1)},
+           QuarantinedParts{PromptPartSet({PromptPartId("d")}), std::numeric_limits<std::int64_t>::max(), absl::InfiniteDuration()}};
     const std::string valid = encodeCellMessage(report);
     const UdpSocket peer("127.0.0.1:0");
     for (std::size_t n = 0; n < valid.size(); ++n) {
