Confirm at one node, at short intervals, that the watches miss nothing

Cause: a watch waits for 15 s and its connection stays open after a lost answer; only a peer with a newer version can tell a node that it has missed one. Ruled out: keep-alive, which the store's machine answers.

One node keeps its watches at a quarter of the time in which changes must be in force, and sends a watch again on a new connection when its answer is late. The others learn from it: a change of the engines triggers a report, and a node that stays behind its peers for 400 ms (before: 700 ms) lists. Four calls to the store a second for the whole deployment. The stand-in of the store ends watches after their wait-ms.

--- a/packages/apricotladderd/entry/enginecatalogue.cpp
+++ b/packages/apricotladderd/entry/enginecatalogue.cpp
@@ -92,7 +92,10 @@
 
 void EngineCatalogue::recordChange(std::uint64_t revision)
 {
-    m_changeRevision = std::max(m_changeRevision, revision);
+    if (revision > m_changeRevision) {
+        m_changeRevision = revision;
+        m_context.onLoadsChanged(); // The next report tells the peers.
+    }
 }
 
 void EngineCatalogue::cancelRemoval(const EngineId &engine)
--- a/packages/apricotladderd/entry/enginecatalogue.h
+++ b/packages/apricotladderd/entry/enginecatalogue.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -35,6 +36,12 @@
     /// Stops watching the store; peers tell this node what changes.
     void pause();
 
+    /// \see StoreWatch::setConfirmInterval()
+    void setConfirmInterval(std::optional<absl::Duration> interval)
+    {
+        m_watch->setConfirmInterval(interval);
+    }
+
     /// Lists all engines again, because a peer has a newer list of engines.
     void refresh();
 
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -36,7 +36,11 @@
 constexpr absl::Duration firstPeerTimeout = absl::Milliseconds(400);
 
 /// A node that can reach the store but stays behind its peers for this long lists again, as its watch may have stalled.
-constexpr absl::Duration maxTimeBehind = absl::Milliseconds(700);
+constexpr absl::Duration maxTimeBehind = absl::Milliseconds(400);
+
+/// Duration of the watches of the node that confirms, as a fraction of the time in which changes must be in force. An answer that is lost
+/// to all nodes is noticed after one and a half times that, and the others are up to date maxTimeBehind and two gossip intervals later.
+constexpr double confirmFraction = 0.25;
 
 constexpr absl::Duration leaveCheckInterval = absl::Milliseconds(100);
 
@@ -158,19 +162,30 @@
     m_threads.clear();
 }
 
-bool EntryNode::needsStore()
+bool EntryNode::needsStore(const StoreDutyFacts &facts)
 {
     const bool isConfigured = m_context.routes.current()->desired()->version > 0 && m_engines->knownRevision() > 0;
     if (!isConfigured) {
         return m_controlLoop.now() - m_startedAt >= firstPeerTimeout;
     }
-    return m_peerLink->isSettled() && m_storeDuty.update(m_peerLink->storeDutyFacts(), m_controlLoop.now());
+    return m_peerLink->isSettled() && m_storeDuty.update(facts, m_controlLoop.now());
+}
+
+void EntryNode::updateConfirmInterval(const StoreDutyFacts &facts)
+{
+    const EntrySettings &settings = m_context.settings;
+    const absl::Duration maxAge = absl::Milliseconds(std::min(settings->configApplyMs, settings->drainMs));
+    const auto interval = StoreDuty::isConfirming(facts) ? std::optional(maxAge * confirmFraction) : std::nullopt;
+    m_desiredWatch->setConfirmInterval(interval);
+    m_engines->setConfirmInterval(interval);
 }
 
 void EntryNode::updateStoreUse()
 {
     m_peerLink->setReachesStore(m_desiredWatch->isConnected() && m_engines->isConnected());
-    if (needsStore()) {
+    const StoreDutyFacts facts = m_peerLink->storeDutyFacts();
+    updateConfirmInterval(facts);
+    if (needsStore(facts)) {
         m_desiredWatch->start();
         m_engines->start();
     } else if (m_peerLink->isSettled()) {
--- a/packages/apricotladderd/entry/entrynode.h
+++ b/packages/apricotladderd/entry/entrynode.h
@@ -71,7 +71,8 @@
     bool serve(const std::string &address, RequestHandler handler);
     void watchDesiredState();
     void updateStoreUse();
-    bool needsStore();
+    bool needsStore(const StoreDutyFacts &facts);
+    void updateConfirmInterval(const StoreDutyFacts &facts);
     /// Returns whether \a object is the desired state, and valid.
     bool handleDesiredState(const StoredObject &object);
     void applyDesiredState(const DesiredState &desired, const char *source);
--- a/packages/apricotladderd/entry/storewatch.cpp
+++ b/packages/apricotladderd/entry/storewatch.cpp
@@ -17,6 +17,11 @@
 /// Timeout of a call; a watch adds it to its own duration.
 constexpr absl::Duration callTimeout = absl::Milliseconds(1500);
 
+/// Time for an answer beyond the duration of a short watch, as a part of that duration, and as a multiple of the time that the store took
+/// last, which may be slow.
+constexpr double answerTimeInIntervals = 0.5;
+constexpr double answerTimeMargin = 2;
+
 constexpr absl::Duration connectTimeout = absl::Milliseconds(400);
 
 /// Backoff after failed calls. Its maximum is low, because a node must be up to date soon after the store recovers.
@@ -81,6 +86,7 @@
     if (m_fetch) {
         m_fetch->cancel();
     }
+    m_isWatching = false;
     m_loop.cancel(std::exchange(m_nextCallTimer, 0));
 }
 
@@ -93,6 +99,7 @@
     request.connectTimeout = connectTimeout;
     request.maxIdleTime = mayReuseConnection ? absl::Seconds(2) : absl::ZeroDuration();
     request.keepAliveTime = absl::Seconds(5);
+    m_callStart = m_loop.now();
     m_fetch = HttpFetch::start(m_loop, m_pool, std::move(request), timeout, maxStoreResponseBytes, std::move(onResult));
 }
 
@@ -150,17 +157,70 @@
 
 void StoreWatch::watch()
 {
-    sendCall(watchRequest(m_kind, m_revision, maxWatchDuration), maxWatchDuration + callTimeout, true, [this](const FetchResult &result) {
+    const absl::Duration duration = watchDuration();
+    sendCall(watchRequest(m_kind, m_revision, duration), watchTimeout(), true, [this, duration](const FetchResult &result) {
+        m_isWatching = false;
+        recordAnswerTime(duration);
         std::visit(Overloaded{
                        [&](const FullResponse &response) { handleWatchResponse(response); },
                        [&](FetchError why) { handleWatchError(why); },
                    },
                    result);
     });
+    m_isWatching = true;
+}
+
+absl::Duration StoreWatch::watchDuration() const
+{
+    return m_confirmInterval.value_or(maxWatchDuration);
+}
+
+absl::Duration StoreWatch::watchTimeout() const
+{
+    if (!m_confirmInterval) {
+        return maxWatchDuration + callTimeout;
+    }
+    const absl::Duration answerTime = std::max(*m_confirmInterval * answerTimeInIntervals, m_answerTime * answerTimeMargin);
+    return *m_confirmInterval + std::min(answerTime, callTimeout);
+}
+
+void StoreWatch::recordAnswerTime(absl::Duration duration)
+{
+    m_answerTime = std::max(m_loop.now() - m_callStart - duration, absl::ZeroDuration());
+}
+
+void StoreWatch::setConfirmInterval(std::optional<absl::Duration> interval)
+{
+    m_confirmInterval = interval;
+    // A long watch that has begun before is not waited for.
+    if (m_isWatching && interval && m_loop.now() - m_callStart > watchTimeout()) {
+        cancelCalls();
+        watch();
+    }
+}
+
+void StoreWatch::repeatWatch()
+{
+    m_context.metrics.countStoreCall("watch", "silent");
+    m_context.log.add(LogLevel::Info, "store.watchsilent", RequestId(),
+                      {{"kind", m_kind}, {"revision", static_cast<std::int64_t>(m_revision)}});
+    constexpr absl::Duration noWait = absl::Milliseconds(1);
+    sendCall(watchRequest(m_kind, m_revision, noWait), callTimeout, false, [this, noWait](const FetchResult &result) {
+        recordAnswerTime(noWait);
+        std::visit(Overloaded{
+                       [&](const FullResponse &response) { handleWatchResponse(response); },
+                       [&](FetchError why) { handleFailure("watch", fetchErrorText(why)); },
+                   },
+                   result);
+    });
 }
 
 void StoreWatch::handleWatchError(FetchError why)
 {
+    if (why == FetchError::TimedOut && m_confirmInterval) {
+        repeatWatch();
+        return;
+    }
     if (why != FetchError::TooLong) {
         handleFailure("watch", fetchErrorText(why));
         return;
--- a/packages/apricotladderd/entry/storewatch.h
+++ b/packages/apricotladderd/entry/storewatch.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -49,6 +50,10 @@
     /// Stops watching; what is known stays known.
     void pause();
 
+    /// Sets how long a watch waits at most, if this node has to confirm that the watches miss nothing. A watch that is not answered in
+    /// time is sent again on another connection at once. std::nullopt: watches are long.
+    void setConfirmInterval(std::optional<absl::Duration> interval);
+
     /// Whether start() was called, and not pause() after it.
     bool isStarted() const
     {
@@ -76,7 +81,13 @@
     void handleListResponse(const FullResponse &response, const std::string &after);
     void watch();
     void handleWatchResponse(const FullResponse &response);
+    /// Asks for the changes since the last known revision on a new connection, as the watch may have lost its answer.
+    void repeatWatch();
     void handleWatchError(FetchError why);
+    absl::Duration watchDuration() const;
+    absl::Duration watchTimeout() const;
+    /// Records how long the store took to answer beyond the \a duration that it was to wait.
+    void recordAnswerTime(absl::Duration duration);
     void sendCall(const HttpRequestHead &head, absl::Duration timeout, bool mayReuseConnection, HttpFetch::ResultHandler onResult);
     void handleFailure(const char *callName, const std::string &why);
     void handleSuccess();
@@ -96,6 +107,10 @@
     bool m_connected = false;
     bool m_failedSinceList = false; ///< a call has failed since the last complete list
     bool m_wasConnected = false;
+    std::optional<absl::Duration> m_confirmInterval; ///< longest duration of a watch; std::nullopt: maxWatchDuration
+    absl::Duration m_answerTime; ///< of the last watch, beyond its duration
+    absl::Time m_callStart; ///< when the current call was sent
+    bool m_isWatching = false; ///< the current call is a watch
     absl::Duration m_backoff;
 };
 
--- a/packages/coordination/storeduty.cpp
+++ b/packages/coordination/storeduty.cpp
@@ -43,6 +43,17 @@
     return isInTurn(facts, now - std::max(begin, m_unansweredSince));
 }
 
+bool StoreDuty::isConfirming(const StoreDutyFacts &facts)
+{
+    std::vector<NodeId> candidates;
+    std::copy_if(facts.nodesReachingStore.begin(), facts.nodesReachingStore.end(), std::back_inserter(candidates),
+                 [&](const NodeId &it) { return facts.activeNodes.contains(it); });
+    if (candidates.empty()) {
+        candidates.assign(facts.nodesReachingStore.begin(), facts.nodesReachingStore.end());
+    }
+    return ownerOf("confirm", candidates) == facts.self && facts.nodesReachingStore.contains(facts.self);
+}
+
 bool StoreDuty::isInTurn(const StoreDutyFacts &facts, absl::Duration waited)
 {
     std::vector<NodeId> others;
--- a/packages/coordination/storeduty.h
+++ b/packages/coordination/storeduty.h
@@ -50,6 +50,10 @@
     /// Returns whether the node is to watch the store from \a now on.
     bool update(const StoreDutyFacts &facts, absl::Time now);
 
+    /// Returns whether the node is the one whose watches are short, so that an answer of the store that is lost to all nodes is missed for
+    /// a short time only. The others learn from it. It is an active node, if the store serves any.
+    static bool isConfirming(const StoreDutyFacts &facts);
+
 private:
     static bool isInTurn(const StoreDutyFacts &facts, absl::Duration waited);
 
--- a/packages/coordination/tests/entry/teststoreduty.cpp
+++ b/packages/coordination/tests/entry/teststoreduty.cpp
@@ -177,4 +177,34 @@
     BOOST_TEST(deployment.mostAsking() <= 6 + Limits::groupSize);
 }
 
+// Guards against an answer of the store that is lost to all nodes and missed by all of them: one has to ask at short intervals, and not
+// all.
+BOOST_AUTO_TEST_CASE(oneNodeThatReachesTheStoreConfirms)
+{
+    StoreDutyFacts facts;
+    for (const char *name : {"a", "b", "c", "d"}) {
+        facts.aliveNodes.emplace_back(name);
+    }
+    facts.activeNodes = {NodeId("a"), NodeId("b"), NodeId("c")};
+    const auto confirming = [&] {
+        std::vector<NodeId> found;
+        for (const NodeId &it : facts.aliveNodes) {
+            facts.self = it;
+            if (StoreDuty::isConfirming(facts)) {
+                found.push_back(it);
+            }
+        }
+        return found;
+    };
+    BOOST_TEST(confirming().empty());
+    facts.nodesReachingStore = {NodeId("a"), NodeId("b"), NodeId("c"), NodeId("d")};
+    while (facts.nodesReachingStore.size() > 1) {
+        const std::vector<NodeId> found = confirming();
+        BOOST_TEST_REQUIRE(found.size() == 1U);
+        BOOST_TEST(facts.activeNodes.contains(found.front()));
+        facts.nodesReachingStore.erase(found.front());
+    }
+    BOOST_TEST((confirming() == std::vector<NodeId>{NodeId("d")}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/protocol/entrysettingsjson.cpp
+++ b/packages/protocol/entrysettingsjson.cpp
@@ -29,6 +29,8 @@
         {"threads", "whole number", "threads", false, "2", 1, 64, "Number of threads that serve calls."},
         {"addressKeepMs", "whole number", "ms", false, "2000", 100, 60000, "How long callers may cache a discovery response."},
         {"drainMs", "whole number", "ms", false, "2000", 1, 600000, "Time after which a leaving engine must receive no new calls."},
+        {"configApplyMs", "whole number", "ms", false, "2000", 1, 600000,
+         "Time after which a change of the desired state must be in force."},
         {"graceS", "number", "s", false, "8", 1, 3600, "Time between the platform's stop request and its forced end of the process."},
         {"repeatRatio", "number", "repeats a request", false, "0.1", 0, 1,
          "Maximum ratio of retries to requests for each service, over all nodes."},
@@ -74,6 +76,7 @@
         .set(&EntrySettingsFields::threads, jsonInteger(parsed, "threads", defaults.threads))
         .set(&EntrySettingsFields::addressKeepMs, jsonInteger(parsed, "addressKeepMs", defaults.addressKeepMs))
         .set(&EntrySettingsFields::drainMs, jsonInteger(parsed, "drainMs", defaults.drainMs))
+        .set(&EntrySettingsFields::configApplyMs, jsonInteger(parsed, "configApplyMs", defaults.configApplyMs))
         .set(&EntrySettingsFields::graceS, jsonNumber(parsed, "graceS", defaults.graceS))
         .set(&EntrySettingsFields::repeatRatio, jsonNumber(parsed, "repeatRatio", defaults.repeatRatio))
         .set(&EntrySettingsFields::repeatHeadroom, jsonNumber(parsed, "repeatHeadroom", defaults.repeatHeadroom))
--- a/packages/state/entrysettings.h
+++ b/packages/state/entrysettings.h
@@ -23,6 +23,7 @@
     std::int64_t threads = 2; ///< threads that serve calls
     std::int64_t addressKeepMs = 2000; ///< how long callers may cache a discovery response
     std::int64_t drainMs = 2000; ///< time after which a leaving engine must receive no more work
+    std::int64_t configApplyMs = 2000; ///< time after which a change of the desired state must be in force
     double graceS = 8; ///< time between the stop request and the end of the process by force
     double repeatRatio = 0.1; ///< retries per request to a service, summed over all nodes
     double repeatHeadroom = 20; ///< retries that are always allowed, summed over all nodes
--- a/tests/platform/nodefixture.cpp
+++ b/tests/platform/nodefixture.cpp
@@ -68,7 +68,7 @@
 }
 
 NodeUnderTest::NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds, std::int64_t threads,
-                             absl::Duration grace, const std::string &logLevel)
+                             absl::Duration grace, const std::string &logLevel, absl::Duration changeTime)
 {
     EntrySettingsFields fields;
     fields.node = NodeId(name);
@@ -82,6 +82,8 @@
     fields.storeAddress = store;
     fields.seeds = seeds;
     fields.addressKeepMs = 200;
+    fields.configApplyMs = absl::ToInt64Milliseconds(changeTime);
+    fields.drainMs = fields.configApplyMs;
     fields.graceS = absl::ToDoubleSeconds(grace);
     fields.threads = threads;
     fields.logLevel = logLevel;
--- a/tests/platform/nodefixture.h
+++ b/tests/platform/nodefixture.h
@@ -40,9 +40,10 @@
 class NodeUnderTest
 {
 public:
+    /// \a changeTime is the time in which changes must be in force.
     explicit NodeUnderTest(const std::string &name, const std::string &store, const std::vector<std::string> &seeds = {},
                            std::int64_t threads = EntrySettingsFields().threads, absl::Duration grace = absl::Seconds(20),
-                           const std::string &logLevel = "error");
+                           const std::string &logLevel = "error", absl::Duration changeTime = absl::Seconds(2));
     ~NodeUnderTest();
 
     NodeUnderTest(const NodeUnderTest &) = delete;
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -29,6 +29,14 @@
     return at == std::string::npos ? std::string() : target.substr(begin, target.find('&', begin) - begin);
 }
 
+/// Returns how long a watch waits for a change.
+absl::Duration watchDuration(const std::string &target)
+{
+    const std::string key = "wait-ms=";
+    const std::size_t at = target.find(key);
+    return at == std::string::npos ? absl::InfiniteDuration() : absl::Milliseconds(std::stoll(target.substr(at + key.size())));
+}
+
 const std::string pathPrefix = "/objects/";
 
 std::string kindOf(const std::string &target)
@@ -174,6 +182,11 @@
     });
 }
 
+void PlatformStoreStandIn::setLosesWatchAnswers(const std::string &kind)
+{
+    runOnLoop([&] { m_kindWithLostAnswers = kind; });
+}
+
 std::size_t PlatformStoreStandIn::watchCount()
 {
     std::size_t n = 0;
@@ -234,7 +247,29 @@
     } else if (watchRevision(head.target) < m_compactedRevision) {
         respondJson(connection, 410, Json::object());
     } else if (!tryRespondWatch(connection, kind, watchRevision(head.target))) {
-        m_pendingWatches.push_back(PendingWatch{connection, kind, watchRevision(head.target), isRestricted});
+        beginWatch(connection, kind, head.target, isRestricted);
+    }
+}
+
+void PlatformStoreStandIn::beginWatch(const HttpServerConnection::Ptr &connection, const std::string &kind, const std::string &target,
+                                      bool isRestricted)
+{
+    const std::uint64_t number = ++m_watchCount;
+    m_pendingWatches.push_back(PendingWatch{connection, kind, watchRevision(target), isRestricted, number});
+    m_loop.after(watchDuration(target), [this, number] { endWatch(number); });
+}
+
+void PlatformStoreStandIn::endWatch(std::uint64_t number)
+{
+    const auto it
+        = std::find_if(m_pendingWatches.begin(), m_pendingWatches.end(), [&](const PendingWatch &watch) { return watch.number == number; });
+    if (it == m_pendingWatches.end()) {
+        return;
+    }
+    const HttpServerConnection::Ptr connection = it->connection;
+    m_pendingWatches.erase(it);
+    if (!connection->isClosed()) {
+        respondJson(connection, 200, Json{{"events", Json::array()}, {"at", m_revision}});
     }
 }
 
@@ -304,7 +339,9 @@
     if (events.empty()) {
         return false;
     }
-    respondJson(connection, 200, Json{{"events", events}, {"at", m_revision}});
+    if (kind != m_kindWithLostAnswers) {
+        respondJson(connection, 200, Json{{"events", events}, {"at", m_revision}});
+    }
     return true;
 }
 
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -56,6 +56,9 @@
     /// Sets whether the answers to writes are held back. A write is carried out when its answer is released.
     void setHoldsWrites(bool holds);
 
+    /// Sets the kind whose watches get no answer to a change: it is lost, and the connection stays open. Empty: none.
+    void setLosesWatchAnswers(const std::string &kind);
+
     /// Number of watches that wait for a change.
     std::size_t watchCount();
 
@@ -98,6 +101,7 @@
         std::string kind;
         std::uint64_t afterRevision = 0;
         bool isRestricted = false; ///< it came at restrictedAddress()
+        std::uint64_t number = 0;
     };
 
     std::unique_ptr<HttpListener> listen(bool isRestricted);
@@ -108,6 +112,8 @@
     /// Responds with the objects whose names follow \a after; a page has about 1 MB at most.
     void respondList(const HttpServerConnection::Ptr &connection, const std::string &kind, const std::string &after);
     std::size_t specBytes(const Json &spec) const;
+    void beginWatch(const HttpServerConnection::Ptr &connection, const std::string &kind, const std::string &target, bool isRestricted);
+    void endWatch(std::uint64_t number);
     bool tryRespondWatch(const HttpServerConnection::Ptr &connection, const std::string &kind, std::uint64_t afterRevision);
     void respondJson(const HttpServerConnection::Ptr &connection, int status, const Json &json) const;
     void applyChange(const std::string &kind, const std::string &name, const Json *spec);
@@ -122,6 +128,8 @@
     std::map<std::string, std::string> m_specTexts; ///< text that replaces a string in responses
     std::vector<Event> m_events;
     std::vector<PendingWatch> m_pendingWatches;
+    std::uint64_t m_watchCount = 0; ///< watches that have waited for a change
+    std::string m_kindWithLostAnswers;
     std::uint64_t m_revision = 10;
     std::uint64_t m_compactedRevision = 0; ///< events before this revision are discarded
     bool m_isUnavailable = false;
