Report a reset that a write has seen, and reject statuses that are none

Cause: the system reports a reset once. A direct write dropped it, so that reading ended as after an orderly close, which completes such a body. A write of buffered bytes reported it before a complete answer that had arrived was read. Statuses 000 to 099 and 101 were skipped as interim responses, and 600 to 999 passed on.

The connection remembers the reset until reading ends; what has arrived is read first. Such statuses make a response malformed.

Tests: Parsers/aStatusThatIsNoneIsMalformed and the complete answer of Exchanges/anAnswerWithoutLengthIsNotCompletedByAResetDuringTheUpload fail with the former handling, by a build in which it was put back; for Tcp/aResetThatAWriteHasGotIsNoOrderlyClose that was not tried.

--- a/packages/transport/httpparser.cpp
+++ b/packages/transport/httpparser.cpp
@@ -22,6 +22,16 @@
 /// Maximum size of a response head, in bytes.
 constexpr std::uint32_t maxResponseHeadBytes = 32 * 1024;
 
+/// Statuses of responses. 101 is none that a client of ours could ask for.
+constexpr int minStatus = 100;
+constexpr int maxStatus = 599;
+constexpr int switchingProtocols = 101;
+
+bool isStatus(int status)
+{
+    return status >= minStatus && status <= maxStatus && status != switchingProtocols;
+}
+
 /// Overhead of a header line: an element of Beast's list, and an HttpHeader.
 constexpr std::size_t bytesPerHeader = 160;
 
@@ -231,8 +241,8 @@
     void update()
     {
         if (parser.is_header_done() && !hasHead) {
-            state = ParseState::Body;
             storeHead();
+            state = isStatus(head.status) ? ParseState::Body : ParseState::Malformed;
         }
         if (state == ParseState::Body && parser.is_done()) {
             state = ParseState::Done;
--- a/packages/transport/tcpconnection.cpp
+++ b/packages/transport/tcpconnection.cpp
@@ -147,7 +147,7 @@
             callbacks->onData(std::string_view(buf.data(), static_cast<std::size_t>(n)));
         }
     } else if (n == 0) {
-        handleClosed(TcpCloseReason::ClosedByPeer);
+        handleClosed(m_isReset ? TcpCloseReason::Reset : TcpCloseReason::ClosedByPeer);
     } else if (errno != EAGAIN && errno != EINTR) {
         handleClosed(TcpCloseReason::Reset);
     }
@@ -193,20 +193,40 @@
 {
     const ssize_t n = send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (n < 0 && errno != EAGAIN && errno != EINTR) {
-        // An epoll event reports the reset. Handling it here would run a callback while the caller is still writing.
+        // An epoll event follows. Handling the end here would run a callback while the caller is still writing.
+        recordSendError(errno);
         return bytes.size();
     }
     checkSendPathLater();
     return n > 0 ? static_cast<std::size_t>(n) : 0;
 }
 
+void TcpConnection::handleFailedFlush(int error)
+{
+    recordSendError(error);
+    if (m_closeAfterFlush || !m_reading) {
+        handleClosed(TcpCloseReason::Reset);
+        return;
+    }
+    // What the peer sent before may still be read: it may be a complete answer.
+    std::string().swap(m_unsent);
+    m_unsentOffset = 0;
+    updateEvents();
+}
+
+void TcpConnection::recordSendError(int error)
+{
+    // EPIPE: the peer had closed in order before, so all that it sent has arrived.
+    m_isReset = m_isReset || error != EPIPE;
+}
+
 void TcpConnection::flush()
 {
     while (m_descriptor >= 0 && unsentBytes() > 0) {
         const ssize_t n = send(m_descriptor, m_unsent.data() + m_unsentOffset, unsentBytes(), MSG_NOSIGNAL);
         if (n < 0) {
             if (errno != EAGAIN && errno != EINTR) {
-                handleClosed(TcpCloseReason::Reset);
+                handleFailedFlush(errno);
             }
             return;
         }
--- a/packages/transport/tcpconnection.h
+++ b/packages/transport/tcpconnection.h
@@ -131,9 +131,12 @@
     /// Reads once, so that a peer that sends fast does not keep the loop from its timers and other descriptors. The loop calls again
     /// while there is more.
     void readOnce();
+    /// Records the error of a send. The system reports a reset once: if a send gets it, reading ends as if the peer had closed in order.
+    void recordSendError(int error);
     /// Hands bytes to the system; returns how many need not be buffered.
     std::size_t sendNow(std::string_view bytes);
     void flush();
+    void handleFailedFlush(int error);
     void updateEvents();
     void checkSendPathLater();
     void checkSendPath();
@@ -154,6 +157,7 @@
     SendPathMonitor m_sendPath;
     TimerId m_sendPathTimer = 0; ///< runs while the system may hold data that is not acknowledged
     bool m_hasUserTimeout = true; ///< the system limits the time of unacknowledged data
+    bool m_isReset = false; ///< a send has got the report of a reset
     bool m_isAccepted = false; ///< the peer opened it; its disconnect is detected while reading is paused
     std::shared_ptr<Callbacks> m_callbacks; ///< copied before a callback runs, because the callback may replace them
 };
--- a/packages/transport/tests/exchange/testexchange.cpp
+++ b/packages/transport/tests/exchange/testexchange.cpp
@@ -497,6 +497,52 @@
     BOOST_TEST(silent.requests == 1);
 }
 
+/// Guards against MIXED: an engine answered a long upload at once with a 200 without a length and reset the connection; the write of the
+/// upload took the report of the reset, so that the connection seemed to be closed in order, which completes such an answer.
+BOOST_AUTO_TEST_CASE(anAnswerWithoutLengthIsNotCompletedByAResetDuringTheUpload)
+{
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    BOOST_REQUIRE(bind(listener, reinterpret_cast<const sockaddr *>(&address), length) == 0);
+    BOOST_REQUIRE(listen(listener, 1) == 0);
+    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &length);
+    const auto answerWith = [&](const std::string &answer) {
+        ExchangeResult result;
+        bool isFinished = false;
+        ExchangeRequest upload = request("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
+        upload.encodedRequest = "POST / HTTP/1.1\r\nContent-Length: 64000000\r\n\r\n" + std::string(64'000'000, 'u');
+        HttpExchange::Callbacks callbacks;
+        callbacks.onSent = [&] {
+            result.sent = true;
+        };
+        callbacks.onBody = [&](const std::string &part) {
+            result.body += part;
+        };
+        callbacks.onEnded = [&](ExchangeOutcome outcome) {
+            result.outcome = outcome;
+            isFinished = true;
+        };
+        const auto running = HttpExchange::start(events, pool, std::move(upload), std::move(callbacks));
+        const int engine = accept(listener, nullptr, nullptr);
+        runUntil([&] { return result.sent; });
+        BOOST_REQUIRE(send(engine, answer.data(), answer.size(), 0) == static_cast<ssize_t>(answer.size()));
+        close(engine); // Resets the connection, because a part of the upload was not read.
+        // The loop sees that it can write and that the connection has ended at the same time, and writes first.
+        runUntil([&] { return isFinished; });
+        return result;
+    };
+    for (const char *head : {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"}) {
+        BOOST_TEST((answerWith(std::string(head) + "a part").outcome == ExchangeOutcome::Incomplete));
+    }
+    const ExchangeResult complete = answerWith("HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull");
+    BOOST_TEST((complete.outcome == ExchangeOutcome::Complete));
+    BOOST_TEST(complete.body == "full");
+    close(listener);
+}
+
 /// A complete answer of 8 MB where some hundred bytes were expected took a node's memory: it was read to its end.
 BOOST_AUTO_TEST_CASE(aResponseOverTheLimitOfItsFetchIsNotReadOn)
 {
--- a/packages/transport/tests/parser/testparser.cpp
+++ b/packages/transport/tests/parser/testparser.cpp
@@ -102,6 +102,21 @@
     BOOST_TEST((state == ParseState::Body));
 }
 
+/// Guards against MIXED: an engine in trouble sent an answer with status 000, and its caller got it as an answer.
+BOOST_AUTO_TEST_CASE(aStatusThatIsNoneIsMalformed)
+{
+    for (const char *status : {"000", "001", "099", "101", "600", "999"}) {
+        HttpResponseParser parser;
+        parser.feed("HTTP/1.1 " + std::string(status) + " Odd\r\nContent-Length: 2\r\n\r\nok");
+        BOOST_TEST((parser.state() == ParseState::Malformed), status);
+    }
+    for (const char *status : {"100", "103", "200", "204", "304", "404", "599"}) {
+        HttpResponseParser parser;
+        parser.feed("HTTP/1.1 " + std::string(status) + " Good\r\nContent-Length: 0\r\n\r\n");
+        BOOST_TEST((parser.state() == ParseState::Done), status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aTruncatedResponseIsNotComplete)
 {
     ParseState state = ParseState::Head;
--- a/packages/transport/tests/tcp/testtcp.cpp
+++ b/packages/transport/tests/tcp/testtcp.cpp
@@ -1,9 +1,13 @@
 #include "transport/socketaddress.h"
 #include "transport/tcpframes.h"
+#include "transport/tcplistener.h"
 #include "transport/tcpserver.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
+#include <optional>
+#include <string>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -33,4 +37,42 @@
     BOOST_TEST(!writeFrame(0, std::string(maxFrameBytes + 1, 'x'), absl::Seconds(1)));
 }
 
+/// Guards against MIXED: the system reports a reset once. If a write gets the report, reading ends as after an orderly close, which
+/// completes an answer without a length.
+BOOST_AUTO_TEST_CASE(aResetThatAWriteHasGotIsNoOrderlyClose)
+{
+    for (const bool isReset : {true, false}) {
+        EventLoop loop;
+        std::shared_ptr<TcpConnection> connection;
+        TcpListener listener(loop, "127.0.0.1:0", AddressSharing::Exclusive, TcpTimeouts(),
+                             [&](const std::shared_ptr<TcpConnection> &it) { connection = it; });
+        std::string received;
+        std::optional<TcpCloseReason> reason;
+        const int peer = socket(AF_INET, SOCK_STREAM, 0);
+        const std::optional<sockaddr_in> address = parseSocketAddress("127.0.0.1:" + std::to_string(listener.port()));
+        BOOST_REQUIRE(connect(peer, reinterpret_cast<const sockaddr *>(&*address), sizeof(*address)) == 0);
+        while (!connection) {
+            loop.runOnce();
+        }
+        TcpConnection::Callbacks callbacks;
+        callbacks.onData = [&](std::string_view bytes) {
+            received += bytes;
+        };
+        callbacks.onClosed = [&](TcpCloseReason it) {
+            reason = it;
+        };
+        connection->setCallbacks(std::move(callbacks));
+        BOOST_REQUIRE(send(peer, "part", 4, 0) == 4);
+        const linger reset{isReset ? 1 : 0, 0};
+        setsockopt(peer, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        close(peer);
+        connection->write("x");
+        while (!reason) {
+            loop.runOnce();
+        }
+        BOOST_TEST(received == "part");
+        BOOST_TEST((*reason == (isReset ? TcpCloseReason::Reset : TcpCloseReason::ClosedByPeer)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
