Charge incomplete events to the account of answers

AnswerBytes charges them; while all answers of a node exceed 16 MiB, an event may have 16 KiB. Related: a line without end in a stream of the product's own engine protocol had no limit and has 256 KiB now.

--- a/packages/apricotladderd/completionflow.cpp
+++ b/packages/apricotladderd/completionflow.cpp
@@ -204,6 +204,7 @@
             unparsed.erase(0, end + 1);
             end = unparsed.find('\n');
         }
+        broken = broken || unparsed.size() > maxEngineMessageBytes;
         return !broken && !done && !m_buffer->isAbandoned();
     });
     reportProgress();
--- a/packages/apricotladderd/entry/answerbuffer.h
+++ b/packages/apricotladderd/entry/answerbuffer.h
@@ -8,6 +8,39 @@
 
 namespace Apricot {
 
+/**
+ * \class AnswerBytes
+ * \brief A part of the bytes of answers that a node holds. It leaves the total when it is destroyed.
+ */
+class AnswerBytes
+{
+public:
+    /// \a totalBytes counts the bytes of all answers of the node and must outlive this.
+    explicit AnswerBytes(std::atomic<std::size_t> &totalBytes)
+        : m_totalBytes(totalBytes)
+    {
+    }
+
+    ~AnswerBytes()
+    {
+        set(0);
+    }
+
+    AnswerBytes(const AnswerBytes &) = delete;
+    AnswerBytes &operator=(const AnswerBytes &) = delete;
+
+    /// Replaces the number of bytes; returns the total of the node.
+    std::size_t set(std::size_t bytes)
+    {
+        const std::size_t change = bytes - std::exchange(m_bytes, bytes); // Wraps around if the number decreases, as does the sum.
+        return m_totalBytes.fetch_add(change, std::memory_order_relaxed) + change;
+    }
+
+private:
+    std::atomic<std::size_t> &m_totalBytes;
+    std::size_t m_bytes = 0;
+};
+
 /**
  * \class AnswerBuffer
  * \brief The body of an answer that is read completely before it is relayed, with a bounded length.
@@ -27,23 +60,15 @@
 
     /// Constructs an empty buffer. \a totalBytes counts the bytes of all buffers of the node and must outlive this one.
     explicit AnswerBuffer(std::atomic<std::size_t> &totalBytes)
-        : m_totalBytes(totalBytes)
-    {
-    }
-
-    ~AnswerBuffer()
+        : m_bytes(totalBytes)
     {
-        clear();
     }
 
-    AnswerBuffer(const AnswerBuffer &) = delete;
-    AnswerBuffer &operator=(const AnswerBuffer &) = delete;
-
     /// Appends \a part; returns false, and discards everything, if the answer is too long.
     [[nodiscard]] bool append(std::string_view part)
     {
-        const std::size_t total = m_totalBytes.fetch_add(part.size(), std::memory_order_relaxed) + part.size();
         m_text.append(part);
+        const std::size_t total = m_bytes.set(m_text.size());
         const std::size_t limit = total > maxTotalBytes ? maxBytesUnderPressure : maxBytes;
         if (m_text.size() > limit) {
             clear();
@@ -60,12 +85,12 @@
     /// Returns the text and leaves the buffer empty.
     std::string take()
     {
-        m_totalBytes.fetch_sub(m_text.size(), std::memory_order_relaxed);
+        m_bytes.set(0);
         return std::exchange(m_text, std::string());
     }
 
 private:
-    std::atomic<std::size_t> &m_totalBytes;
+    AnswerBytes m_bytes;
     std::string m_text;
 };
 
--- a/packages/apricotladderd/entry/streamcall.cpp
+++ b/packages/apricotladderd/entry/streamcall.cpp
@@ -38,6 +38,7 @@
     , m_kvHandle(loop, m_facts.call->promptTokens)
     , m_promptGuard(loop.context().quarantine, m_facts)
     , m_responseBody(loop.context().bufferedAnswerBytes)
+    , m_eventBytes(loop.context().bufferedAnswerBytes)
 {
 }
 
@@ -261,6 +262,7 @@
 void StreamCall::finish(const char *outcome, int status)
 {
     m_finished = true;
+    m_eventBytes.set(0);
     m_charge.settle();
     EntryContext &context = m_loop.context();
     EventLoop &events = m_loop.events();
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/streamcall.h
@@ -125,6 +125,7 @@
 
     HttpResponseHead m_responseHead;
     AnswerBuffer m_responseBody; ///< body of a response that is not a stream
+    AnswerBytes m_eventBytes; ///< of the event that is not complete
     bool m_isStream = false;
     bool m_streamStarted = false; ///< the caller has received the head and the first event
     SseEventSplitter m_events;
--- a/packages/apricotladderd/entry/streamcalldecode.cpp
+++ b/packages/apricotladderd/entry/streamcalldecode.cpp
@@ -18,6 +18,9 @@
 /// Longest event of a stream: an engine in trouble may send bytes without end that complete no event.
 constexpr std::size_t maxEventBytes = 1U << 20;
 
+/// Longest event while the answers of all calls exceed AnswerBuffer::maxTotalBytes, bytes.
+constexpr std::size_t maxEventBytesUnderPressure = 16U << 10;
+
 /// Bytes not yet sent to the caller above which reading from the engine pauses.
 constexpr std::size_t maxUnsentBytes = 256 * 1024;
 
@@ -120,7 +123,12 @@
     if (!events.empty()) {
         forwardEvents(events);
     }
-    if (m_events.pendingBytes() > maxEventBytes && !m_finished) {
+    if (m_finished) {
+        return;
+    }
+    const std::size_t totalBytes = m_eventBytes.set(m_events.pendingBytes());
+    const std::size_t limit = totalBytes > AnswerBuffer::maxTotalBytes ? maxEventBytesUnderPressure : maxEventBytes;
+    if (m_events.pendingBytes() > limit) {
         cutOffEngine();
     }
 }
@@ -214,6 +222,7 @@
 void StreamCall::leaveEngine()
 {
     m_events.dropPending();
+    m_eventBytes.set(0);
     m_isStream = false;
     abandonPlacement(m_placement->decode->id);
     m_loop.context().log.add(
