Log what of its answers a replaced caller had not received

Cause: the line call.evicted gave the bytes that the node itself buffers.

Change: TcpConnection knows how many bytes the system holds for the peer (SIOCOUTQ beside TCP_INFO, and what was written since the last check), and the line has them as undeliveredBytes.

--- a/packages/apricotladderd/entry/callerguard.cpp
+++ b/packages/apricotladderd/entry/callerguard.cpp
@@ -182,6 +182,7 @@
               {{"why", std::string(why)},
                {"caller", connection.peerAddressText()},
                {"bytes", static_cast<std::int64_t>(connection.heldBytes())},
+               {"undeliveredBytes", static_cast<std::int64_t>(connection.undeliveredBytes())},
                {"totalBytes", static_cast<std::int64_t>(m_account.totalBytes())},
                {"connections", static_cast<std::int64_t>(m_account.connectionCount())},
                {"since", std::exchange(m_unreported, 0)}});
--- a/packages/transport/httpserverconnection.h
+++ b/packages/transport/httpserverconnection.h
@@ -168,6 +168,13 @@
         return m_connection->unsentBytes();
     }
 
+    /// Asks the system how many bytes of responses have not reached the client, buffered ones included.
+    std::size_t undeliveredBytes() const
+    {
+        m_connection->refreshDelivery(absl::ZeroDuration());
+        return m_connection->unsentBytes() + m_connection->systemBytes();
+    }
+
     bool isClosed() const
     {
         return m_closed;
--- a/packages/transport/sendpath.cpp
+++ b/packages/transport/sendpath.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <linux/sockios.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace Apricot {
@@ -13,6 +15,12 @@
 /// A probe may have been sent just before an update, so that its acknowledgement is on the way.
 constexpr absl::Duration minProbeWait = absl::Seconds(1);
 
+std::size_t readOutstandingBytes(int descriptor)
+{
+    int bytes = 0;
+    return ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 }
 
 std::optional<SendState> readSendState(int descriptor)
@@ -28,6 +36,7 @@
     state.awaitsAcknowledgement = info.tcpi_unacked > 0 || info.tcpi_probes > 0;
     state.sinceLastAcknowledgement = absl::Milliseconds(info.tcpi_last_ack_recv);
     state.acknowledgedBytes = info.tcpi_bytes_acked;
+    state.outstandingBytes = state.hasOutstandingData ? readOutstandingBytes(descriptor) : 0;
     return state;
 }
 
--- a/packages/transport/sendpath.h
+++ b/packages/transport/sendpath.h
@@ -2,6 +2,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -14,6 +15,7 @@
     bool awaitsAcknowledgement = false; ///< a segment, or a probe of a closed window, has not been acknowledged
     absl::Duration sinceLastAcknowledgement;
     std::uint64_t acknowledgedBytes = 0; ///< since the connection was opened
+    std::size_t outstandingBytes = 0; ///< that the system holds until they are acknowledged; 0 if it does not tell
 
     friend bool operator==(const SendState &, const SendState &) = default;
 };
--- a/packages/transport/tcpconnection.cpp
+++ b/packages/transport/tcpconnection.cpp
@@ -197,8 +197,9 @@
         recordSendError(errno);
         return bytes.size();
     }
-    checkSendPathLater();
-    return n > 0 ? static_cast<std::size_t>(n) : 0;
+    const std::size_t sent = n > 0 ? static_cast<std::size_t>(n) : 0;
+    recordSent(sent);
+    return sent;
 }
 
 void TcpConnection::handleFailedFlush(int error)
@@ -232,7 +233,7 @@
         }
         m_unsentOffset += static_cast<std::size_t>(n);
         m_lastBufferChange = m_loop.now();
-        checkSendPathLater();
+        recordSent(static_cast<std::size_t>(n));
     }
     if (m_descriptor < 0) {
         return;
@@ -255,37 +256,63 @@
     }
 }
 
-void TcpConnection::checkSendPathLater()
+void TcpConnection::recordSent(std::size_t bytes)
 {
+    m_systemBytes += bytes;
     if (m_sendPathTimer == 0) {
+        m_undeliveredSince = m_loop.now();
         m_sendPathTimer = m_loop.after(sendPathCheckInterval, [this] { checkSendPath(); });
     }
 }
 
 void TcpConnection::checkSendPath()
 {
-    m_sendPathTimer = 0;
-    const std::optional<SendState> state = readSendState(m_descriptor);
-    if (!state) {
-        return; // The system's own timeout stays in force.
-    }
-    const bool isDead = m_sendPath.update(*state, m_loop.now());
+    const std::shared_ptr<TcpConnection> self = shared_from_this();
+    m_sendPathTimer = m_loop.after(sendPathCheckInterval, [this] { checkSendPath(); });
+    const bool isDead = readDelivery();
     const bool isAbandoned = m_closeAfterFlush && m_loop.now() - lastSendProgress() >= closedUserTimeout;
     if (isDead || isAbandoned) {
         setResetOnClose();
         handleClosed(TcpCloseReason::Reset);
         return;
     }
+    const std::shared_ptr<Callbacks> callbacks = m_callbacks;
+    if (callbacks->onDeliveryChecked) {
+        callbacks->onDeliveryChecked();
+    }
+}
+
+void TcpConnection::refreshDelivery(absl::Duration maxAge)
+{
+    if (m_sendPathTimer != 0 && m_loop.now() - m_lastDeliveryRead >= maxAge) {
+        readDelivery(); // A dead path is noticed at the next check.
+    }
+}
+
+bool TcpConnection::readDelivery()
+{
+    m_lastDeliveryRead = m_loop.now();
+    const std::optional<SendState> state = readSendState(m_descriptor);
+    m_systemBytes = state ? state->outstandingBytes : 0;
+    const bool isDead = state && m_sendPath.update(*state, m_loop.now());
+    if (state) {
+        updateUserTimeout(*state);
+    }
+    if (!state || !state->hasOutstandingData) {
+        m_loop.cancel(std::exchange(m_sendPathTimer, 0));
+    }
+    return isDead;
+}
+
+void TcpConnection::updateUserTimeout(const SendState &state)
+{
     // The system counts the time in which the window of the peer is closed, although the peer answers. From then on until all data is
-    // acknowledged, only this check limits the time without an answer.
-    const bool isWindowClosed = state->hasOutstandingData && !state->awaitsAcknowledgement;
-    if (m_hasUserTimeout ? isWindowClosed : !state->hasOutstandingData) {
+    // acknowledged, only the check of the path limits the time without an answer.
+    const bool isWindowClosed = state.hasOutstandingData && !state.awaitsAcknowledgement;
+    if (m_hasUserTimeout ? isWindowClosed : !state.hasOutstandingData) {
         m_hasUserTimeout = !m_hasUserTimeout;
         setUserTimeout(m_hasUserTimeout ? m_timeouts.userTimeout : absl::ZeroDuration());
     }
-    if (state->hasOutstandingData) {
-        checkSendPathLater();
-    }
 }
 
 void TcpConnection::updateEvents()
--- a/packages/transport/tcpconnection.h
+++ b/packages/transport/tcpconnection.h
@@ -46,6 +46,7 @@
         std::function<void()> onConnected;
         std::function<void(std::string_view)> onData;
         std::function<void()> onDrained; ///< all data that write() had to buffer has been handed to the system
+        std::function<void()> onDeliveryChecked; ///< the system has told what it still holds for the peer; \see mayHaveUndeliveredBytes()
         std::function<void(TcpCloseReason)> onClosed;
     };
 
@@ -86,12 +87,29 @@
     void setReading(bool reading);
 
     /// When the peer last acknowledged data, as of some hundred milliseconds ago, or the system last took buffered bytes; not earlier than
-    /// the time from which bytes are buffered.
+    /// the time from which bytes are undelivered.
     absl::Time lastSendProgress() const
     {
-        return std::max(m_lastBufferChange, m_sendPath.lastProgress());
+        return std::max({m_lastBufferChange, m_undeliveredSince, m_sendPath.lastProgress()});
     }
 
+    /// Whether bytes that were written may not have reached the peer: they are buffered, or the system was not seen to hold none. A system
+    /// that does not tell what it holds counts as holding none some hundred milliseconds after the last write().
+    bool mayHaveUndeliveredBytes() const
+    {
+        return unsentBytes() > 0 || m_sendPathTimer != 0;
+    }
+
+    /// Bytes that the system holds until the peer acknowledges them: those known of at the last check, and all that were handed to it
+    /// since.
+    std::size_t systemBytes() const
+    {
+        return m_systemBytes;
+    }
+
+    /// Asks the system what it still holds for the peer, unless it was asked within \a maxAge. Runs no callback.
+    void refreshDelivery(absl::Duration maxAge);
+
     /// Limits what the system buffers for this connection in each direction, in bytes.
     void setSystemBuffers(int bytes) const;
 
@@ -138,8 +156,13 @@
     void flush();
     void handleFailedFlush(int error);
     void updateEvents();
-    void checkSendPathLater();
+    /// Records that the system has taken \a bytes to send.
+    void recordSent(std::size_t bytes);
     void checkSendPath();
+    /// Reads what the system holds for the peer; returns whether the path to it is dead.
+    bool readDelivery();
+    /// Lets the system limit the time of unacknowledged data, except while the peer answers probes of its closed window.
+    void updateUserTimeout(const SendState &state);
     void handleClosed(TcpCloseReason reason);
     void closeDescriptor();
 
@@ -156,6 +179,9 @@
     absl::Time m_lastBufferChange = absl::InfinitePast(); ///< when the system last took buffered bytes, or bytes were buffered after none
     SendPathMonitor m_sendPath;
     TimerId m_sendPathTimer = 0; ///< runs while the system may hold data that is not acknowledged
+    absl::Time m_undeliveredSince = absl::InfinitePast(); ///< when it was last handed data while it held none
+    absl::Time m_lastDeliveryRead = absl::InfinitePast();
+    std::size_t m_systemBytes = 0;
     bool m_hasUserTimeout = true; ///< the system limits the time of unacknowledged data
     bool m_isReset = false; ///< a send has got the report of a reset
     bool m_isAccepted = false; ///< the peer opened it; its disconnect is detected while reading is paused
