Keep connections until the system has delivered their answers

Cause: bytes that the system holds for a caller counted for nothing. A connection whose own buffer was empty counted as idle, so that slow readers were the longest idle ones, and evict() ended it with a reset, which destroys what the system holds. The same happened on other paths: the idle time began while a caller still read; a planned stop, the end of the listener, a last answer and a refusal closed the socket, and the next byte of the caller then reset it; no account had the sum of these bytes.

Change: TcpConnection is the one source of what is undelivered and when it last moved. A connection is Sending until its answer is acknowledged; idle time, the order of replacement, planned stops and the end of a connection follow from that. A connection gives way to a new one only if it is idle or receives a request, by an orderly close; with unread input it closes after the next answer. If all run or deliver, 1/16 of the connections is for new callers that get 503 and Retry-After. What the system holds for all callers is limited to callerBytes more: 503 above 7/8 of it, above it those with most for longest are closed.

--- a/packages/apricotladderd/entry/calldispatch.cpp
+++ b/packages/apricotladderd/entry/calldispatch.cpp
@@ -52,6 +52,8 @@
         return "stopped";
     case ServerCloseReason::Aborted:
         return "aborted";
+    case ServerCloseReason::Replaced:
+        return "replaced";
     }
     return "caller";
 }
--- a/packages/apricotladderd/entry/calleraccount.cpp
+++ b/packages/apricotladderd/entry/calleraccount.cpp
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <sys/resource.h>
+#include <utility>
 
 namespace Apricot {
 
@@ -45,13 +46,14 @@
     limits.connectionBytes = static_cast<std::size_t>(settings->callerBytesPerConnection);
     limits.connections = settings->callerConnections > 0 ? static_cast<std::size_t>(settings->callerConnections)
                                                          : callerConnectionLimit(static_cast<std::size_t>(descriptors.rlim_cur));
+    limits.systemBytes = limits.totalBytes;
     return CallerMemoryLimits(limits);
 }
 
 CallerMemoryLimits controlMemoryLimits(const CallerMemoryLimits &callers)
 {
-    return CallerMemoryLimits(
-        CallerMemoryLimitsFields{controlBytes, controlBytes, controlConnectionBytes, callers->connections / controlConnectionsDivisor + 1});
+    return CallerMemoryLimits(CallerMemoryLimitsFields{controlBytes, controlBytes, controlConnectionBytes,
+                                                       callers->connections / controlConnectionsDivisor + 1, controlBytes});
 }
 
 CallerAccount::CallerAccount(const CallerMemoryLimits &limits, const std::atomic<std::size_t> &answerBytes)
@@ -62,23 +64,33 @@
 
 ReadDecision CallerAccount::update(const CallerConnection &connection, bool isNewRequest)
 {
-    const std::size_t before = m_connections.update(connection->id, [&](CallerConnection &stored) {
-        const std::size_t bytes = stored->bytes;
-        stored = connection;
-        return bytes;
-    });
-    const std::size_t ofAddress = charge(connection->address, before, connection->bytes);
+    const CallerConnection before
+        = m_connections.update(connection->id, [&](CallerConnection &stored) { return std::exchange(stored, connection); });
+    const std::size_t ofAddress = charge(connection->address, before->bytes, connection->bytes);
+    chargeSystem(before->systemBytes, connection->systemBytes);
     const bool isPreferred = m_preferred.load(std::memory_order_relaxed) == connection->id;
-    return decideRead(m_limits, CallerMemoryUse(CallerMemoryUseFields{totalBytes(), ofAddress, isPreferred}), connection, isNewRequest);
+    const CallerMemoryUse use(CallerMemoryUseFields{totalBytes(), ofAddress, isPreferred, systemBytes()});
+    return decideRead(m_limits, use, connection, isNewRequest);
 }
 
 void CallerAccount::remove(CallerConnectionId connection)
 {
     if (const std::optional<CallerConnection> removed = take(m_connections, connection, [](const CallerConnection &) { return true; })) {
-        charge((*removed)->address, (*removed)->bytes, 0);
+        release(*removed);
     }
 }
 
+void CallerAccount::release(const CallerConnection &connection)
+{
+    charge(connection->address, connection->bytes, 0);
+    chargeSystem(connection->systemBytes, 0);
+}
+
+void CallerAccount::chargeSystem(std::size_t before, std::size_t after)
+{
+    m_systemBytes.fetch_add(after - before, std::memory_order_relaxed); // Wraps around like the sum in charge().
+}
+
 std::size_t CallerAccount::charge(std::uint32_t address, std::size_t before, std::size_t after)
 {
     m_bytes.fetch_add(after - before, std::memory_order_relaxed); // Unsigned arithmetic wraps around, so a decrease is correct too.
@@ -118,11 +130,11 @@
         if (!chosen) {
             return std::nullopt;
         }
-        const auto isNotRunning = [](const CallerConnection &it) {
-            return it->phase != CallerPhase::Running;
+        const auto mayGo = [](const CallerConnection &it) {
+            return it->phase != CallerPhase::Running && it->phase != CallerPhase::Answering;
         };
-        if (const std::optional<CallerConnection> removed = take(m_connections, *chosen, isNotRunning)) {
-            charge((*removed)->address, (*removed)->bytes, 0);
+        if (const std::optional<CallerConnection> removed = take(m_connections, *chosen, mayGo)) {
+            release(*removed);
             return chosen;
         }
     }
--- a/packages/apricotladderd/entry/calleraccount.h
+++ b/packages/apricotladderd/entry/calleraccount.h
@@ -41,7 +41,8 @@
     CallerRelief relieve(absl::Time now);
 
     /// Removes the connection that is to be closed for a new one and returns it; std::nullopt if none may be closed. It no longer counts
-    /// even if its own thread closes it later, so that each new connection replaces another one.
+    /// even if its own thread closes it later, so that each new connection replaces another one; it counts again with its next update() if
+    /// it cannot be closed.
     std::optional<CallerConnectionId> takeForNewConnection(absl::Time now);
 
     const CallerMemoryLimits &limits() const
@@ -49,15 +50,21 @@
         return m_limits;
     }
 
-    /// Whether the maximum number of connections is reached.
+    /// Whether a new connection needs the place of another one.
     bool isFull() const
+    {
+        return m_connections.size() >= admittedConnections(m_limits);
+    }
+
+    /// Whether there is no place for a connection that is only told that its request is refused either.
+    bool isExhausted() const
     {
         return m_connections.size() >= m_limits->connections;
     }
 
     bool needsRelief() const
     {
-        return Apricot::needsRelief(m_limits, totalBytes());
+        return Apricot::needsRelief(m_limits, totalBytes(), systemBytes());
     }
 
     /// Bytes in use, answers that are being read included.
@@ -66,6 +73,12 @@
         return m_bytes.load(std::memory_order_relaxed) + m_answerBytes.load(std::memory_order_relaxed);
     }
 
+    /// Bytes of answers that the system holds for the callers; not part of totalBytes().
+    std::size_t systemBytes() const
+    {
+        return m_systemBytes.load(std::memory_order_relaxed);
+    }
+
     std::size_t connectionCount() const
     {
         return m_connections.size();
@@ -74,10 +87,14 @@
 private:
     std::vector<CallerConnection> connections() const;
     std::size_t charge(std::uint32_t address, std::size_t before, std::size_t after);
+    void chargeSystem(std::size_t before, std::size_t after);
+    /// Takes what a removed connection held out of the sums.
+    void release(const CallerConnection &connection);
 
     CallerMemoryLimits m_limits;
     const std::atomic<std::size_t> &m_answerBytes;
     std::atomic<std::size_t> m_bytes{0};
+    std::atomic<std::size_t> m_systemBytes{0};
     std::atomic<CallerConnectionId> m_preferred{0}; ///< 0: none
     ShardedMap<CallerConnectionId, CallerConnection> m_connections;
     ShardedMap<std::uint32_t, std::size_t> m_addressBytes; ///< without addresses that use none
--- a/packages/apricotladderd/entry/callerguard.cpp
+++ b/packages/apricotladderd/entry/callerguard.cpp
@@ -20,6 +20,9 @@
 /// Callers must not be able to fill the log.
 constexpr absl::Duration minReportInterval = absl::Seconds(1);
 
+/// How many connections are chosen for a new one if they turn out to have got a request meanwhile.
+constexpr int maxReplaceAttempts = 3;
+
 CallerPhase callerPhase(ConnectionPhase phase)
 {
     switch (phase) {
@@ -44,6 +47,8 @@
         return "address";
     case CallerLimit::Connection:
         return "connection";
+    case CallerLimit::System:
+        return "system";
     }
     return "total";
 }
@@ -76,6 +81,7 @@
     };
     hooks.onReleased = [this](const HttpServerConnection::Ptr &connection) {
         m_connections.erase(connection->tag());
+        m_unadmitted.erase(connection->tag());
         m_account.remove(connection->tag());
     };
 }
@@ -88,24 +94,52 @@
 bool CallerGuard::handleOpened(const HttpServerConnection::Ptr &connection)
 {
     connection->setTag((m_index << indexShift) | ++m_lastConnection);
-    if (m_account.isFull()) {
-        const std::optional<CallerConnectionId> replaced = m_account.takeForNewConnection(m_loop.now());
-        if (!replaced) {
+    if (m_account.isFull() && !makePlace()) {
+        if (m_account.isExhausted()) {
             m_metrics.countCallerRefusal("connections");
             report("call.overlimit", "connections", *connection);
             return false;
         }
-        closeAnywhere(*replaced, CallerCloseReason::Connections);
+        m_unadmitted.insert(connection->tag());
     }
     m_connections.emplace(connection->tag(), connection);
     return true;
 }
 
+bool CallerGuard::makePlace()
+{
+    for (int attempt = 0; attempt < maxReplaceAttempts && m_account.isFull(); ++attempt) {
+        const std::optional<CallerConnectionId> replaced = chooseReplaced();
+        if (!replaced) {
+            return false;
+        }
+        closeAnywhere(*replaced, CallerCloseReason::Connections);
+    }
+    return !m_account.isFull();
+}
+
+std::optional<CallerConnectionId> CallerGuard::chooseReplaced()
+{
+    const std::optional<CallerConnectionId> chosen = m_account.takeForNewConnection(m_loop.now());
+    if (chosen) {
+        return chosen;
+    }
+    for (const HttpServerConnection::Ptr &it : openConnections()) {
+        it->reviewDelivery(); // An answer may have reached its caller since the last report.
+    }
+    return m_account.takeForNewConnection(m_loop.now());
+}
+
 ReadPermission CallerGuard::handleUse(const HttpServerConnection::Ptr &connection, const ConnectionUse &use)
 {
     const CallerConnection state(CallerConnectionFields{connection->tag(), use.peerAddress, callerPhase(use.phase), use.bytes,
-                                                        use.lastProgress, use.isHeldBack, use.hasCompletedRequest});
+                                                        use.lastProgress, use.isHeldBack, use.hasCompletedRequest, use.systemBytes});
     const ReadDecision decision = m_account.update(state, use.isNewRequest);
+    if (use.isNewRequest && m_unadmitted.erase(connection->tag()) > 0 && m_account.isFull()) {
+        m_metrics.countCallerRefusal("connections");
+        report("call.overlimit", "connections", *connection);
+        return ReadPermission::Refuse;
+    }
     if (m_account.needsRelief()) {
         armTimer();
     }
@@ -140,9 +174,19 @@
         return;
     }
     const HttpServerConnection::Ptr found = it->second;
-    m_metrics.countCallerEviction(reasonName(reason));
-    report("call.evicted", reasonName(reason), *found);
-    found->evict();
+    if (reason == CallerCloseReason::Memory) {
+        m_metrics.countCallerEviction(reasonName(reason));
+        report("call.evicted", reasonName(reason), *found);
+        found->evict();
+        return;
+    }
+    found->closeForAnother();
+    if (found->isClosed()) {
+        m_metrics.countCallerEviction(reasonName(reason));
+        report("call.evicted", reasonName(reason), *found);
+    } else {
+        found->reviewUse(); // It counts again.
+    }
 }
 
 void CallerGuard::armTimer()
@@ -159,16 +203,27 @@
     for (const CallerConnectionId it : relief->closed) {
         closeAnywhere(it, CallerCloseReason::Memory);
     }
+    const bool hasPaused = reviewConnections();
+    if (hasPaused || m_account.needsRelief()) {
+        armTimer();
+    }
+}
+
+std::vector<HttpServerConnection::Ptr> CallerGuard::openConnections() const
+{
     std::vector<HttpServerConnection::Ptr> connections;
     std::transform(m_connections.begin(), m_connections.end(), std::back_inserter(connections), [](const auto &it) { return it.second; });
+    return connections;
+}
+
+bool CallerGuard::reviewConnections()
+{
     bool hasPaused = false;
-    for (const HttpServerConnection::Ptr &it : connections) {
+    for (const HttpServerConnection::Ptr &it : openConnections()) {
         it->reviewUse();
         hasPaused = hasPaused || it->isPaused();
     }
-    if (hasPaused || m_account.needsRelief()) {
-        armTimer();
-    }
+    return hasPaused;
 }
 
 void CallerGuard::report(const char *event, const char *why, const HttpServerConnection &connection)
--- a/packages/apricotladderd/entry/callerguard.h
+++ b/packages/apricotladderd/entry/callerguard.h
@@ -6,8 +6,11 @@
 #include "transport/httplistener.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <functional>
+#include <optional>
+#include <vector>
 
 namespace Apricot {
 
@@ -47,6 +50,14 @@
 private:
     bool handleOpened(const HttpServerConnection::Ptr &connection);
     ReadPermission handleUse(const HttpServerConnection::Ptr &connection, const ConnectionUse &use);
+    /// Closes a connection for a new one; returns whether there is a place for that.
+    bool makePlace();
+    /// Chooses the connection to close for a new one; std::nullopt if there is none.
+    std::optional<CallerConnectionId> chooseReplaced();
+    /// The connections of this loop, as a copy: each may be closed while they are visited.
+    std::vector<HttpServerConnection::Ptr> openConnections() const;
+    /// Reports anew what all connections of this loop hold; returns whether one of them is paused.
+    bool reviewConnections();
     void closeAnywhere(CallerConnectionId connection, CallerCloseReason reason);
     void armTimer();
     void relieve();
@@ -60,6 +71,7 @@
     EntryMetrics &m_metrics;
     CloseHandler m_closeElsewhere;
     absl::flat_hash_map<CallerConnectionId, HttpServerConnection::Ptr> m_connections;
+    absl::flat_hash_set<CallerConnectionId> m_unadmitted; ///< opened without a place: the next request is refused if there is none by then
     std::uint64_t m_lastConnection = 0;
     TimerId m_timer = 0;
     absl::Time m_lastReport = absl::InfinitePast(); ///< time of the last log line
--- a/packages/apricotladderd/entry/entrymetrics.cpp
+++ b/packages/apricotladderd/entry/entrymetrics.cpp
@@ -34,6 +34,8 @@
     , m_callerEvictions(
           counters(*m_registry, "apricotladder_entry_caller_evictions_total", "Connections of callers closed by the node, by reason"))
     , m_callerBytes(gauges(*m_registry, "apricotladder_entry_caller_bytes", "Bytes that are held for callers").Add({}))
+    , m_callerSystemBytes(
+          gauges(*m_registry, "apricotladder_entry_caller_system_bytes", "Bytes of answers that the system holds for callers").Add({}))
     , m_callerConnections(gauges(*m_registry, "apricotladder_entry_caller_connections", "Open connections of callers").Add({}))
     , m_malformed(counters(*m_registry, "apricotladder_entry_malformed_entries_total", "Entries of the store that could not be read"))
     , m_engineNotices(counters(*m_registry, "apricotladder_entry_engine_notices_total", "Notices in the answers of engines, by kind"))
@@ -102,9 +104,10 @@
     m_callerEvictions.Add({{"reason", reason}}).Increment();
 }
 
-void EntryMetrics::setCallerMemory(double bytes, double connections)
+void EntryMetrics::setCallerMemory(double bytes, double systemBytes, double connections)
 {
     m_callerBytes.Set(bytes);
+    m_callerSystemBytes.Set(systemBytes);
     m_callerConnections.Set(connections);
 }
 
--- a/packages/apricotladderd/entry/entrymetrics.h
+++ b/packages/apricotladderd/entry/entrymetrics.h
@@ -31,7 +31,7 @@
     /// Counts a request or connection that a limit refused.
     void countCallerRefusal(const std::string &limit);
     void countCallerEviction(const std::string &reason);
-    void setCallerMemory(double bytes, double connections);
+    void setCallerMemory(double bytes, double systemBytes, double connections);
     void countMalformedEntries(const std::string &kind, std::size_t count);
     void countEngineNotice(const std::string &kind);
     void countKeyRejection(const std::string &reason);
@@ -63,6 +63,7 @@
     prometheus::Family<prometheus::Counter> &m_callerRefusals;
     prometheus::Family<prometheus::Counter> &m_callerEvictions;
     prometheus::Gauge &m_callerBytes;
+    prometheus::Gauge &m_callerSystemBytes;
     prometheus::Gauge &m_callerConnections;
     prometheus::Family<prometheus::Counter> &m_malformed;
     prometheus::Family<prometheus::Counter> &m_engineNotices;
--- a/packages/apricotladderd/entry/entrynode.cpp
+++ b/packages/apricotladderd/entry/entrynode.cpp
@@ -381,6 +381,7 @@
 {
     m_context.metrics.setLinesDropped(static_cast<double>(m_context.log.dropped()));
     m_context.metrics.setCallerMemory(static_cast<double>(m_context.callers.totalBytes()),
+                                      static_cast<double>(m_context.callers.systemBytes()),
                                       static_cast<double>(m_context.callers.connectionCount()));
     return LocalResponse{statusOk, "text/plain", m_context.metrics.text()};
 }
--- a/packages/coordination/callermemory.cpp
+++ b/packages/coordination/callermemory.cpp
@@ -35,6 +35,9 @@
 /// A connection that could send or receive and has not for this long makes no progress. A retransmission after a loss takes 0.2 to 0.6 s.
 constexpr absl::Duration stallTime = absl::Seconds(1);
 
+/// Part of the connections that is for those whose request is refused for lack of a place, as a divisor.
+constexpr std::size_t refusedConnectionsDivisor = 16;
+
 /// Connections that hold less than this are not closed: closing them all would free little.
 constexpr std::size_t minClosedBytes = 6 * 1024;
 
@@ -90,6 +93,34 @@
     return initial > level && remaining > target;
 }
 
+/// Adds to \a closed the connections that must end so that the system holds no more than its limit for the others.
+void closeForSystemBytes(const CallerMemoryLimits &limits, const std::vector<CallerConnection> &connections, absl::Time now,
+                         std::vector<CallerConnectionId> &closed)
+{
+    std::size_t remaining = 0;
+    std::vector<const CallerConnection *> candidates;
+    for (const CallerConnection &it : connections) {
+        const bool isClosed = std::find(closed.begin(), closed.end(), it->id) != closed.end();
+        remaining += isClosed ? 0 : it->systemBytes;
+        if (!isClosed && it->phase != CallerPhase::Running && it->systemBytes > 0) {
+            candidates.push_back(&it);
+        }
+    }
+    if (remaining <= limits->systemBytes) {
+        return;
+    }
+    const auto weight = [now](const CallerConnection &it) {
+        return static_cast<double>(it->systemBytes) * absl::ToDoubleSeconds(stalledFor(it, now) + stallTime);
+    };
+    std::sort(candidates.begin(), candidates.end(), [&](const CallerConnection *left, const CallerConnection *right) {
+        return std::tuple(-weight(*left), (*left)->id) < std::tuple(-weight(*right), (*right)->id);
+    });
+    for (auto it = candidates.begin(); it != candidates.end() && remaining > limits->systemBytes; ++it) {
+        closed.push_back((**it)->id);
+        remaining -= (**it)->systemBytes;
+    }
+}
+
 }
 
 ReadDecision decideRead(const CallerMemoryLimits &limits, const CallerMemoryUse &use, const CallerConnection &connection, bool isNewRequest)
@@ -100,6 +131,9 @@
     }
     const bool isSmall = connection->bytes <= smallRequestBytes;
     const double admitFraction = isSmall ? refuseFraction : 1;
+    if (isReceiving && isNewRequest && use->systemBytes > part(limits->systemBytes, refuseFraction)) {
+        return RefuseRequest{CallerLimit::System};
+    }
     if (isReceiving && isNewRequest && use->totalBytes > part(limits->totalBytes, admitFraction)) {
         return RefuseRequest{CallerLimit::Total};
     }
@@ -113,9 +147,9 @@
     return fits ? ReadDecision(ReadOn{}) : ReadDecision(PauseReading{});
 }
 
-bool needsRelief(const CallerMemoryLimits &limits, std::size_t totalBytes)
+bool needsRelief(const CallerMemoryLimits &limits, std::size_t totalBytes, std::size_t systemBytes)
 {
-    return totalBytes > part(limits->totalBytes, pauseFraction);
+    return totalBytes > part(limits->totalBytes, pauseFraction) || systemBytes > part(limits->systemBytes, refuseFraction);
 }
 
 bool mayCloseRunning(const CallerMemoryLimits &limits, std::size_t totalBytes)
@@ -172,13 +206,14 @@
     if (!relief.preferred && candidate != nullptr && (!hasActive || hasRoom(*candidate))) {
         relief.preferred = (*candidate)->id;
     }
+    closeForSystemBytes(limits, connections, now, relief.closed);
     return CallerRelief(relief);
 }
 
 std::optional<CallerConnectionId> chooseForNewConnection(const std::vector<CallerConnection> &connections, absl::Time now)
 {
     const auto unproven = std::count_if(connections.begin(), connections.end(), [](const CallerConnection &it) {
-        return !it->hasCompletedRequest && it->phase != CallerPhase::Running;
+        return !it->hasCompletedRequest && it->phase != CallerPhase::Running && it->phase != CallerPhase::Answering;
     });
     // Silent connections that are opened faster than they count as silent must not displace everybody.
     const bool isFlood = 2 * static_cast<std::size_t>(unproven) > connections.size();
@@ -194,13 +229,19 @@
         return std::tuple(order(it), it->lastProgress, it->id);
     };
     for (const CallerConnection &it : connections) {
-        if (it->phase != CallerPhase::Running && (chosen == nullptr || key(it) < key(*chosen))) {
+        const bool mayGo = it->phase != CallerPhase::Running && it->phase != CallerPhase::Answering;
+        if (mayGo && (chosen == nullptr || key(it) < key(*chosen))) {
             chosen = &it;
         }
     }
     return chosen == nullptr ? std::nullopt : std::optional((*chosen)->id);
 }
 
+std::size_t admittedConnections(const CallerMemoryLimits &limits)
+{
+    return limits->connections - limits->connections / refusedConnectionsDivisor;
+}
+
 std::size_t callerConnectionLimit(std::size_t descriptors)
 {
     const std::size_t free = descriptors > fileDescriptors ? descriptors - fileDescriptors : 0;
--- a/packages/coordination/callermemory.h
+++ b/packages/coordination/callermemory.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -20,7 +21,7 @@
     Idle, ///< between requests
     Receiving, ///< a part of a request has been received
     Running, ///< an engine may be running the request
-    Answering, ///< the answer is complete, and a part of it has not been sent
+    Answering, ///< the answer is complete, and a part of it may not have reached the caller
 };
 
 struct CallerMemoryLimitsFields
@@ -29,6 +30,7 @@
     std::size_t addressBytes = 0; ///< of all connections of one address
     std::size_t connectionBytes = 0;
     std::size_t connections = 0; ///< maximum number of connections
+    std::size_t systemBytes = std::numeric_limits<std::size_t>::max(); ///< of all answers, which the system holds for the callers
 
     friend bool operator==(const CallerMemoryLimitsFields &, const CallerMemoryLimitsFields &) = default;
 };
@@ -45,6 +47,7 @@
     absl::Time lastProgress; ///< when the caller last sent or received a byte, or its connection was opened
     bool isHeldBack = false; ///< the node does not read what it has sent, so that it cannot make progress
     bool hasCompletedRequest = false;
+    std::size_t systemBytes = 0; ///< of answers, which the system holds until the caller acknowledges them; not part of bytes
 
     friend bool operator==(const CallerConnectionFields &, const CallerConnectionFields &) = default;
 };
@@ -57,6 +60,7 @@
     std::size_t totalBytes = 0;
     std::size_t addressBytes = 0; ///< of the connection's address
     bool isPreferred = false; ///< the connection may go on above the pause level; \see CallerRelief
+    std::size_t systemBytes = 0; ///< of all connections
 
     friend bool operator==(const CallerMemoryUseFields &, const CallerMemoryUseFields &) = default;
 };
@@ -65,7 +69,7 @@
 using CallerMemoryUse = Immutable<CallerMemoryUseFields>;
 
 /// The limit that is the reason for a refusal.
-enum class CallerLimit : std::uint8_t { Total, Address, Connection };
+enum class CallerLimit : std::uint8_t { Total, Address, Connection, System };
 
 /// Go on reading.
 struct ReadOn
@@ -106,8 +110,8 @@
 /// What a node does to get below its limits.
 using CallerRelief = Immutable<CallerReliefFields>;
 
-/// Whether \a totalBytes in use need a CallerRelief, also if no connection is paused.
-bool needsRelief(const CallerMemoryLimits &limits, std::size_t totalBytes);
+/// Whether \a totalBytes in use and \a systemBytes held by the system need a CallerRelief, also if no connection is paused.
+bool needsRelief(const CallerMemoryLimits &limits, std::size_t totalBytes, std::size_t systemBytes);
 
 /// Whether connections may be closed although engines may be running their requests.
 bool mayCloseRunning(const CallerMemoryLimits &limits, std::size_t totalBytes);
@@ -116,15 +120,21 @@
 /// no progress are closed first, those with most bytes for longest before others; then, above a limit, those that make progress; and those
 /// whose request an engine may be running only if the others do not suffice and the limit of the total is exceeded by far. \a preferred is
 /// the connection that has been preferred so far: it stays so while it receives a request and makes progress, and is closed after the
-/// others that do.
+/// others that do. While the system holds more than its limit for the callers, those for whom it holds most for longest are closed too,
+/// except those whose request an engine may be running.
 CallerRelief chooseRelief(const CallerMemoryLimits &limits, std::size_t totalBytes, const std::vector<CallerConnection> &connections,
                           std::optional<CallerConnectionId> preferred, absl::Time now);
 
-/// Chooses the connection to close for a new one when \a connections are as many as there may be: first those that have never completed a
-/// request and have been silent for a second, then idle ones, then the others, each by the time without progress. Those that have never
-/// completed a request go before all others if they are more than half. Returns std::nullopt if engines may be running all requests.
+/// Chooses the connection to close for a new one when \a connections are as many as are admitted: first those that have never completed a
+/// request and have been silent for a second, then idle ones, then those that receive a request, each by the time without progress. Those
+/// that have never completed a request go before all others if they are more than half. Returns std::nullopt if engines may be running the
+/// requests of all, or answers are on their way.
 std::optional<CallerConnectionId> chooseForNewConnection(const std::vector<CallerConnection> &connections, absl::Time now);
 
+/// Returns how many connections are admitted before a new one needs the place of another. The rest of \a limits is for connections that are
+/// only told that their request is refused.
+std::size_t admittedConnections(const CallerMemoryLimits &limits);
+
 /// Returns the maximum number of connections of callers for a process that may open \a descriptors: half of what files leave, so that each
 /// call can have a connection to an engine, peers and the store included.
 std::size_t callerConnectionLimit(std::size_t descriptors);
--- a/packages/coordination/tests/entry/testcallermemory.cpp
+++ b/packages/coordination/tests/entry/testcallermemory.cpp
@@ -275,6 +275,53 @@
     BOOST_TEST(chooseForNewConnection(connections, now).value_or(0) == 3U);
 }
 
+/// Guards against LOST: a caller that still reads its answer was cut off for a new connection.
+BOOST_AUTO_TEST_CASE(aConnectionWhoseAnswerIsOnItsWayIsNeverReplaced)
+{
+    const CallerConnection answering = connection(1, CallerPhase::Answering, 4096, absl::Seconds(12));
+    const CallerConnection running = connection(2, CallerPhase::Running, 4096, absl::Seconds(12));
+    const CallerConnection upload = connection(3, CallerPhase::Receiving, mib, absl::ZeroDuration());
+    const CallerConnection idle = connection(4, CallerPhase::Idle, 4096, absl::ZeroDuration());
+    const CallerConnection silent = idle.with(&CallerConnectionFields::id, CallerConnectionId(5))
+                                        .with(&CallerConnectionFields::hasCompletedRequest, false)
+                                        .with(&CallerConnectionFields::lastProgress, now - absl::Seconds(1));
+    BOOST_TEST(chooseForNewConnection({answering, running, upload, idle, silent}, now).value_or(0) == 5U);
+    BOOST_TEST(chooseForNewConnection({answering, running, upload, idle}, now).value_or(0) == 4U);
+    BOOST_TEST(chooseForNewConnection({answering, running, upload}, now).value_or(0) == 3U);
+    BOOST_TEST(!chooseForNewConnection({answering, running}, now).has_value());
+}
+
+/// Guards against memory of the system that grows without a limit with answers which callers do not read.
+BOOST_AUTO_TEST_CASE(whatTheSystemHoldsForCallersIsLimited)
+{
+    const CallerMemoryLimits narrow = limits.with(&CallerMemoryLimitsFields::systemBytes, 4 * mib);
+    const auto holding = [](CallerConnectionId id, CallerPhase phase, absl::Duration silence) {
+        return connection(id, phase, 4096, silence).with(&CallerConnectionFields::systemBytes, 2 * mib);
+    };
+    const CallerConnection first = holding(1, CallerPhase::Answering, absl::Seconds(2));
+    const CallerConnection second = holding(2, CallerPhase::Answering, absl::Seconds(3));
+    const CallerConnection running = holding(3, CallerPhase::Running, absl::Seconds(9));
+    BOOST_TEST(!needsRelief(narrow, mib, 3 * mib));
+    BOOST_TEST(needsRelief(narrow, mib, 4 * mib));
+    BOOST_TEST(chooseRelief(narrow, mib, {first, running}, std::nullopt, now)->closed.empty());
+    BOOST_TEST(chooseRelief(narrow, mib, {first, second, running}, std::nullopt, now)->closed == std::vector<CallerConnectionId>({2}),
+               boost::test_tools::per_element());
+    const CallerConnection request = connection(4, CallerPhase::Receiving, 10'000, absl::ZeroDuration());
+    const CallerMemoryUse almostFull = use(mib, mib).with(&CallerMemoryUseFields::systemBytes, 4 * mib);
+    BOOST_TEST((decideRead(narrow, almostFull, request, true) == ReadDecision(RefuseRequest{CallerLimit::System})));
+    BOOST_TEST((decideRead(narrow, almostFull, request, false) == ReadDecision(ReadOn{})));
+    BOOST_TEST(
+        (decideRead(narrow, almostFull.with(&CallerMemoryUseFields::systemBytes, 3 * mib), request, true) == ReadDecision(ReadOn{})));
+}
+
+/// Guards against callers that learn nothing, because all descriptors are in use, when there is no place for them.
+BOOST_AUTO_TEST_CASE(someConnectionsAreForThoseWhoseRequestIsRefused)
+{
+    BOOST_TEST(admittedConnections(limits) == 94U);
+    BOOST_TEST(admittedConnections(limits.with(&CallerMemoryLimitsFields::connections, std::size_t(16))) == 15U);
+    BOOST_TEST(admittedConnections(limits.with(&CallerMemoryLimitsFields::connections, std::size_t(4))) == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(theConnectionLimitLeavesHalfOfTheDescriptors)
 {
     BOOST_TEST(callerConnectionLimit(3075) == 1437U);
--- a/packages/transport/httplistener.cpp
+++ b/packages/transport/httplistener.cpp
@@ -63,7 +63,7 @@
 {
     const std::vector<HttpServerConnection::Ptr> connections(m_connections.begin(), m_connections.end());
     for (const HttpServerConnection::Ptr &it : connections) {
-        it->abortAsPeerClosed();
+        it->closeNow();
     }
 }
 
--- a/packages/transport/httplistener.h
+++ b/packages/transport/httplistener.h
@@ -72,13 +72,13 @@
         return m_listener.port();
     }
 
-    /// Stops accepting connections and closes those without a request in progress.
+    /// Stops accepting connections and closes those without a request in progress or a response on its way.
     void stopAccepting();
 
-    /// Interrupts all requests in progress. \see HttpServerConnection::setInterruptHandler()
+    /// Interrupts all requests in progress, and closes the connections whose response is complete. \see HttpServerConnection::interrupt()
     void interruptRequests();
 
-    /// Resets all open connections and handles this like a disconnect of their clients.
+    /// Ends all open connections at once. \see HttpServerConnection::closeNow()
     void abortConnections();
 
     /// Returns the number of open connections. Thread-safe.
--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -12,21 +12,15 @@
 /// Reading stops when this many bytes of further requests are buffered while a request is in progress.
 constexpr std::size_t maxPipelinedInputBytes = 64 * 1024;
 
-/// How long the remaining input of a rejected request is read and discarded.
-constexpr absl::Duration lingerTimeout = absl::Seconds(2);
-
-/// How many bytes of it at most: as much as a body within usual limits.
-constexpr std::size_t maxDiscardedBytes = 4 << 20;
-
 /// What the system buffers for a connection in each direction. Unread input and unsent responses of many clients would otherwise grow
 /// to megabytes each.
 constexpr int systemBufferBytes = 128 * 1024;
 
-/// An owner learns of the unsent part of a stream when it has grown by this much.
+/// An owner learns of the part of a stream that has not reached the client when it has grown by this much.
 constexpr std::size_t minReportedBytes = 16 * 1024;
 
-/// A client that takes nothing of a response for a shorter time has not stopped reading, however low the idle timeout is.
-constexpr absl::Duration minReadTimeout = absl::Seconds(3);
+/// The system is asked again after this time how much it holds, before that is reported.
+constexpr absl::Duration maxDeliveryAge = absl::Milliseconds(50);
 
 /// Memory of a connection without any buffer: its objects, callbacks and timer.
 constexpr std::size_t baseBytes = 4096;
@@ -61,6 +55,9 @@
     callbacks.onDrained = [self] {
         self->handleDrained();
     };
+    callbacks.onDeliveryChecked = [self] {
+        self->handleDeliveryChecked();
+    };
     m_connection->setCallbacks(std::move(callbacks));
     armTimer();
     requestPermission(false);
@@ -80,6 +77,8 @@
 {
     if (const std::function<void()> onInterrupt = std::exchange(m_onInterrupt, nullptr)) {
         onInterrupt();
+    } else if (!m_closed && hasCompletedResponse() && m_connection->unsentBytes() == 0 && !hasUnreadBytes()) {
+        close(ServerCloseReason::Stopped);
     }
 }
 
@@ -145,11 +144,30 @@
     if (const std::function<void()> onDrained = m_onDrained) {
         onDrained();
     }
-    if (!m_closed && !m_requestInProgress) {
+    if (m_closed) {
+        return;
+    }
+    if (m_requestInProgress) {
+        requestPermission(false);
+    } else {
         continueReading();
     }
 }
 
+void HttpServerConnection::handleDeliveryChecked()
+{
+    updateIdleStart();
+    requestPermission(false);
+}
+
+void HttpServerConnection::updateIdleStart()
+{
+    if (m_awaitsDelivery && !m_requestInProgress && !m_parser && !m_connection->mayHaveUndeliveredBytes()) {
+        m_awaitsDelivery = false;
+        m_phaseStart = std::max(m_phaseStart, m_connection->lastSendProgress());
+    }
+}
+
 void HttpServerConnection::continueReading()
 {
     if (!m_isPaused) {
@@ -163,16 +181,13 @@
 
 ConnectionPhase HttpServerConnection::phase() const
 {
-    if (m_isEnding) {
-        return ConnectionPhase::Sending;
-    }
-    if (m_requestInProgress) {
+    if (m_requestInProgress && !m_isEnding) {
         return ConnectionPhase::Responding;
     }
-    if (m_parser) {
+    if (!m_isEnding && (m_parser || m_closesAfterResponse)) {
         return ConnectionPhase::Receiving;
     }
-    return m_connection->unsentBytes() > 0 ? ConnectionPhase::Sending : ConnectionPhase::Idle;
+    return m_connection->mayHaveUndeliveredBytes() ? ConnectionPhase::Sending : ConnectionPhase::Idle;
 }
 
 std::size_t HttpServerConnection::heldBytes() const
@@ -196,11 +211,16 @@
         m_lastProgress = m_loop.now();
     }
     m_lastUnsentBytes = unsent;
+    if (m_connection->systemBytes() >= minReportedBytes) {
+        m_connection->refreshDelivery(maxDeliveryAge);
+    }
+    m_lastSystemBytes = m_connection->systemBytes();
     ConnectionUse use;
     use.phase = phase();
     use.bytes = heldBytes();
+    use.systemBytes = m_lastSystemBytes;
     use.peerAddress = m_peerAddress.sin_addr.s_addr;
-    use.lastProgress = m_lastProgress;
+    use.lastProgress = std::max(m_lastProgress, m_connection->lastSendProgress());
     use.isHeldBack = m_isPaused && !m_connection->isIdle();
     use.hasCompletedRequest = m_hasCompletedRequest;
     use.isNewRequest = isNewRequest;
@@ -226,21 +246,35 @@
 void HttpServerConnection::reviewUse()
 {
     if (!m_closed) {
+        m_connection->refreshDelivery(maxDeliveryAge);
+        updateIdleStart();
         requestPermission(false);
     }
 }
 
-void HttpServerConnection::evict()
+void HttpServerConnection::reviewDelivery()
 {
-    if (m_parser && m_parser->hasHead() && !m_requestInProgress) {
-        refuseRequest();
-    } else if (!m_closed) {
-        abortAsPeerClosed();
+    if (m_closed || !m_awaitsDelivery || !hasCompletedResponse()) {
+        return;
+    }
+    m_connection->refreshDelivery(maxDeliveryAge);
+    if (!m_connection->mayHaveUndeliveredBytes()) {
+        updateIdleStart();
+        requestPermission(false);
+    }
+}
+
+void HttpServerConnection::reportGrowth()
+{
+    const std::size_t undelivered = m_connection->unsentBytes() + m_connection->systemBytes();
+    if (undelivered > m_lastUnsentBytes + m_lastSystemBytes + minReportedBytes) {
+        requestPermission(false);
     }
 }
 
 void HttpServerConnection::beginRequest()
 {
+    m_awaitsDelivery = false;
     m_phaseStart = m_loop.now();
     m_isHeadReported = false;
     m_parser.emplace(m_hooks->limits().parse);
@@ -283,7 +317,7 @@
     m_isPaused = false;
     m_connection->setReading(m_input.size() < maxPipelinedInputBytes); // The end of the connection must be noticed from now on.
     m_hasCompletedRequest = true;
-    m_requestKeepsAlive = head.keepAlive;
+    m_requestKeepsAlive = head.keepAlive && !m_closesAfterResponse;
     m_requestInProgress = true;
     if (m_connection->isClosedByPeer()) {
         return; // A busy node may read a request after its client has left; the end of the connection is reported next.
@@ -309,6 +343,7 @@
         text += encodeChunk(part);
     }
     m_connection->write(text);
+    reportGrowth();
 }
 
 void HttpServerConnection::sendChunk(std::string_view part)
@@ -316,9 +351,7 @@
     if (!part.empty()) {
         m_connection->write(encodeChunk(part));
     }
-    if (m_connection->unsentBytes() > m_lastUnsentBytes + minReportedBytes) {
-        requestPermission(false);
-    }
+    reportGrowth();
 }
 
 void HttpServerConnection::endStream()
@@ -344,12 +377,13 @@
     m_phaseStart = m_loop.now();
     m_lastProgress = m_loop.now();
     m_limits = m_hooks->limits();
+    m_awaitsDelivery = true;
     if (m_hasUnreadInput) {
         closeAfterDiscardingInput();
         return;
     }
     if (!m_requestKeepsAlive) {
-        closeWhenSent();
+        closeWhenDelivered();
         return;
     }
     m_connection->setReading(m_input.size() < maxPipelinedInputBytes);
@@ -363,144 +397,4 @@
     }
 }
 
-void HttpServerConnection::abortAsPeerClosed()
-{
-    m_connection->abort();
-    handlePeerClosed();
-}
-
-void HttpServerConnection::handlePeerClosed(ServerCloseReason reason)
-{
-    const std::function<void()> onPeerClosed = std::exchange(m_onPeerClosed, nullptr);
-    m_closed = true;
-    if (onPeerClosed) {
-        onPeerClosed();
-    }
-    close(reason);
-}
-
-void HttpServerConnection::closeAfterDiscardingInput()
-{
-    // Closing a socket with unread input resets the connection, which could destroy the response before the client has read it.
-    const Ptr self = shared_from_this();
-    m_requestInProgress = true;
-    m_isEnding = true;
-    std::string().swap(m_input);
-    requestPermission(false);
-    TcpConnection::Callbacks callbacks;
-    callbacks.onData = [self](std::string_view bytes) {
-        self->m_discardedBytes += bytes.size();
-        if (self->m_discardedBytes > maxDiscardedBytes) {
-            self->m_connection->setReading(false);
-        }
-    };
-    callbacks.onClosed = [self](TcpCloseReason) {
-        self->close(ServerCloseReason::AfterResponse);
-    };
-    m_connection->setCallbacks(std::move(callbacks));
-    m_connection->setReading(true);
-    m_connection->shutdownWrite();
-    m_loop.cancel(m_timer);
-    m_timer = m_loop.after(lingerTimeout, [self] {
-        self->m_timer = 0;
-        self->close(ServerCloseReason::AfterResponse);
-    });
-}
-
-void HttpServerConnection::closeWhenSent()
-{
-    if (m_connection->unsentBytes() == 0) {
-        close(ServerCloseReason::AfterResponse);
-        return;
-    }
-    // Until then the owner must know the connection: a process that ends would cut off the response.
-    const Ptr self = shared_from_this();
-    m_requestInProgress = true;
-    m_isEnding = true;
-    std::string().swap(m_input);
-    requestPermission(false);
-    TcpConnection::Callbacks callbacks;
-    callbacks.onDrained = [self] {
-        self->close(ServerCloseReason::AfterResponse);
-    };
-    callbacks.onClosed = [self](TcpCloseReason) {
-        self->close(ServerCloseReason::PeerClosed);
-    };
-    m_connection->setCallbacks(std::move(callbacks));
-}
-
-void HttpServerConnection::closeIfIdle()
-{
-    if (!m_requestInProgress && !m_parser && m_input.empty() && !hasPendingBytes()) {
-        close(ServerCloseReason::Stopped);
-    }
-}
-
-bool HttpServerConnection::hasPendingBytes() const
-{
-    return m_connection->unsentBytes() > 0 || !m_connection->isIdle();
-}
-
-void HttpServerConnection::close(ServerCloseReason reason)
-{
-    const Ptr self = shared_from_this();
-    m_closed = true;
-    m_onPeerClosed = nullptr;
-    m_onInterrupt = nullptr;
-    m_onDrained = nullptr;
-    m_loop.cancel(std::exchange(m_timer, 0));
-    m_connection->close();
-    if (const std::shared_ptr<const Hooks> hooks = std::exchange(m_hooks, nullptr)) {
-        hooks->onClosed(self, reason);
-    }
-}
-
-bool HttpServerConnection::hasStoppedReading() const
-{
-    const absl::Duration timeout = std::max({m_limits.idleTimeout, m_hooks->limits().idleTimeout, minReadTimeout});
-    return m_connection->unsentBytes() > 0 && m_loop.now() - m_connection->lastSendProgress() > timeout;
-}
-
-void HttpServerConnection::armTimer()
-{
-    const absl::Duration interval = std::min(m_limits.headerTimeout, m_limits.idleTimeout) / 2;
-    m_timer = m_loop.after(interval, [self = shared_from_this()] { self->checkTimeouts(); });
-}
-
-void HttpServerConnection::checkTimeouts()
-{
-    m_timer = 0;
-    if (hasStoppedReading()) {
-        m_connection->abort();
-        handlePeerClosed(ServerCloseReason::IdleTimeout);
-        return;
-    }
-    const absl::Duration elapsed = m_loop.now() - m_phaseStart;
-    if (!m_requestInProgress && m_parser && elapsed > std::max(m_limits.receiveTimeout, m_hooks->limits().receiveTimeout)) {
-        rejectRequest(ParseState::Head);
-        return;
-    }
-    if (!m_requestInProgress && hasPendingBytes()) {
-        armTimer();
-        return;
-    }
-    const bool isReadingHead = m_parser && m_parser->state() == ParseState::Head;
-    // The client may rely on the limits of its last response, so lower ones apply from its next response on.
-    const HttpServerLimits current = m_hooks->limits();
-    if (!m_requestInProgress && isReadingHead && elapsed > std::max(m_limits.headerTimeout, current.headerTimeout)) {
-        rejectRequest(ParseState::Head);
-        return;
-    }
-    const absl::Duration idleTimeout = std::max(m_limits.idleTimeout, current.idleTimeout);
-    if (!m_requestInProgress && m_parser && elapsed > idleTimeout) {
-        rejectRequest(ParseState::Head);
-        return;
-    }
-    if (!m_requestInProgress && elapsed > idleTimeout) {
-        close(ServerCloseReason::IdleTimeout);
-        return;
-    }
-    armTimer();
-}
-
 }
--- a/packages/transport/httpserverconnection.h
+++ b/packages/transport/httpserverconnection.h
@@ -30,7 +30,7 @@
     Idle, ///< between requests
     Receiving, ///< a part of a request has been received
     Responding, ///< the owner has the request and has not completed its response
-    Sending, ///< the response is complete, and a part of it has not been sent
+    Sending, ///< the response is complete, and a part of it may not have reached the client
 };
 
 /// What a connection holds in memory.
@@ -38,6 +38,7 @@
 {
     ConnectionPhase phase = ConnectionPhase::Idle;
     std::size_t bytes = 0;
+    std::size_t systemBytes = 0; ///< of responses, which the system holds until the client acknowledges them
     std::uint32_t peerAddress = 0; ///< IPv4 address of the client
     absl::Time lastProgress; ///< when the client last sent or received a byte
     bool isHeldBack = false; ///< there is input that is not read, because the owner has paused reading
@@ -57,8 +58,9 @@
     PeerClosed, ///< the client disconnected
     AfterResponse, ///< closed after a response, as the client or the owner wanted
     IdleTimeout, ///< no whole request was received, or nothing of a response was read, within the idle timeout
-    Stopped, ///< the listener stopped while the connection was idle
+    Stopped, ///< the listener stopped while no request was in progress
     Aborted, ///< reset to end an incomplete response
+    Replaced, ///< closed in order for another connection while it was idle
 };
 
 /**
@@ -99,11 +101,17 @@
     /// Starts reading requests.
     void start();
 
-    /// Closes the connection if there is no request in progress and no input of another one.
+    /// Closes the connection if there is no request in progress, no input of another one, and no response on its way to the client.
     void closeIfIdle();
 
-    /// Resets the connection and handles this like a disconnect of the client.
-    void abortAsPeerClosed();
+    /// Ends the connection at once: in order if its last response is complete, so that the system goes on sending what it holds of it;
+    /// else by a reset, which is handled like a disconnect of the client.
+    void closeNow();
+
+    /// Closes the connection in order, for another one, if it is between requests or only a part of a head has been received; refuses a
+    /// request whose head has been received. The connection stays open if a request is in progress or a response is on its way to the
+    /// client, and until its next response if there is input that has not been read.
+    void closeForAnother();
 
     /// Runs \a onPeerClosed if the client disconnects before the response to the current request was written.
     void setPeerClosedHandler(std::function<void()> onPeerClosed);
@@ -112,7 +120,7 @@
     /// once, with a response or with abort().
     void setInterruptHandler(std::function<void()> onInterrupt);
 
-    /// Ends the request in progress, if there is one whose owner can.
+    /// Ends the request in progress, if there is one whose owner can, or lets the system send the rest of a complete response by itself.
     void interrupt();
 
     /// Runs \a onDrained each time all buffered output has been handed to the system.
@@ -136,7 +144,10 @@
     /// Asks the owner again whether the connection may read, and records what it holds.
     void reviewUse();
 
-    /// Ends the connection, which the owner cannot keep: refuses the request that is being received, or else resets the connection.
+    /// Records that the last response has reached the client, if the system tells so.
+    void reviewDelivery();
+
+    /// Frees what the connection holds at once: refuses the request that is being received, or else resets the connection.
     void evict();
 
     /// Number of bytes that the connection holds.
@@ -194,15 +205,33 @@
     ConnectionPhase phase() const;
     void continueReading();
     void handleDrained();
+    void handleDeliveryChecked();
     void handleResponseSent();
+    /// The idle time of a kept connection begins when its response has reached the client.
+    void updateIdleStart();
+    /// Reports what the connection holds if that has grown by much since the last report.
+    void reportGrowth();
+    void abortAsPeerClosed();
     void handlePeerClosed(ServerCloseReason reason = ServerCloseReason::PeerClosed);
     /// Whether the client has taken nothing of what waits for it for the idle timeout.
     bool hasStoppedReading() const;
-    void closeWhenSent();
+    void closeWhenDelivered();
+    void closeIfDelivered();
     void closeAfterDiscardingInput();
+    /// Reads no further request, and discards what the client sends until the connection is closed.
+    void beginClosing();
+    void discardInput(std::size_t bytes);
+    void armLingerTimer();
     void close(ServerCloseReason reason);
-    /// Whether bytes of a response wait to be sent, or bytes of a request, or the end of the connection, wait to be read.
-    bool hasPendingBytes() const;
+    /// Whether the owner has completed the response to the last request, or has not got one.
+    bool hasCompletedResponse() const
+    {
+        return !m_requestInProgress || m_isEnding;
+    }
+    /// Whether bytes of a request, or the end of the connection, wait to be read.
+    bool hasUnreadBytes() const;
+    /// Asks the system whether a response is on its way to the client.
+    bool isDelivering();
     void armTimer();
     void checkTimeouts();
 
@@ -218,7 +247,8 @@
     std::function<void()> m_onInterrupt;
     std::function<void()> m_onDrained;
     std::size_t m_requestBytes = 0; ///< held by the owner for the request in progress
-    std::size_t m_lastUnsentBytes = 0; ///< as of the last review
+    std::size_t m_lastUnsentBytes = 0; ///< as of the last report
+    std::size_t m_lastSystemBytes = 0; ///< as of the last report
     std::size_t m_discardedBytes = 0; ///< after the response to a rejected request
     TimerId m_timer = 0;
     absl::Time m_phaseStart; ///< start of the current phase: idle, or receiving a request
@@ -227,6 +257,8 @@
     bool m_isHeadReported = false; ///< the owner knows the head of the request that is being received
     bool m_hasCompletedRequest = false;
     bool m_isEnding = false; ///< no request is read any more
+    bool m_awaitsDelivery = false; ///< the last response is complete and may not have reached the client
+    bool m_closesAfterResponse = false; ///< the owner needs its place for another connection
     bool m_requestInProgress = false;
     bool m_requestKeepsAlive = true;
     bool m_responseHasNoBody = false;
--- a/tests/platform/testcalleraccount.cpp
+++ b/tests/platform/testcalleraccount.cpp
@@ -31,6 +31,24 @@
     BOOST_TEST(account.connectionCount() == 0U);
 }
 
+/// Guards against a sum that keeps what the system held for a connection which is gone, or counts it twice.
+BOOST_AUTO_TEST_CASE(whatTheSystemHoldsIsCountedOnce)
+{
+    constexpr std::size_t mib = 1 << 20;
+    const std::atomic<std::size_t> answerBytes{0};
+    CallerAccount account(CallerMemoryLimits(CallerMemoryLimitsFields{32 * mib, 28 * mib, 16 * mib, 100}), answerBytes);
+    const CallerConnection answering(CallerConnectionFields{1, 1, CallerPhase::Answering, 4096, absl::UnixEpoch(), false, true, 50'000});
+    account.update(answering, false);
+    account.update(answering.with(&CallerConnectionFields::systemBytes, std::size_t(30'000)), false);
+    BOOST_TEST(account.systemBytes() == 30'000U);
+    BOOST_TEST(account.totalBytes() == 4096U);
+    BOOST_TEST(!account.takeForNewConnection(absl::UnixEpoch()).has_value());
+    account.update(answering.with(&CallerConnectionFields::phase, CallerPhase::Idle), false);
+    BOOST_TEST(account.takeForNewConnection(absl::UnixEpoch()).value_or(0) == 1U);
+    BOOST_TEST(account.systemBytes() == 0U);
+    BOOST_TEST(account.connectionCount() == 0U);
+}
+
 /// Guards against a request that is cut off while an engine runs it, because it had not yet begun when its connection was chosen.
 BOOST_AUTO_TEST_CASE(aConnectionThatHasBegunToRunIsNotTakenForANewOne)
 {
