Do not close steady readers of answers as stalled after a second

A caller that reads a complete answer steadily, but slowly, could be closed at the first review above 5/8 of the memory.

Cause: two. relieve() decided on reports that were older than the review that follows it. And a peer with a closed window announces room only once a large part of its receive buffer is free, 16 KB at 4,000 bytes a second take 4 s, so that a second without progress does not mean that it has stopped.

Change: the review comes first, and a connection whose answer is on its way counts as stalled after 8 s without an acknowledgement. Above the limit it is closed as before, by bytes and time.

Evidence: aSteadyReaderOfAnAnswerDoesNotCountAsStalled fails with 1 s in place of 8 s (connection 1 is closed too); caller_limits_test passes.

--- a/packages/apricotladderd/entry/callerguard.cpp
+++ b/packages/apricotladderd/entry/callerguard.cpp
@@ -199,6 +199,7 @@
 void CallerGuard::relieve()
 {
     m_timer = 0;
+    reviewConnections(); // Callers may have read since the last report, which was then not a reason to close them.
     const CallerRelief relief = m_account.relieve(m_loop.now());
     for (const CallerConnectionId it : relief->closed) {
         closeAnywhere(it, CallerCloseReason::Memory);
--- a/packages/coordination/callermemory.cpp
+++ b/packages/coordination/callermemory.cpp
@@ -35,6 +35,10 @@
 /// A connection that could send or receive and has not for this long makes no progress. A retransmission after a loss takes 0.2 to 0.6 s.
 constexpr absl::Duration stallTime = absl::Seconds(1);
 
+/// The same for a caller that reads an answer. A peer with a closed window announces room again only once a large part of its receive
+/// buffer is free, so that one which reads steadily seems to pause for seconds.
+constexpr absl::Duration readStallTime = absl::Seconds(8);
+
 /// Part of the connections that is for those whose request is refused for lack of a place, as a divisor.
 constexpr std::size_t refusedConnectionsDivisor = 16;
 
@@ -68,7 +72,8 @@
     if (connection->phase == CallerPhase::Running) {
         return CloseOrder::Running;
     }
-    return stalledFor(connection, now) >= stallTime ? CloseOrder::Stalled : CloseOrder::Progressing;
+    const absl::Duration allowed = connection->phase == CallerPhase::Answering ? readStallTime : stallTime;
+    return stalledFor(connection, now) >= allowed ? CloseOrder::Stalled : CloseOrder::Progressing;
 }
 
 /// Bytes in use above which connections of a group are closed, for a limit of \a limit bytes.
--- a/packages/coordination/tests/entry/testcallermemory.cpp
+++ b/packages/coordination/tests/entry/testcallermemory.cpp
@@ -291,6 +291,18 @@
     BOOST_TEST(!chooseForNewConnection({answering, running}, now).has_value());
 }
 
+/// Guards against LOST: a caller that reads steadily, but can announce room for more only every few seconds, counted as stalled after one.
+BOOST_AUTO_TEST_CASE(aSteadyReaderOfAnAnswerDoesNotCountAsStalled)
+{
+    const std::vector<CallerConnection> connections{connection(1, CallerPhase::Answering, 11 * mib, absl::Seconds(5)),
+                                                    connection(2, CallerPhase::Receiving, 11 * mib, absl::Seconds(1))};
+    BOOST_TEST(chooseRelief(limits, 22 * mib, connections, std::nullopt, now)->closed == std::vector<CallerConnectionId>({2}),
+               boost::test_tools::per_element());
+    const std::vector<CallerConnection> stopped{connection(1, CallerPhase::Answering, 22 * mib, absl::Seconds(9))};
+    BOOST_TEST(chooseRelief(limits, 22 * mib, stopped, std::nullopt, now)->closed == std::vector<CallerConnectionId>({1}),
+               boost::test_tools::per_element());
+}
+
 /// Guards against memory of the system that grows without a limit with answers which callers do not read.
 BOOST_AUTO_TEST_CASE(whatTheSystemHoldsForCallersIsLimited)
 {
