Report the end of a delivery although the system was asked before

Cause: refreshDelivery() cancelled the timer that reports the end of a delivery. A connection that closes after its last answer then stayed open until its caller closed it, if a review had asked the system meanwhile.

Change: whether the system may hold data is a state of its own, and the timer runs once more after it. A review closes such a connection at once.

--- a/packages/transport/httpserverconnection.cpp
+++ b/packages/transport/httpserverconnection.cpp
@@ -261,6 +261,9 @@
     if (!m_connection->mayHaveUndeliveredBytes()) {
         updateIdleStart();
         requestPermission(false);
+        if (m_isEnding) {
+            closeIfDelivered();
+        }
     }
 }
 
--- a/packages/transport/tcpconnection.cpp
+++ b/packages/transport/tcpconnection.cpp
@@ -259,8 +259,16 @@
 void TcpConnection::recordSent(std::size_t bytes)
 {
     m_systemBytes += bytes;
-    if (m_sendPathTimer == 0) {
+    if (!m_mayHoldData) {
+        m_mayHoldData = true;
         m_undeliveredSince = m_loop.now();
+    }
+    checkSendPathLater();
+}
+
+void TcpConnection::checkSendPathLater()
+{
+    if (m_sendPathTimer == 0) {
         m_sendPathTimer = m_loop.after(sendPathCheckInterval, [this] { checkSendPath(); });
     }
 }
@@ -268,7 +276,7 @@
 void TcpConnection::checkSendPath()
 {
     const std::shared_ptr<TcpConnection> self = shared_from_this();
-    m_sendPathTimer = m_loop.after(sendPathCheckInterval, [this] { checkSendPath(); });
+    m_sendPathTimer = 0;
     const bool isDead = readDelivery();
     const bool isAbandoned = m_closeAfterFlush && m_loop.now() - lastSendProgress() >= closedUserTimeout;
     if (isDead || isAbandoned) {
@@ -276,6 +284,9 @@
         handleClosed(TcpCloseReason::Reset);
         return;
     }
+    if (m_mayHoldData) {
+        checkSendPathLater();
+    }
     const std::shared_ptr<Callbacks> callbacks = m_callbacks;
     if (callbacks->onDeliveryChecked) {
         callbacks->onDeliveryChecked();
@@ -284,7 +295,7 @@
 
 void TcpConnection::refreshDelivery(absl::Duration maxAge)
 {
-    if (m_sendPathTimer != 0 && m_loop.now() - m_lastDeliveryRead >= maxAge) {
+    if (m_mayHoldData && m_loop.now() - m_lastDeliveryRead >= maxAge) {
         readDelivery(); // A dead path is noticed at the next check.
     }
 }
@@ -299,7 +310,7 @@
         updateUserTimeout(*state);
     }
     if (!state || !state->hasOutstandingData) {
-        m_loop.cancel(std::exchange(m_sendPathTimer, 0));
+        m_mayHoldData = false;
     }
     return isDead;
 }
@@ -379,8 +390,7 @@
 
 void TcpConnection::prepareOrderlyClose() const
 {
-    const bool mayHaveOutstandingData = m_sendPathTimer != 0;
-    if (m_isAccepted && mayHaveOutstandingData) {
+    if (m_isAccepted && m_mayHoldData) {
         setUserTimeout(closedUserTimeout);
     }
 }
--- a/packages/transport/tcpconnection.h
+++ b/packages/transport/tcpconnection.h
@@ -97,7 +97,7 @@
     /// that does not tell what it holds counts as holding none some hundred milliseconds after the last write().
     bool mayHaveUndeliveredBytes() const
     {
-        return unsentBytes() > 0 || m_sendPathTimer != 0;
+        return unsentBytes() > 0 || m_mayHoldData;
     }
 
     /// Bytes that the system holds until the peer acknowledges them: those known of at the last check, and all that were handed to it
@@ -107,7 +107,8 @@
         return m_systemBytes;
     }
 
-    /// Asks the system what it still holds for the peer, unless it was asked within \a maxAge. Runs no callback.
+    /// Asks the system what it still holds for the peer, unless it was asked within \a maxAge. Runs no callback; onDeliveryChecked runs
+    /// some hundred milliseconds later.
     void refreshDelivery(absl::Duration maxAge);
 
     /// Limits what the system buffers for this connection in each direction, in bytes.
@@ -158,6 +159,7 @@
     void updateEvents();
     /// Records that the system has taken \a bytes to send.
     void recordSent(std::size_t bytes);
+    void checkSendPathLater();
     void checkSendPath();
     /// Reads what the system holds for the peer; returns whether the path to it is dead.
     bool readDelivery();
@@ -178,7 +180,8 @@
     std::size_t m_unsentOffset = 0;
     absl::Time m_lastBufferChange = absl::InfinitePast(); ///< when the system last took buffered bytes, or bytes were buffered after none
     SendPathMonitor m_sendPath;
-    TimerId m_sendPathTimer = 0; ///< runs while the system may hold data that is not acknowledged
+    bool m_mayHoldData = false; ///< the system was handed data and was not seen to hold none since
+    TimerId m_sendPathTimer = 0; ///< runs while that is so, and once after
     absl::Time m_undeliveredSince = absl::InfinitePast(); ///< when it was last handed data while it held none
     absl::Time m_lastDeliveryRead = absl::InfinitePast();
     std::size_t m_systemBytes = 0;
--- a/packages/transport/tests/exchange/testslowdelivery.cpp
+++ b/packages/transport/tests/exchange/testslowdelivery.cpp
@@ -168,6 +168,7 @@
     client->send("GET /next");
     readSlowly();
     BOOST_TEST(hasWholeBody());
+    BOOST_TEST(lastConnection->undeliveredBytes() == 0U); // What is asked meanwhile must not hide the end of the delivery.
     runUntil([&] { return listener->connectionCount() == 0U; });
 }
 
--- a/tests/callerlimits/testslowcallers.cpp
+++ b/tests/callerlimits/testslowcallers.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <csignal>
+#include <memory>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -163,6 +165,20 @@
     checkNode(); // The connections of the slow callers are idle now and give way.
 }
 
+/// Guards against LOST at a planned stop: the node closed connections whose answers the system still sent, and the next byte of a caller
+/// reset them.
+BOOST_AUTO_TEST_CASE(aPlannedStopDoesNotCutOffAnswersThatTheSystemStillSends)
+{
+    addSlowCallers(8, 4096);
+    node->signal(SIGTERM);
+    absl::SleepFor(absl::Milliseconds(EntrySettingsFields().addressKeepMs) + absl::Seconds(1)); // It accepts no more connections now.
+    for (const std::unique_ptr<BlockingCaller> &it : slow) {
+        it->send("GET /read/short");
+    }
+    BOOST_TEST(readSlowAnswers() == slow.size());
+    BOOST_TEST(eventually([&] { return node->reap().has_value(); }));
+}
+
 /// Guards against callers that are locked out by others which have connected and sent nothing while some read slowly.
 BOOST_AUTO_TEST_CASE(silentConnectionsGiveWayBesideSlowCallers)
 {
