Sort the entry node's sources into folders by what they work with

Cause: packages/apricotladderd/entry held 50 files in one folder, so that a newcomer could not tell which belong together.

Change: callers/ (the account and guard of connections), calls/ (dispatch and the flows of calls), engines/ (what is known of engines and sent to them) and peers/ (what nodes share); 16 files stay in the folder. Only include lines and the list of sources changed. check_docs.py reads the folders too; with the old pattern it finds no log event of the moved files.

Checked: the build, check_layers.py and check_docs.py.

--- a/packages/apricotladderd/entry/callerguard.cpp
+++ b/packages/apricotladderd/entry/callers/callerguard.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/callerguard.h"
+#include "apricotladderd/entry/callers/callerguard.h"
 
 #include "state/overloaded.h"
 
--- a/packages/apricotladderd/entry/callerguard.h
+++ b/packages/apricotladderd/entry/callers/callerguard.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "apricotladderd/entry/calleraccount.h"
+#include "apricotladderd/entry/callers/calleraccount.h"
 #include "apricotladderd/entry/entrymetrics.h"
 #include "apricotladderd/entry/eventlog.h"
 #include "transport/httplistener.h"
--- a/packages/apricotladderd/entry/calldispatch.cpp
+++ b/packages/apricotladderd/entry/calls/calldispatch.cpp
@@ -1,8 +1,8 @@
-#include "apricotladderd/entry/calldispatch.h"
+#include "apricotladderd/entry/calls/calldispatch.h"
 
-#include "apricotladderd/entry/errorresponse.h"
-#include "apricotladderd/entry/streamcall.h"
-#include "apricotladderd/entry/wholecall.h"
+#include "apricotladderd/entry/calls/errorresponse.h"
+#include "apricotladderd/entry/calls/streamcall.h"
+#include "apricotladderd/entry/calls/wholecall.h"
 #include "coordination/callidentity.h"
 #include "platform/callheaders.h"
 
--- a/packages/apricotladderd/entry/errorresponse.cpp
+++ b/packages/apricotladderd/entry/calls/errorresponse.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/errorresponse.h"
+#include "apricotladderd/entry/calls/errorresponse.h"
 
 #include "state/abslview.h"
 
--- a/packages/apricotladderd/entry/modelreservation.cpp
+++ b/packages/apricotladderd/entry/calls/modelreservation.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/modelreservation.h"
+#include "apricotladderd/entry/calls/modelreservation.h"
 
 #include <utility>
 
--- a/packages/apricotladderd/entry/ownedkvhandle.cpp
+++ b/packages/apricotladderd/entry/calls/ownedkvhandle.cpp
@@ -1,7 +1,7 @@
-#include "apricotladderd/entry/ownedkvhandle.h"
+#include "apricotladderd/entry/calls/ownedkvhandle.h"
 
-#include "apricotladderd/entry/enginenotices.h"
-#include "apricotladderd/entry/enginerequest.h"
+#include "apricotladderd/entry/engines/enginenotices.h"
+#include "apricotladderd/entry/engines/enginerequest.h"
 #include "transport/httpfetch.h"
 
 #include <utility>
--- a/packages/apricotladderd/entry/streamcall.h
+++ b/packages/apricotladderd/entry/calls/streamcall.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "apricotladderd/entry/answerbuffer.h"
-#include "apricotladderd/entry/callfacts.h"
+#include "apricotladderd/entry/calls/callfacts.h"
+#include "apricotladderd/entry/calls/modelreservation.h"
+#include "apricotladderd/entry/calls/ownedkvhandle.h"
+#include "apricotladderd/entry/calls/streamtakeover.h"
+#include "apricotladderd/entry/engines/answerbuffer.h"
 #include "apricotladderd/entry/entryloop.h"
-#include "apricotladderd/entry/modelreservation.h"
-#include "apricotladderd/entry/ownedkvhandle.h"
-#include "apricotladderd/entry/promptguard.h"
-#include "apricotladderd/entry/streamtakeover.h"
+#include "apricotladderd/entry/peers/promptguard.h"
 #include "coordination/attemptdecision.h"
 #include "platform/callheaders.h"
 #include "protocol/sseeventsplitter.h"
--- a/packages/apricotladderd/entry/streamcalldecode.cpp
+++ b/packages/apricotladderd/entry/calls/streamcalldecode.cpp
@@ -1,6 +1,6 @@
-#include "apricotladderd/entry/streamcall.h"
+#include "apricotladderd/entry/calls/streamcall.h"
 
-#include "apricotladderd/entry/enginerequest.h"
+#include "apricotladderd/entry/engines/enginerequest.h"
 #include "state/abslview.h"
 
 #include <absl/strings/match.h>
--- a/packages/apricotladderd/entry/streamcallprefill.cpp
+++ b/packages/apricotladderd/entry/calls/streamcallprefill.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/streamcall.h"
+#include "apricotladderd/entry/calls/streamcall.h"
 
 #include "state/overloaded.h"
 
--- a/packages/apricotladderd/entry/streamtakeover.cpp
+++ b/packages/apricotladderd/entry/calls/streamtakeover.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/streamtakeover.h"
+#include "apricotladderd/entry/calls/streamtakeover.h"
 
 #include <utility>
 
--- a/packages/apricotladderd/entry/wholecall.cpp
+++ b/packages/apricotladderd/entry/calls/wholecall.cpp
@@ -1,8 +1,8 @@
-#include "apricotladderd/entry/wholecall.h"
+#include "apricotladderd/entry/calls/wholecall.h"
 
-#include "apricotladderd/entry/enginenotices.h"
-#include "apricotladderd/entry/enginerequest.h"
-#include "apricotladderd/entry/errorresponse.h"
+#include "apricotladderd/entry/calls/errorresponse.h"
+#include "apricotladderd/entry/engines/enginenotices.h"
+#include "apricotladderd/entry/engines/enginerequest.h"
 #include "platform/callheaders.h"
 #include "state/overloaded.h"
 
--- a/packages/apricotladderd/entry/wholecall.h
+++ b/packages/apricotladderd/entry/calls/wholecall.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "apricotladderd/entry/answerbuffer.h"
-#include "apricotladderd/entry/callfacts.h"
+#include "apricotladderd/entry/calls/callfacts.h"
+#include "apricotladderd/entry/engines/answerbuffer.h"
 #include "apricotladderd/entry/entryloop.h"
 #include "coordination/attemptdecision.h"
 #include "coordination/servicepool.h"
--- a/packages/apricotladderd/entry/enginecatalogue.cpp
+++ b/packages/apricotladderd/entry/engines/enginecatalogue.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/enginecatalogue.h"
+#include "apricotladderd/entry/engines/enginecatalogue.h"
 
 #include "platform/objectreader.h"
 #include "platform/wirenames.h"
--- a/packages/apricotladderd/entry/enginecatalogue.h
+++ b/packages/apricotladderd/entry/engines/enginecatalogue.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "apricotladderd/entry/engines/malformedentries.h"
 #include "apricotladderd/entry/entrycontext.h"
-#include "apricotladderd/entry/malformedentries.h"
 #include "apricotladderd/entry/storewatch.h"
 #include "protocol/cellmessage.h"
 #include "transport/connectionpool.h"
--- a/packages/apricotladderd/entry/enginenotices.cpp
+++ b/packages/apricotladderd/entry/engines/enginenotices.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/enginenotices.h"
+#include "apricotladderd/entry/engines/enginenotices.h"
 
 #include "platform/callheaders.h"
 
--- a/packages/apricotladderd/entry/enginerequest.cpp
+++ b/packages/apricotladderd/entry/engines/enginerequest.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/enginerequest.h"
+#include "apricotladderd/entry/engines/enginerequest.h"
 
 namespace Apricot {
 
--- a/packages/apricotladderd/entry/enginerequest.h
+++ b/packages/apricotladderd/entry/engines/enginerequest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "apricotladderd/entry/callfacts.h"
+#include "apricotladderd/entry/calls/callfacts.h"
 #include "coordination/attemptdecision.h"
 #include "platform/callheaders.h"
 #include "state/engineentry.h"
--- a/packages/apricotladderd/entry/malformedentries.cpp
+++ b/packages/apricotladderd/entry/engines/malformedentries.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/malformedentries.h"
+#include "apricotladderd/entry/engines/malformedentries.h"
 
 namespace Apricot {
 
--- a/packages/apricotladderd/entry/entrycontext.h
+++ b/packages/apricotladderd/entry/entrycontext.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "apricotladderd/entry/calleraccount.h"
-#include "apricotladderd/entry/callerguard.h"
+#include "apricotladderd/entry/callers/calleraccount.h"
+#include "apricotladderd/entry/callers/callerguard.h"
 #include "apricotladderd/entry/entrymetrics.h"
 #include "apricotladderd/entry/eventlog.h"
-#include "apricotladderd/entry/sharedallowance.h"
-#include "apricotladderd/entry/sharedquarantine.h"
+#include "apricotladderd/entry/peers/sharedallowance.h"
+#include "apricotladderd/entry/peers/sharedquarantine.h"
 #include "coordination/recentmaximum.h"
 #include "coordination/retryquota.h"
 #include "coordination/routetable.h"
--- a/packages/apricotladderd/entry/entryloop.cpp
+++ b/packages/apricotladderd/entry/entryloop.cpp
@@ -1,6 +1,6 @@
 #include "apricotladderd/entry/entryloop.h"
 
-#include "apricotladderd/entry/calldispatch.h"
+#include "apricotladderd/entry/calls/calldispatch.h"
 
 #include <utility>
 
--- a/packages/apricotladderd/entry/entrynode.h
+++ b/packages/apricotladderd/entry/entrynode.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "apricotladderd/entry/enginecatalogue.h"
+#include "apricotladderd/entry/engines/enginecatalogue.h"
 #include "apricotladderd/entry/entrycontext.h"
 #include "apricotladderd/entry/entryloop.h"
-#include "apricotladderd/entry/nodedirectory.h"
-#include "apricotladderd/entry/peerlink.h"
+#include "apricotladderd/entry/peers/nodedirectory.h"
+#include "apricotladderd/entry/peers/peerlink.h"
 #include "apricotladderd/entry/storewatch.h"
 #include "coordination/storeduty.h"
 #include "state/entrysettings.h"
--- a/packages/apricotladderd/entry/nodedirectory.cpp
+++ b/packages/apricotladderd/entry/peers/nodedirectory.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/nodedirectory.h"
+#include "apricotladderd/entry/peers/nodedirectory.h"
 
 #include "platform/objectreader.h"
 #include "platform/wirenames.h"
--- a/packages/apricotladderd/entry/nodedirectory.h
+++ b/packages/apricotladderd/entry/peers/nodedirectory.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "apricotladderd/entry/engines/malformedentries.h"
 #include "apricotladderd/entry/entrycontext.h"
-#include "apricotladderd/entry/malformedentries.h"
-#include "apricotladderd/entry/peerlink.h"
+#include "apricotladderd/entry/peers/peerlink.h"
 #include "coordination/stalenodetracker.h"
 #include "platform/storeobjects.h"
 #include "transport/connectionpool.h"
--- a/packages/apricotladderd/entry/peerlink.cpp
+++ b/packages/apricotladderd/entry/peers/peerlink.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/peerlink.h"
+#include "apricotladderd/entry/peers/peerlink.h"
 
 #include "state/overloaded.h"
 
--- a/packages/apricotladderd/entry/promptguard.cpp
+++ b/packages/apricotladderd/entry/peers/promptguard.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/promptguard.h"
+#include "apricotladderd/entry/peers/promptguard.h"
 
 #include "state/overloaded.h"
 
--- a/packages/apricotladderd/entry/promptguard.h
+++ b/packages/apricotladderd/entry/peers/promptguard.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "apricotladderd/entry/callfacts.h"
-#include "apricotladderd/entry/sharedquarantine.h"
+#include "apricotladderd/entry/calls/callfacts.h"
+#include "apricotladderd/entry/peers/sharedquarantine.h"
 #include "coordination/promptquarantine.h"
 
 #include <absl/time/time.h>
--- a/packages/apricotladderd/entry/sharedallowance.cpp
+++ b/packages/apricotladderd/entry/peers/sharedallowance.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/sharedallowance.h"
+#include "apricotladderd/entry/peers/sharedallowance.h"
 
 #include "transport/eventloop.h"
 
--- a/packages/apricotladderd/entry/sharedquarantine.cpp
+++ b/packages/apricotladderd/entry/peers/sharedquarantine.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/sharedquarantine.h"
+#include "apricotladderd/entry/peers/sharedquarantine.h"
 
 #include "state/overloaded.h"
 
--- a/scripts/check_docs.py
+++ b/scripts/check_docs.py
@@ -43,7 +43,7 @@
     entry = section(operations, "Entry nodes on a platform")
     entry_settings = set(re.findall(r'^\s*\{"(\w+)",\s*"(?:text|whole number|number|flag|list of texts)"', read("packages/protocol/entrysettingsjson.cpp"), re.M))
     entry_metrics = set(re.findall(r'"(apricotladder_entry_\w+)"', read("packages/apricotladderd/entry/entrymetrics.cpp")))
-    sources = "\n".join(path.read_text() for path in sorted((ROOT / "packages/apricotladderd/entry").glob("*.cpp")))
+    sources = "\n".join(path.read_text() for path in sorted((ROOT / "packages/apricotladderd/entry").rglob("*.cpp")))
     events = set(re.findall(r'"((?:call|store|desired|engine|engines|node|nodes|peer|quarantine)\.[a-z]+|start|stop|stopped|reload|engine|member)"', sources))
     events |= set(re.findall(r'\\"event\\":\\"([a-z.]+)\\"', sources))
     faults += compare("entry setting, metric or event", entry_settings | entry_metrics | events, first_cells(entry))
--- a/tests/platform/testcalleraccount.cpp
+++ b/tests/platform/testcalleraccount.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/calleraccount.h"
+#include "apricotladderd/entry/callers/calleraccount.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/platform/testdeadlyprompts.cpp
+++ b/tests/platform/testdeadlyprompts.cpp
@@ -1,4 +1,4 @@
-#include "apricotladderd/entry/promptguard.h"
+#include "apricotladderd/entry/peers/promptguard.h"
 #include "platform/nodefixture.h"
 
 #include <boost/test/unit_test.hpp>
