--- a/packages/transport/tests/exchange/testslowdelivery.cpp
+++ b/packages/transport/tests/exchange/testslowdelivery.cpp
@@ -172,6 +172,23 @@
     runUntil([&] { return listener->connectionCount() == 0U; });
 }
 
+/// Guards against an account that learns late what a stream holds: its first part was reported with the next one, what was sent with the
+/// end.
+BOOST_AUTO_TEST_CASE(aStreamReportsWhatItHoldsInBothDirections)
+{
+    const std::string part(600'000, 'p');
+    respond = [&](const HttpServerConnection::Ptr &connection) {
+        events.post([&, connection] { connection->beginStream(HttpResponseHead{200, "OK", {}, true, false}, part); });
+    };
+    request();
+    BOOST_TEST(lastUse.bytes > part.size() / 2);
+    runUntil([&] {
+        client->receive();
+        return client->received().size() > part.size() && lastUse.bytes < part.size() / 100;
+    });
+    BOOST_TEST((lastUse.phase == ConnectionPhase::Responding));
+}
+
 /// Guards against a refusal that is cut off when its client reads it for longer than the input of the request is discarded.
 BOOST_AUTO_TEST_CASE(aLongRefusalArrives)
 {
